--- /dev/null
+++ b/arbutusrock/engine/__init__.py
@@ -0,0 +1,3 @@
+"""The engine: jobs of steps and tasks, run on workers under leases."""
+
+__all__ = []
--- /dev/null
+++ b/arbutusrock/engine/book.py
@@ -0,0 +1,250 @@
+"""The jobs that the owner knows, and what their tasks need next."""
+
+from arbutusrock.engine import plans
+from arbutusrock.engine import work
+
+__all__ = ['JobBook']
+
+
+class JobBook:
+    """Jobs in memory; changes mark the jobs whose rows must be written.
+
+    :param early_s: how much before its time an occurrence may start.
+    """
+
+    def __init__(self, *, early_s):
+        self.early_s = early_s
+        self.jobs = {}
+        # Steps with waiting tasks, by pool.
+        self.waiting_steps = {}
+        # Jobs whose progress row must be written.
+        self.dirty = {}
+        # Jobs with occurrences to come.
+        self._scheduled = {}
+
+    def add(self, job_id, submission, *, progress=None, inherited=False):
+        """Add an accepted job; a known one is returned as it is."""
+        job = self.jobs.get(job_id)
+        if job is not None:
+            return job
+        job = work.Job(
+            job_id=job_id,
+            submission=submission,
+            progress=progress or plans.JobProgress(),
+            inherited=inherited,
+        )
+        self.jobs[job_id] = job
+        if not job.ended:
+            self._scheduled[job_id] = job
+        return job
+
+    def open_due(self, wall_s, now_s):
+        """Open the occurrences whose time has come."""
+        for job in list(self._scheduled.values()):
+            while job.job_id in self._scheduled:
+                number = job.next_occurrence
+                due_s = self._get_due_s(job, number)
+                if due_s > wall_s:
+                    break
+                self._open_occurrence(job, number, due_s, now_s)
+
+    def get_next_due_s(self):
+        """Return the wall-clock time of the next occurrence, or None."""
+        return min(
+            (
+                self._get_due_s(job, job.next_occurrence)
+                for job in self._scheduled.values()
+            ),
+            default=None,
+        )
+
+    @staticmethod
+    def _get_due_s(job, number):
+        if not job.plan.times:
+            return 0.0
+        plan = job.plan
+        return (plan.start_at_ms + number * plan.interval_ms) / 1000
+
+    def _open_occurrence(self, job, number, due_s, now_s):
+        job.next_occurrence += 1
+        if job.next_occurrence >= max(1, job.plan.times):
+            del self._scheduled[job.job_id]
+        if number in job.progress.finished:
+            return
+        occurrence = work.Occurrence(
+            job=job, number=number, due_s=due_s or job.accepted_s
+        )
+        job.occurrences[number] = occurrence
+        for step in occurrence.steps:
+            self._restore_step(step)
+        for step in occurrence.steps:
+            job.remaining_ms += sum(
+                step.plan.demand.cpu * step.plan.estimate_ms
+                for task in step.tasks
+                if task.status is not work.TaskStatus.DONE
+            )
+        self._open_steps(occurrence, now_s)
+
+    @staticmethod
+    def _restore_step(step):
+        progress = step.job.progress
+        done = progress.done.get(step.key, b'')
+        for task in step.tasks:
+            byte, bit = divmod(task.index, 8)
+            if byte < len(done) and done[byte] >> bit & 1:
+                task.status = work.TaskStatus.DONE
+                step.done_count += 1
+            key = task.progress_key
+            task.failed_runs.update(progress.failed_runs.get(key, ()))
+            task.checkpoint = progress.checkpoints.get(key, '')
+
+    def _open_steps(self, occurrence, now_s):
+        for step in occurrence.steps:
+            if step.opened or not all(
+                occurrence.steps[number].done for number in step.plan.after
+            ):
+                continue
+            step.opened = True
+            for task in step.tasks:
+                if task.status is work.TaskStatus.BLOCKED:
+                    self._set_waiting(task, now_s)
+
+    def _set_waiting(self, task, now_s):
+        step = task.step
+        task.status = work.TaskStatus.WAITING
+        task.waiting_s = now_s
+        step.waiting[task.index] = task
+        pool = step.job.submission.pool
+        self.waiting_steps.setdefault(pool, {})[id(step)] = step
+
+    def _drop_waiting(self, task):
+        step = task.step
+        step.waiting.pop(task.index, None)
+        if not step.waiting:
+            pool = step.job.submission.pool
+            self.waiting_steps.get(pool, {}).pop(id(step), None)
+
+    def set_active(self, task):
+        """Note that a run of the task was ordered or was found."""
+        if task.status is work.TaskStatus.WAITING:
+            self._drop_waiting(task)
+        task.status = work.TaskStatus.ACTIVE
+        task.step.job.started = True
+
+    def requeue(self, task, now_s):
+        """Let a task without runs wait for the next one."""
+        if task.status is work.TaskStatus.ACTIVE and not task.runs:
+            self._set_waiting(task, now_s)
+
+    def mark_done(self, task, now_s, wall_s):
+        """Note that a task is done, and open what waited for it.
+
+        :returns: whether the whole job is completed by it.
+        """
+        if task.status is work.TaskStatus.DONE:
+            return False
+        self._drop_waiting(task)
+        task.status = work.TaskStatus.DONE
+        step, job = task.step, task.step.job
+        step.done_count += 1
+        job.remaining_ms -= step.plan.demand.cpu * step.plan.estimate_ms
+        bits = bytearray(job.progress.done.get(step.key, b''))
+        byte, bit = divmod(task.index, 8)
+        bits.extend(bytes(max(0, byte + 1 - len(bits))))
+        bits[byte] |= 1 << bit
+        job.progress.done[step.key] = bytes(bits)
+        self._forget_checkpoint(job, task)
+        self.dirty[job.job_id] = job
+        if not step.done:
+            return False
+        if step.occurrence.done:
+            return self._finish_occurrence(step.occurrence, wall_s)
+        self._open_steps(step.occurrence, now_s)
+        return False
+
+    @staticmethod
+    def _forget_checkpoint(job, task):
+        job.progress.checkpoints.pop(task.progress_key, None)
+
+    def _finish_occurrence(self, occurrence, wall_s):
+        job = occurrence.job
+        prefix = f'{occurrence.number}.'
+        progress = job.progress
+        progress.finished.append(occurrence.number)
+        for rows in (progress.done, progress.failed_runs):
+            for key in [key for key in rows if key.startswith(prefix)]:
+                del rows[key]
+        del job.occurrences[occurrence.number]
+        if len(progress.finished) < max(1, job.plan.times):
+            return False
+        self._end(job, plans.JobStatus.COMPLETED, wall_s)
+        return True
+
+    def mark_failed(self, task, run, *, max_attempts, wall_s):
+        """Note a run that failed.
+
+        :returns: whether the whole job has failed by it.
+        """
+        if task.step.plan.long_running:
+            return False
+        task.failed_runs.add(run)
+        job = task.step.job
+        runs = job.progress.failed_runs.setdefault(task.progress_key, [])
+        if run not in runs:
+            runs.append(run)
+            self.dirty[job.job_id] = job
+        if len(task.failed_runs) < max_attempts or job.ended:
+            return False
+        self._end(job, plans.JobStatus.FAILED, wall_s)
+        return True
+
+    def note_checkpoint(self, task, checkpoint):
+        """Keep where the next run may resume."""
+        if not checkpoint or task.status is work.TaskStatus.DONE:
+            return
+        task.checkpoint = checkpoint
+        if task.step.plan.gang:
+            for other in task.step.tasks:
+                other.checkpoint = checkpoint
+        job = task.step.job
+        job.progress.checkpoints[task.progress_key] = checkpoint
+        self.dirty[job.job_id] = job
+
+    def cancel(self, job, wall_s):
+        """Note that a job is cancelled. Ended ones stay as they are."""
+        if not job.ended:
+            self._end(job, plans.JobStatus.CANCELLED, wall_s)
+
+    def _end(self, job, status, wall_s):
+        job.progress.status = status
+        job.progress.ended_ms = wall_s * 1000
+        self.dirty[job.job_id] = job
+        self._scheduled.pop(job.job_id, None)
+        for task in job.iterate_tasks():
+            self._drop_waiting(task)
+
+    def find_task(self, name):
+        """Return the task of that name, or None."""
+        parts = work.split_task_name(name)
+        job = self.jobs.get(parts[0]) if parts else None
+        if job is None:
+            return None
+        occurrence = job.occurrences.get(parts[1])
+        if occurrence is None or parts[2] >= len(occurrence.steps):
+            return None
+        tasks = occurrence.steps[parts[2]].tasks
+        return tasks[parts[3]] if parts[3] < len(tasks) else None
+
+    def count_waiting(self):
+        """Return the number of jobs without a started task, by queue."""
+        counts = {}
+        for job in self.jobs.values():
+            if not job.ended and not job.started and not job.plan.times:
+                queue = job.submission.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    def forget(self, job_id):
+        """Drop a job whose rows were removed."""
+        self.jobs.pop(job_id, None)
+        self.dirty.pop(job_id, None)
--- /dev/null
+++ b/arbutusrock/engine/configuration_watch.py
@@ -0,0 +1,85 @@
+"""Keeps the configuration in force, and the operators' wave orders."""
+
+import msgspec
+
+from arbutusrock.engine import feeds
+from arbutusrock.engine import reports
+from arbutusrock.engine import rows
+from arbutusrock import logs
+from arbutusrock.scheduling import FleetConfiguration
+from arbutusrock.utils import clocks
+
+__all__ = ['ConfigurationWatch']
+
+# Short, so that a connection that went silent is noticed in time.
+WATCH_S = 1.2
+LOG = logs.get_log('configuration')
+
+
+class ConfigurationWatch:
+    """Newest configuration that this node has seen; versions only rise.
+
+    :param store: client of the store.
+    :param decode: turns a row into a
+        :class:`arbutusrock.scheduling.FleetConfiguration`, a
+        :class:`arbutusrock.engine.reports.WaveRequest`, or None.
+    """
+
+    def __init__(self, *, store, decode):
+        self.store = store
+        self.decode = decode
+        self.current = None
+        self.waves = {}
+        # When the store last confirmed that ``current`` is the newest.
+        self.confirmed_s = 0.0
+        # Called without arguments after each change.
+        self.on_changed = []
+
+    @property
+    def age_s(self):
+        """Time since the store confirmed the version in force."""
+        return clocks.now_s() - self.confirmed_s
+
+    async def run(self):
+        """Follow changes until cancelled."""
+        await feeds.follow_table(
+            self.store,
+            rows.TABLE_OPERATOR,
+            apply=self._apply_all,
+            part='',
+            wait_s=WATCH_S,
+        )
+
+    def _apply_all(self, found, _whole):
+        for row in found:
+            self._apply(row)
+        self.confirmed_s = clocks.now_s()
+
+    def _apply(self, row):
+        if row.value is None:
+            return
+        try:
+            match self.decode(row):
+                case FleetConfiguration() as configuration:
+                    self._take(configuration)
+                case reports.WaveRequest() as wave:
+                    self.waves[wave.number] = wave
+                    LOG.info('a wave is ordered', wave=wave.number)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            LOG.error('a row cannot be read', key=row.key, error=str(exc))
+            return
+        for listener in self.on_changed:
+            listener()
+
+    def _take(self, configuration):
+        before = self.current.version if self.current else 0
+        if configuration.version <= before:
+            return
+        self.current = configuration
+        LOG.info(
+            'a configuration is in force',
+            version=configuration.version,
+            before=before,
+            queues=len(configuration.queues),
+            accounts=len(configuration.accounts),
+        )
--- /dev/null
+++ b/arbutusrock/engine/dispatcher.py
@@ -0,0 +1,253 @@
+"""Passes over waiting tasks: who starts next, and where."""
+
+import asyncio
+
+from arbutusrock.engine import work
+from arbutusrock import logs
+from arbutusrock.scheduling import ordering
+from arbutusrock.scheduling import placement
+from arbutusrock.scheduling import quotas
+from arbutusrock.scheduling import Resources
+from arbutusrock.utils import clocks
+
+__all__ = ['Dispatcher']
+
+# Events of this span share one pass.
+COLLECT_S = 0.004
+# Passes without an event, for what depends on time.
+TICK_S = 0.2
+# Ranks are computed anew after this time.
+RANK_S = 0.1
+LOG = logs.get_log('dispatch')
+
+
+class Dispatcher:
+    """Starts waiting tasks in the order of their jobs' ranks.
+
+    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param links: connections by worker id.
+    :param tickets: :class:`arbutusrock.engine.tickets.Tickets`.
+    """
+
+    def __init__(self, *, term, links, tickets):
+        self.term = term
+        self.links = links
+        self.tickets = tickets
+        self._ranks = {}
+        self._ranks_s = 0.0
+
+    async def run(self):
+        """Make passes until the ownership ends."""
+        while True:
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self.term.work_due.wait()
+                await asyncio.sleep(COLLECT_S)
+            except TimeoutError:
+                # Time has passed; occurrences may be due.
+                pass
+            self.term.work_due.clear()
+            self.dispatch()
+
+    def dispatch(self):
+        """Make one pass."""
+        term = self.term
+        if term.paused or term.stopping or not term.configuration.current:
+            return
+        now_s = clocks.now_s()
+        term.book.open_due(clocks.wall_time_s() - 0.05, now_s)
+        if now_s - self._ranks_s > RANK_S:
+            self._ranks.clear()
+            self._ranks_s = now_s
+        for pool, steps in list(term.book.waiting_steps.items()):
+            if steps:
+                self._dispatch_pool(pool, list(steps.values()), now_s)
+
+    def _dispatch_pool(self, pool, steps, now_s):
+        term = self.term
+        workers = [
+            worker
+            for worker in term.fleet.find_pool(pool)
+            if worker.usable and worker.worker_id in self.links
+        ]
+        if not workers:
+            return
+        vms = [worker.vm for worker in workers]
+        excluded = term.standing.find_excluded(vms, now_s)
+        doubtful = {vm for vm in vms if term.standing.is_doubtful(vm, now_s)}
+        sound = [item for item in workers if item.vm not in excluded]
+        uncertain = term.fleet.is_uncertain(pool, now_s)
+        steps.sort(key=lambda step: self._rank(step, now_s))
+        # Demands that found no room in this pass.
+        refused = []
+        for step in steps:
+            if uncertain and step.job.inherited and not step.plan.speculative:
+                continue
+            demand = self._get_room_demand(step)
+            if any(_exceeds(demand, other) for other in refused):
+                continue
+            if not self._start_step(step, sound, doubtful, now_s):
+                refused.append(demand)
+
+    @staticmethod
+    def _get_room_demand(step):
+        """Return what a task takes of a worker's room."""
+        demand = step.plan.demand
+        if not step.plan.fills:
+            return demand
+        return Resources(
+            memory_mb=demand.memory_mb, accelerators=demand.accelerators
+        )
+
+    def _start_step(self, step, workers, doubtful, now_s):
+        """Start tasks of a step while they fit.
+
+        :returns: False when the pool lacks room for its demand.
+        """
+        allowed = self.tickets.get_allowed(step, workers, now_s)
+        if allowed is not None and not allowed:
+            return True
+        if step.plan.gang:
+            return self._start_gang(step, workers, doubtful, allowed, now_s)
+        for task in list(step.waiting.values()):
+            if not self._fits_limit(step, 1):
+                return True
+            wish = self._create_wish(step, task, doubtful, allowed)
+            worker = placement.choose_worker(workers, wish)
+            if worker is None:
+                bound = step.plan.most_per_worker or step.plan.label
+                return bool(bound or allowed is not None)
+            number = self.term.create_run_number()
+            self._start(task, worker, number, now_s)
+        return True
+
+    def _start_gang(self, step, workers, doubtful, allowed, now_s):
+        count = len(step.waiting)
+        if count < step.plan.count or not self._fits_limit(step, count):
+            return True
+        wish = self._create_wish(step, step.tasks[0], doubtful, allowed)
+        chosen = placement.choose_gang(
+            workers, wish, count, same_rack=step.plan.same_rack
+        )
+        if chosen is None:
+            return True
+        number = self.term.create_run_number()
+        for task, worker in zip(
+            list(step.waiting.values()), chosen, strict=True
+        ):
+            self._start(task, worker, number, now_s)
+        return True
+
+    def _create_wish(self, step, task, doubtful, allowed):
+        return placement.Wish(
+            demand=self._get_room_demand(step),
+            label=step.plan.label,
+            data_rack=step.plan.data_rack,
+            most_per_worker=step.plan.most_per_worker,
+            placed=step.workers,
+            avoided=task.avoided_vms,
+            allowed=allowed,
+            doubtful=doubtful,
+        )
+
+    def _fits_limit(self, step, count):
+        account = self.term.configuration.current.accounts.get(
+            step.job.submission.account
+        )
+        if account is None:
+            return True
+        demand = step.plan.demand
+        if count > 1:
+            demand = Resources(
+                cpu=demand.cpu * count,
+                memory_mb=demand.memory_mb * count,
+                accelerators=demand.accelerators * count,
+            )
+        used = self.term.fleet.get_usage(account.name)
+        return quotas.fits_limit(used, demand, account.upper_limit)
+
+    def _start(self, task, worker, number, now_s):
+        job = task.step.job
+        run = work.Run(
+            number=number,
+            name=task.name,
+            task=task,
+            account=job.submission.account,
+            worker=worker,
+            demand=task.step.plan.demand,
+            now_s=now_s,
+        )
+        if not job.started:
+            LOG.info(
+                'a job starts',
+                job=job.job_id,
+                queue=job.submission.queue,
+                account=job.submission.account,
+                task=task.name,
+                worker=worker.worker_id,
+                waited_s=round(clocks.wall_time_s() - job.accepted_s, 3),
+                configuration=self.term.configuration.current.version,
+            )
+        self.term.fleet.add_run(run)
+        self.term.book.set_active(task)
+        self.links[worker.worker_id].send_start(
+            run,
+            spec=job.plan.spec,
+            ticket=self.tickets.get_ticket(task.step, worker.worker_id),
+        )
+
+    def _rank(self, step, now_s):
+        job = step.job
+        rank = self._ranks.get(job.job_id)
+        if rank is None:
+            rank = ordering.rank_job(self._create_view(job, step))
+            self._ranks[job.job_id] = rank
+        return rank
+
+    def _create_view(self, job, step):
+        submission, estimates = job.submission, self.term.estimates
+        queue = self.term.configuration.current.queues.get(submission.queue)
+        occurrence = step.occurrence
+        ratio = estimates.get_ratio(submission.queue, job.job_id)
+        whole_s = measure_chain(occurrence, whole=True) * ratio
+        total = sum(
+            item.plan.count * item.plan.demand.cpu * item.plan.estimate_ms
+            for item in occurrence.steps
+        )
+        return ordering.JobView(
+            serving=step.plan.long_running and not step.plan.fills,
+            excess=job.excess,
+            urgency=queue.urgency if queue else 0,
+            age_s=clocks.wall_time_s() - max(occurrence.due_s, 0),
+            objective_s=(
+                submission.stretch * whole_s + submission.objective_ms / 1000
+            ),
+            chain_s=measure_chain(occurrence, whole=False) * ratio,
+            work=total / 1e6,
+            work_left=job.remaining_ms * ratio / 1e6,
+            usual_work=estimates.get_usual_work(submission.queue),
+        )
+
+
+def _exceeds(demand, other):
+    return (
+        demand.cpu >= other.cpu
+        and demand.memory_mb >= other.memory_mb
+        and demand.accelerators >= other.accelerators
+    )
+
+
+def measure_chain(occurrence, *, whole):
+    """Return the longest chain of declared work of an occurrence.
+
+    :param whole: also count steps that are done.
+    :returns: seconds.
+    """
+    ends = []
+    for step in occurrence.steps:
+        begin_s = max((ends[number] for number in step.plan.after), default=0)
+        length_s = step.plan.estimate_ms / 1000
+        if step.done and not whole:
+            length_s = 0.0
+        ends.append(begin_s + length_s)
+    return max(ends)
--- /dev/null
+++ b/arbutusrock/engine/feeds.py
@@ -0,0 +1,46 @@
+"""Follows a table of the store through refusals and lost history."""
+
+import asyncio
+
+from arbutusrock.engine import rows
+from arbutusrock import logs
+
+__all__ = ['follow_table']
+
+RETRY_S = 0.2
+LOG = logs.get_log('feeds')
+
+
+async def follow_table(store, table, *, apply, part, wait_s, version=None):
+    """Pass all changes of a table to ``apply`` until cancelled.
+
+    :param apply: called with ``(rows, whole)``; whole when the rows are the
+        whole table, read anew.
+    :param wait_s: how long the store may wait for a change. It bounds how
+        long a connection that went silent goes unnoticed.
+    :param version: version to go on from; None reads the table first.
+    """
+    lost = False
+    while True:
+        try:
+            whole = version is None
+            if whole:
+                found, version = await store.read_range(table, part=part)
+            else:
+                found, version = await store.watch(
+                    table, after=version, wait_s=wait_s
+                )
+        except rows.HistoryLost:
+            LOG.info('history was dropped; reading anew', table=table)
+            version = None
+            continue
+        except (rows.StoreRefused, rows.StoreSilent) as exc:
+            if not lost:
+                LOG.warning('a feed is lost', table=table, error=str(exc))
+            lost = True
+            await asyncio.sleep(RETRY_S)
+            continue
+        if lost:
+            LOG.info('a feed is regained', table=table, version=version)
+        lost = False
+        apply(found, whole)
--- /dev/null
+++ b/arbutusrock/engine/fleet.py
@@ -0,0 +1,203 @@
+"""Workers as the owner sees them, and what each account has running."""
+
+import asyncio
+
+from arbutusrock.scheduling import Resources
+
+__all__ = ['CLOCK_RATE_LEAST', 'Fleet', 'WorkerState']
+
+# A worker's steady clock may be 2% slow.
+CLOCK_RATE_LEAST = 0.98
+# Beyond the computed end of a lease: delays of timers and of the network.
+LEASE_MARGIN_S = 0.3
+
+
+class WorkerState:
+    """One life of a worker.
+
+    :param entry: :class:`reports.WorkerEntry`.
+    :param uncertain_until_s: until then an earlier owner's runs may be there
+        although the worker has not answered yet.
+    """
+
+    __slots__ = (
+        'entry',
+        'runs',
+        'used_cpu',
+        'used_memory_mb',
+        'used_accelerators',
+        'known',
+        'failing',
+        'heard_s',
+        'clock_ms',
+        'clock_s',
+        'lease_until_ms',
+        'uncertain_until_s',
+        'cursor',
+        'seen_end',
+        'unacknowledged',
+        'missing_since_s',
+        'cordon',
+        'ended',
+        'rostered',
+        'acknowledged',
+    )
+
+    def __init__(self, *, entry, now_s, uncertain_until_s=0.0):
+        self.entry = entry
+        self.runs = {}
+        self.used_cpu = 0
+        self.used_memory_mb = 0
+        self.used_accelerators = 0
+        # Whether it has answered this owner.
+        self.known = False
+        self.failing = False
+        self.heard_s = now_s
+        # Its steady clock when it last answered, and when we heard it.
+        self.clock_ms = None
+        self.clock_s = now_s
+        # Latest end of lease ever sent, on its clock.
+        self.lease_until_ms = None
+        self.uncertain_until_s = uncertain_until_s
+        # Ends up to this number may be forgotten by the worker.
+        self.cursor = 0
+        self.seen_end = 0
+        # (end number, flush that makes it durable).
+        self.unacknowledged = []
+        # Since when it is not registered.
+        self.missing_since_s = None
+        # Why it gets no more runs, or empty.
+        self.cordon = ''
+        # Its life is over: nothing runs there.
+        self.ended = False
+        # Whether a later owner would know that it may hold runs.
+        self.rostered = False
+        # Set when ends were made durable.
+        self.acknowledged = asyncio.Event()
+
+    @property
+    def worker_id(self):
+        """Id of this life."""
+        return self.entry.worker_id
+
+    @property
+    def vm(self):
+        """VM that it runs on."""
+        return self.entry.vm or self.entry.worker_id
+
+    @property
+    def free_cpu(self):
+        """Thousandths of a core that are free."""
+        return self.entry.capacity.cpu - self.used_cpu
+
+    @property
+    def free_memory_mb(self):
+        """Megabytes that are free."""
+        return self.entry.capacity.memory_mb - self.used_memory_mb
+
+    @property
+    def free_accelerators(self):
+        """Accelerators that are free."""
+        return self.entry.capacity.accelerators - self.used_accelerators
+
+    @property
+    def usable(self):
+        """Whether new runs may be sent there."""
+        return (
+            self.known
+            and self.rostered
+            and not self.failing
+            and not self.ended
+            and not self.cordon
+            and not self.entry.draining
+            and self.missing_since_s is None
+        )
+
+    def estimate_clock_ms(self, now_s):
+        """Return what the worker's clock shows now, or None."""
+        if self.clock_ms is None:
+            return None
+        return self.clock_ms + (now_s - self.clock_s) * 1000
+
+    def note_clock(self, clock_ms, now_s):
+        """Take over the clock of an answer, unless an older one."""
+        if clock_ms is None:
+            return
+        if self.clock_ms is None or clock_ms >= self.clock_ms:
+            self.clock_ms = clock_ms
+            self.clock_s = now_s
+
+    def is_lease_over(self, now_s):
+        """Return whether all that was ever started there has ended."""
+        if now_s < self.uncertain_until_s:
+            return False
+        if self.lease_until_ms is None:
+            return True
+        least_ms = (
+            self.clock_ms + (now_s - self.clock_s) * 1000 * CLOCK_RATE_LEAST
+        )
+        return least_ms > self.lease_until_ms + LEASE_MARGIN_S * 1000
+
+
+class Fleet:
+    """All workers, and the resources in use by account."""
+
+    __slots__ = ('workers', 'usage')
+
+    def __init__(self):
+        self.workers = {}
+        self.usage = {}
+
+    def find_pool(self, pool):
+        """Return the workers of a pool."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.entry.pool == pool
+        ]
+
+    def is_uncertain(self, pool, now_s):
+        """Return whether an earlier owner's runs may be hidden in a pool."""
+        return any(
+            not worker.known
+            and not worker.ended
+            and now_s < worker.uncertain_until_s
+            for worker in self.find_pool(pool)
+        )
+
+    def add_run(self, run):
+        """Count a run on its worker and for its account."""
+        worker = run.worker
+        worker.runs[(run.name, run.number)] = run
+        self._count(run, 1)
+        if run.task is not None:
+            run.task.runs.append(run)
+            counts = run.task.step.workers
+            counts[worker.vm] = counts.get(worker.vm, 0) + 1
+
+    def remove_run(self, run):
+        """Stop counting a run that has ended."""
+        worker = run.worker
+        if worker.runs.pop((run.name, run.number), None) is None:
+            return
+        self._count(run, -1)
+        if run.task is not None:
+            run.task.runs.remove(run)
+            run.task.step.workers[worker.vm] -= 1
+
+    def _count(self, run, sign):
+        demand, worker = run.demand, run.worker
+        if run.task is None or not run.task.step.plan.fills:
+            worker.used_cpu += sign * demand.cpu
+        worker.used_memory_mb += sign * demand.memory_mb
+        worker.used_accelerators += sign * demand.accelerators
+        used = self.usage.get(run.account, Resources())
+        self.usage[run.account] = Resources(
+            cpu=used.cpu + sign * demand.cpu,
+            memory_mb=used.memory_mb + sign * demand.memory_mb,
+            accelerators=used.accelerators + sign * demand.accelerators,
+        )
+
+    def get_usage(self, account):
+        """Return what an account has running."""
+        return self.usage.get(account, Resources())
--- /dev/null
+++ b/arbutusrock/engine/gateway.py
@@ -0,0 +1,199 @@
+"""What any node does for callers: submit, ask, cancel, count."""
+
+import asyncio
+from collections import OrderedDict
+
+from arbutusrock import errors
+from arbutusrock.engine import leader
+from arbutusrock.engine import plans
+from arbutusrock.engine import rows
+from arbutusrock.engine import submitter
+from arbutusrock import logs
+from arbutusrock.utils import clocks
+
+__all__ = ['Gateway']
+
+# Retry-After while this node does not reach the store: another node may.
+STORE_RETRY_S = 1
+# An unanswered write is repeated at this pace until the caller gives up.
+RETRY_S = 0.05
+# A count of waiting jobs may be this old.
+COUNT_AGE_S = 2.0
+# Without a sign of the store for so long, calls are refused at once.
+STORE_SILENT_S = 3.0
+# Ids of jobs and states that never change are remembered.
+MOST_REMEMBERED = 20_000
+LOG = logs.get_log('gateway')
+
+
+class Gateway:
+    """Serves callers from the configuration in force and the store.
+
+    :param store: client of the store.
+    :param configuration: :class:`configuration_watch.ConfigurationWatch`.
+    :param ownership: knows the owner's newest heartbeat.
+    """
+
+    def __init__(self, *, store, configuration, ownership):
+        self.store = store
+        self.configuration = configuration
+        self.ownership = ownership
+        self.submitter = submitter.Submitter(store=store)
+        # Last known status by job; None when only its existence is known.
+        self._remembered = OrderedDict()
+
+    def check_ready(self):
+        """Raise unless this node can serve callers."""
+        if self.configuration.current is None:
+            raise errors.NodeNotServing(
+                'no configuration yet', retry_after=STORE_RETRY_S
+            )
+        if self.configuration.age_s > STORE_SILENT_S:
+            raise errors.NodeNotServing(
+                'the store is out of reach', retry_after=STORE_RETRY_S
+            )
+
+    def find_queue(self, host, path, key):
+        """Return the queue that a call goes to, and the caller's account.
+
+        :returns: ``(queue, account)``; account is None on queues that are
+            open to all when no known key came.
+        :raises errors.NodeNotServing: this node cannot know.
+        :raises errors.NotFound: there is no such queue.
+        :raises errors.KeyRefused: the key is unknown or withdrawn.
+        """
+        self.check_ready()
+        current = self.configuration.current
+        queue = current.find_queue(host, path)
+        if queue is None:
+            raise errors.NotFound(f'no queue at {host}{path}')
+        account = current.find_account(key) if key else None
+        if account is None and not queue.open_to_all:
+            raise errors.KeyRefused('the key is unknown or withdrawn')
+        return queue, account
+
+    async def submit(self, queue, account, job_id, plan, *, until_s):
+        """Accept a job.
+
+        :raises errors.StoreUnavailable: it is not stored and never runs.
+        :raises errors.StoreUncertain: it may have been stored.
+        """
+        submission = plans.Submission(
+            queue=queue.name,
+            pool=queue.pool,
+            account=account.name if account else '',
+            accepted_ms=clocks.wall_time_s() * 1000,
+            plan=plan,
+            max_attempts=queue.max_attempts,
+            stretch=queue.stretch,
+            objective_ms=queue.objective_ms,
+        )
+        stored = await self.submitter.submit(
+            job_id, submission, until_s=until_s
+        )
+        LOG.info(
+            'a job was submitted',
+            job=job_id,
+            queue=queue.name,
+            account=submission.account,
+            outcome=stored.value,
+            configuration=self.configuration.current.version,
+        )
+        match stored:
+            case submitter.Stored.REFUSED:
+                raise errors.StoreUnavailable(
+                    'the job was not stored', retry_after=STORE_RETRY_S
+                )
+            case submitter.Stored.UNKNOWN:
+                raise errors.StoreUncertain('the job may have been stored')
+        self._remember(job_id, None)
+
+    def _remember(self, job_id, status):
+        self._remembered[job_id] = status
+        self._remembered.move_to_end(job_id)
+        while len(self._remembered) > MOST_REMEMBERED:
+            self._remembered.popitem(last=False)
+
+    async def get_status(self, job_id):
+        """Return the state of a job.
+
+        :returns: of :class:`plans.JobStatus`, or None when there is none.
+        :raises errors.StoreUnavailable: it cannot be read now.
+        """
+        known = self._remembered.get(job_id)
+        if known is not None:
+            return known
+        row = await self._read_row(rows.TABLE_PROGRESS, job_id)
+        if row is not None:
+            status = plans.decode_progress(row.value).status
+            if status in plans.JobStatus.ENDED:
+                self._remember(job_id, status)
+            return status
+        if not await self._exists(job_id):
+            return None
+        return plans.JobStatus.QUEUED
+
+    async def _exists(self, job_id):
+        if job_id in self._remembered:
+            return True
+        row = await self._read_row(rows.TABLE_JOBS, job_id)
+        if row is None:
+            return False
+        self._remember(job_id, None)
+        return True
+
+    async def _read_row(self, table, key):
+        try:
+            found, _ = await self.store.read_range(
+                table, first=key, last=f'{key}\0', limit=1, part=rows.PART
+            )
+        except (rows.StoreRefused, rows.StoreSilent) as exc:
+            raise errors.StoreUnavailable(
+                str(exc), retry_after=STORE_RETRY_S
+            ) from exc
+        return found[0] if found else None
+
+    async def cancel(self, job_id, *, until_s):
+        """Cancel a job.
+
+        :returns: False when there is no such job.
+        :raises errors.StoreUnavailable: it was not cancelled.
+        :raises errors.StoreUncertain: it may have been cancelled.
+        """
+        if not await self._exists(job_id):
+            return False
+        put = rows.Row(
+            table=rows.TABLE_JOBS,
+            key=job_id + leader.CANCEL_SUFFIX,
+            value=b'1',
+        )
+        in_doubt = False
+        while True:
+            try:
+                await self.store.transact(puts=[put])
+            except rows.StoreRefused as exc:
+                failure = exc
+            except rows.StoreSilent as exc:
+                failure, in_doubt = exc, True
+            else:
+                LOG.info('a job is to be cancelled', job=job_id)
+                return True
+            if clocks.now_s() + RETRY_S > until_s:
+                break
+            await asyncio.sleep(RETRY_S)
+        if in_doubt:
+            raise errors.StoreUncertain(str(failure))
+        raise errors.StoreUnavailable(str(failure), retry_after=STORE_RETRY_S)
+
+    def count_waiting(self, queue):
+        """Return how many jobs of a queue have no started task.
+
+        :raises errors.NodeNotServing: the owner's count is too old.
+        """
+        beat = self.ownership.beat
+        age_s = clocks.now_s() - self.ownership.beat_s
+        if beat is None or age_s > COUNT_AGE_S:
+            raise errors.NodeNotServing(
+                'no count from the owner', retry_after=STORE_RETRY_S
+            )
+        return beat.waiting.get(queue.name, 0)
--- /dev/null
+++ b/arbutusrock/engine/journal.py
@@ -0,0 +1,220 @@
+"""Writes progress, roster and heartbeat of the owner to the store."""
+
+import asyncio
+
+import msgspec
+
+from arbutusrock.engine import plans
+from arbutusrock.engine import rows
+from arbutusrock.engine import term as term_module
+from arbutusrock import logs
+from arbutusrock.utils import clocks
+
+__all__ = ['BEAT_S', 'Beat', 'Journal', 'KEY_BEAT', 'KEY_CLAIM', 'KEY_ROSTER']
+
+KEY_BEAT = 'beat'
+KEY_CLAIM = 'claim'
+KEY_ROSTER = 'roster'
+# Others take over after several heartbeats are missing.
+BEAT_S = 0.5
+# Time in which ends of tasks are collected for one transaction.
+COLLECT_S = 0.02
+# Rows in one transaction; the store takes 100 entries.
+MOST_ROWS = 40
+RETRY_S = 0.1
+MOST_RETRY_S = 0.5
+LOG = logs.get_log('journal')
+
+
+class Beat(msgspec.Struct, kw_only=True):
+    """Heartbeat of the owner, with what callers may ask for.
+
+    :param waiting: jobs without a started task, by queue.
+    """
+
+    node: str
+    number: int
+    waiting: dict[str, int] = {}
+
+
+class Journal:
+    """One task that writes rows, each transaction bound to the claim.
+
+    :param term: :class:`term_module.Term`.
+    :param store: client of the store.
+    """
+
+    def __init__(self, *, term, store, on_beat):
+        self.term = term
+        self.store = store
+        self.on_beat = on_beat
+        # Flushes begun and finished: an end of a task is durable when the
+        # flush after the one under way has finished.
+        self.begun = 0
+        self.finished = 0
+        # When the store last confirmed the ownership; sent time.
+        self.confirmed_s = clocks.now_s()
+        self.roster = None
+        self._beats = 0
+        self._beat_s = 0.0
+        self._versions = {}
+
+    def set_version(self, job_id, version):
+        """Note the version of a progress row that was read."""
+        self._versions[job_id] = version
+
+    def forget(self, job_id):
+        """Drop a job whose rows were removed."""
+        self._versions.pop(job_id, None)
+
+    def get_next_flush(self):
+        """Return the number of the flush that will hold present changes."""
+        return self.begun + 1
+
+    async def run(self):
+        """Flush until the ownership ends.
+
+        :raises term_module.Deposed: when the claim has changed.
+        """
+        while True:
+            try:
+                async with asyncio.timeout(BEAT_S):
+                    await self.term.rows_due.wait()
+                await asyncio.sleep(COLLECT_S)
+            except TimeoutError:
+                # The heartbeat is due.
+                pass
+            await self.flush()
+
+    async def flush(self):
+        """Write all rows that have changed, and the heartbeat."""
+        self.term.rows_due.clear()
+        self.begun += 1
+        jobs = list(self.term.book.dirty.values())
+        self.term.book.dirty.clear()
+        puts = [self._create_progress(job) for job in jobs]
+        first = True
+        while puts or first:
+            batch, puts = puts[:MOST_ROWS], puts[MOST_ROWS:]
+            await self._commit(batch, with_beat=first)
+            first = False
+        self.finished = self.begun
+        self._release_ends()
+
+    def _create_progress(self, job):
+        return rows.Row(
+            table=rows.TABLE_PROGRESS,
+            key=job.job_id,
+            value=plans.encode_row(job.progress),
+            version=self._versions.get(job.job_id, 0),
+        )
+
+    def _create_owner_rows(self):
+        self._beats += 1
+        beat = Beat(
+            node=self.term.settings.name,
+            number=self._beats,
+            waiting=self.term.book.count_waiting(),
+        )
+        self.on_beat(beat)
+        puts = [
+            rows.Row(
+                table=rows.TABLE_OWNER,
+                key=KEY_BEAT,
+                value=msgspec.msgpack.encode(beat),
+            )
+        ]
+        roster = describe_roster(self.term.fleet)
+        if roster != self.roster:
+            puts.append(
+                rows.Row(
+                    table=rows.TABLE_OWNER,
+                    key=KEY_ROSTER,
+                    value=msgspec.msgpack.encode(roster),
+                )
+            )
+        return puts, roster
+
+    async def _commit(self, progress, *, with_beat):
+        claim = rows.Row(
+            table=rows.TABLE_OWNER,
+            key=KEY_CLAIM,
+            version=self.term.claim_version,
+        )
+        puts, roster = list(progress), None
+        # Between heartbeats a flush carries only progress.
+        if with_beat and (
+            not progress or clocks.now_s() - self._beat_s > BEAT_S / 2
+        ):
+            owner_rows, roster = self._create_owner_rows()
+            puts += owner_rows
+        sent_s = clocks.now_s()
+        version = await self._write([claim, *progress], puts)
+        for row in progress:
+            self._versions[row.key] = version
+        if roster is not None:
+            self._beat_s = sent_s
+            self._note_roster(roster)
+        self.confirmed_s = sent_s
+        self.term.confirm(sent_s)
+
+    def _note_roster(self, roster):
+        self.roster = roster
+        for worker_id in roster:
+            worker = self.term.fleet.workers.get(worker_id)
+            if worker is not None and not worker.rostered:
+                worker.rostered = True
+                self.term.request_dispatch()
+
+    async def _write(self, expected, puts):
+        """Write until the result is certain.
+
+        A repeat of a transaction that took effect without an answer finds
+        the rows that it wrote itself.
+        """
+        pause_s, failing = RETRY_S, False
+        while True:
+            try:
+                version = await self.store.transact(
+                    expected=expected, puts=puts
+                )
+            except rows.Conflicted as exc:
+                return self._resolve(expected, puts, exc.rows)
+            except (rows.StoreRefused, rows.StoreSilent) as exc:
+                if not failing:
+                    LOG.warning('the store is lost', error=str(exc))
+                failing = True
+                await asyncio.sleep(pause_s)
+                pause_s = min(MOST_RETRY_S, pause_s * 2)
+            else:
+                if failing:
+                    LOG.info('the store is regained', version=version)
+                return version
+
+    def _resolve(self, expected, puts, found):
+        by_key = {(row.table, row.key): row for row in found}
+        claim = by_key.get((rows.TABLE_OWNER, KEY_CLAIM))
+        if claim is None or claim.version != self.term.claim_version:
+            raise term_module.Deposed('the claim has changed')
+        for put in puts:
+            row = by_key.get((put.table, put.key))
+            if row is not None and row.value == put.value:
+                return row.version
+        keys = [row.key for row in expected[1:]]
+        raise RuntimeError(f'rows of jobs {keys} changed under the claim')
+
+    def _release_ends(self):
+        for worker in self.term.fleet.workers.values():
+            pending = worker.unacknowledged
+            while pending and pending[0][1] <= self.finished:
+                worker.cursor = pending.pop(0)[0]
+            worker.acknowledged.set()
+
+
+def describe_roster(fleet):
+    """Return the workers that may hold runs: id to (pool, VM)."""
+    return {
+        worker.worker_id: (worker.entry.pool, worker.entry.vm)
+        for worker in fleet.workers.values()
+        if not worker.ended
+    }
--- /dev/null
+++ b/arbutusrock/engine/leader.py
@@ -0,0 +1,190 @@
+"""The owner of the unit: all that one ownership does."""
+
+import asyncio
+
+from arbutusrock.engine import dispatcher
+from arbutusrock.engine import feeds
+from arbutusrock.engine import journal as journal_module
+from arbutusrock.engine import plans
+from arbutusrock.engine import registry
+from arbutusrock.engine import rows
+from arbutusrock.engine import run_keeper
+from arbutusrock.engine import term as term_module
+from arbutusrock.engine import tickets
+from arbutusrock.engine import worker_link
+from arbutusrock import logs
+from arbutusrock.utils import clocks
+
+__all__ = ['CANCEL_SUFFIX', 'Leader']
+
+# Key of a cancellation: the job's key and this.
+CANCEL_SUFFIX = '.c'
+# How long the store may wait for a job before it answers.
+WATCH_S = 1.0
+RETRY_S = 0.2
+# How often the process looks whether it stood still.
+TICK_S = 0.1
+LOG = logs.get_log('owner')
+
+
+class Leader:
+    """Parts of one ownership, each a task; it ends when one of them fails.
+
+    :param term: :class:`term_module.Term`.
+    :param store: client of the store.
+    :param adapter: :class:`arbutusrock.engine.node.Adapter`.
+    :param on_beat: called with each heartbeat that is written.
+    """
+
+    def __init__(self, *, term, store, adapter, on_beat):
+        self.term = term
+        self.store = store
+        self.adapter = adapter
+        self.links = {}
+        self.journal = journal_module.Journal(
+            term=term, store=store, on_beat=on_beat
+        )
+        self.keeper = run_keeper.RunKeeper(term=term, journal=self.journal)
+        self.keeper.links = self.links
+        self.registry = registry.Registry(
+            term=term,
+            store=store,
+            decode=adapter.decode_worker,
+            keeper=self.keeper,
+            connect=self._connect,
+        )
+        self.tickets = tickets.Tickets(
+            term=term, client=adapter.advice, spawn=self.spawn
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            term=term, links=self.links, tickets=self.tickets
+        )
+        self._group = None
+
+    def spawn(self, coroutine):
+        """Start a task; its failure ends the ownership."""
+        return self._group.create_task(coroutine)
+
+    async def run(self, roster):
+        """Own the unit until another node does.
+
+        :param roster: workers of the earlier owner.
+        """
+        try:
+            async with asyncio.TaskGroup() as self._group:
+                jobs_version = await self._load_jobs()
+                workers_version = await self.registry.load(roster)
+                LOG.info(
+                    'this node owns the unit',
+                    epoch=self.term.epoch,
+                    jobs=len(self.term.book.jobs),
+                    workers=len(self.term.fleet.workers),
+                    took_s=round(clocks.now_s() - self.term.began_s, 3),
+                )
+                for part in (
+                    self.journal.run(),
+                    self.registry.run(workers_version),
+                    self.registry.sweep(),
+                    feeds.follow_table(
+                        self.store,
+                        rows.TABLE_JOBS,
+                        apply=self._apply_jobs,
+                        part=rows.PART,
+                        wait_s=WATCH_S,
+                        version=jobs_version,
+                    ),
+                    self._watch_pauses(),
+                    self.dispatcher.run(),
+                    *self.adapter.create_parts(self),
+                ):
+                    self.spawn(part)
+        except* term_module.Deposed as group:
+            LOG.info(
+                'another node owns the unit',
+                epoch=self.term.epoch,
+                reason=str(group.exceptions[0]),
+            )
+
+    def _connect(self, worker):
+        link = worker_link.WorkerLink(
+            term=self.term,
+            keeper=self.keeper,
+            worker=worker,
+            client=self.adapter.connect_worker(worker.entry),
+            spawn=self.spawn,
+        )
+        self.links[worker.worker_id] = link
+        self.spawn(self._run_link(link))
+
+    async def _run_link(self, link):
+        await link.run()
+        worker_id = link.worker.worker_id
+        if self.links.get(worker_id) is link:
+            del self.links[worker_id]
+
+    async def _load_jobs(self):
+        """Read all jobs and how far they have come."""
+        while True:
+            try:
+                listed, version = await self.store.read_range(
+                    rows.TABLE_JOBS, part=rows.PART
+                )
+                progress, _ = await self.store.read_range(
+                    rows.TABLE_PROGRESS, part=rows.PART
+                )
+            except (rows.StoreRefused, rows.StoreSilent) as exc:
+                LOG.warning('jobs cannot be loaded yet', error=str(exc))
+                await asyncio.sleep(RETRY_S)
+                continue
+            known = {row.key: row for row in progress}
+            for row in listed:
+                self._apply_job(row, known, inherited=True)
+            return version
+
+    def _apply_job(self, row, progress, *, inherited=False):
+        if row.value is None:
+            return
+        if row.key.endswith(CANCEL_SUFFIX):
+            self._cancel(row.key.removesuffix(CANCEL_SUFFIX))
+            return
+        submission = plans.decode_submission(row.value)
+        state = progress.get(row.key)
+        if state is not None:
+            self.journal.set_version(row.key, state.version)
+        if row.key in self.term.book.jobs:
+            return
+        job = self.term.book.add(
+            row.key,
+            submission,
+            progress=plans.decode_progress(state.value) if state else None,
+            inherited=inherited,
+        )
+        job.started = state is not None
+        total = sum(
+            step.count * step.demand.cpu * step.estimate_ms
+            for step in submission.plan.steps
+        )
+        self.term.estimates.note_work(submission.queue, total / 1e6)
+
+    def _cancel(self, job_id):
+        job = self.term.book.jobs.get(job_id)
+        if job is None or job.ended:
+            return
+        LOG.info('a job is cancelled', job=job_id)
+        self.term.book.cancel(job, clocks.wall_time_s())
+        self.keeper.stop_job(job, 'the job is cancelled')
+        self.term.request_flush()
+
+    def _apply_jobs(self, found, _whole):
+        for row in found:
+            self._apply_job(row, {})
+        if found:
+            self.term.request_dispatch()
+
+    async def _watch_pauses(self):
+        """Hold orders back after the process stood still."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self.term.note_tick():
+                LOG.warning('the process stood still')
+                self.term.request_flush()
--- /dev/null
+++ b/arbutusrock/engine/node.py
@@ -0,0 +1,116 @@
+"""One node of the fleet manager: callers' gateway and possible owner."""
+
+import asyncio
+
+import mode
+
+from arbutusrock.engine import configuration_watch
+from arbutusrock.engine import gateway as gateway_module
+from arbutusrock.engine import leader as leader_module
+from arbutusrock.engine import ownership as ownership_module
+from arbutusrock.engine import term as term_module
+from arbutusrock import logs
+from arbutusrock.utils import clocks
+
+__all__ = ['Node']
+
+# Pause after an ownership that ended by a fault.
+FAULT_PAUSE_S = 0.5
+# Time for the last rows of a planned hand-over.
+HAND_OVER_S = 1.0
+LOG = logs.get_log('node')
+
+
+class Node(mode.Service):
+    """All parts of one process.
+
+    :param settings: :class:`arbutusrock.engine.node_settings.NodeSettings`.
+    :param adapter: the platform: ``store``, ``advice``, ``vms``,
+        ``decode_worker(key, value)``, ``decode_operator_row(row)``,
+        ``connect_worker(entry)`` and ``create_parts(leader)``.
+    :param metrics: :class:`arbutusrock.metrics.Metrics`.
+    """
+
+    def __init__(self, *, settings, adapter, metrics):
+        super().__init__()
+        self.settings = settings
+        self.adapter = adapter
+        self.metrics = metrics
+        self.configuration = configuration_watch.ConfigurationWatch(
+            store=adapter.store, decode=adapter.decode_operator_row
+        )
+        self.ownership = ownership_module.Ownership(
+            store=adapter.store, node=settings.name
+        )
+        self.gateway = gateway_module.Gateway(
+            store=adapter.store,
+            configuration=self.configuration,
+            ownership=self.ownership,
+        )
+        self.stopping = False
+        self.leader = None
+
+    @mode.Service.task
+    async def _follow_configuration(self):
+        await self.configuration.run()
+
+    @mode.Service.task
+    async def _store_submissions(self):
+        await self.gateway.submitter.run()
+
+    @mode.Service.task
+    async def _own(self):
+        """Own the unit whenever nobody else does."""
+        while not self.stopping:
+            epoch, version, roster = await self.ownership.acquire()
+            if self.stopping:
+                await self.ownership.release(version)
+                return
+            try:
+                await self._lead(epoch, version, roster)
+            except* Exception as group:
+                LOG.error(
+                    'the ownership ended by a fault',
+                    epoch=epoch,
+                    exc_info=group,
+                )
+                await asyncio.sleep(FAULT_PAUSE_S)
+            finally:
+                self.leader = None
+
+    async def _lead(self, epoch, version, roster):
+        term = term_module.Term(
+            epoch=epoch,
+            claim_version=version,
+            settings=self.settings,
+            configuration=self.configuration,
+            metrics=self.metrics,
+        )
+        self.configuration.on_changed = [term.request_dispatch]
+        self.leader = leader_module.Leader(
+            term=term,
+            store=self.adapter.store,
+            adapter=self.adapter,
+            on_beat=self.ownership.note_beat,
+        )
+        await self.leader.run(roster)
+
+    def check_ready(self):
+        """Raise unless the balancer should send callers here."""
+        self.gateway.check_ready()
+
+    async def hand_over(self):
+        """Give the unit up before a planned stop."""
+        self.stopping = True
+        leader = self.leader
+        if leader is None:
+            return
+        began_s = clocks.now_s()
+        term = leader.term
+        term.stopping = True
+        term.request_flush()
+        while (
+            term.book.dirty or leader.journal.finished < leader.journal.begun
+        ) and clocks.now_s() - began_s < HAND_OVER_S:
+            await asyncio.sleep(0.01)
+        await self.ownership.release(term.claim_version)
--- /dev/null
+++ b/arbutusrock/engine/ownership.py
@@ -0,0 +1,209 @@
+"""Which node owns the unit: its jobs, its workers and its VMs."""
+
+import asyncio
+import random
+
+import msgspec
+
+from arbutusrock.engine import journal
+from arbutusrock.engine import rows
+from arbutusrock import logs
+from arbutusrock.utils import clocks
+
+__all__ = ['Claim', 'Ownership']
+
+# An owner without a heartbeat for so long is replaced: three heartbeats.
+TAKEOVER_S = 1.6
+# Nodes that see the same silence claim one after another.
+SPREAD_S = 0.3
+# How long the store may wait for a heartbeat before it answers.
+WATCH_S = 0.8
+RETRY_S = 0.2
+# At the first start all nodes claim at once; one of them wins.
+START_SPREAD_S = 0.05
+LOG = logs.get_log('ownership')
+
+
+class Claim(msgspec.Struct, kw_only=True):
+    """Row that names the owner.
+
+    :param epoch: rises with each owner; the fencing token of its orders.
+    :param nonce: tells two claims of one node apart.
+    :param released: the owner has stopped and nobody has followed yet.
+    """
+
+    epoch: int
+    node: str
+    nonce: int
+    released: bool = False
+
+
+_decode_claim = msgspec.msgpack.Decoder(Claim).decode
+_decode_beat = msgspec.msgpack.Decoder(journal.Beat).decode
+_decode_roster = msgspec.msgpack.Decoder(dict[str, tuple[str, str]]).decode
+
+
+class Ownership:
+    """Follows the owner's heartbeat and claims what nobody owns.
+
+    :param store: client of the store.
+    :param node: name of this node.
+    """
+
+    def __init__(self, *, store, node):
+        self.store = store
+        self.node = node
+        # Newest heartbeat seen, and when.
+        self.beat = None
+        self.beat_s = 0.0
+        self.heard_store_s = 0.0
+        self._claim = None
+        self._claim_version = 0
+        self._roster = {}
+
+    def note_beat(self, beat):
+        """Take over a heartbeat, also this node's own."""
+        self.beat = beat
+        self.beat_s = clocks.now_s()
+
+    async def acquire(self):
+        """Wait until this node owns the unit.
+
+        :returns: ``(epoch, claim_version, roster)``.
+        """
+        version = await self._read()
+        threshold_s = TAKEOVER_S + random.uniform(0, SPREAD_S)  # noqa: S311
+        silent_s = 0.0
+        while True:
+            if self._claim is None or self._claim.released:
+                await asyncio.sleep(
+                    random.uniform(0, START_SPREAD_S)  # noqa: S311
+                )
+                due = 'nobody owns the unit'
+            elif silent_s > threshold_s:
+                due = 'the owner is silent'
+            else:
+                due = ''
+            if due:
+                if await self._try_claim(due, silent_s):
+                    return self._describe()
+                version = await self._read()
+                silent_s = 0.0
+            began_s = clocks.now_s()
+            version, heard = await self._watch(version)
+            # Time in which the store did not answer says nothing.
+            silent_s = silent_s + clocks.now_s() - began_s if heard else 0.0
+
+    def _describe(self):
+        return self._claim.epoch, self._claim_version, self._roster
+
+    async def _read(self):
+        """Read claim, roster and heartbeat; return the version."""
+        while True:
+            try:
+                found, version = await self.store.read_range(
+                    rows.TABLE_OWNER, part=rows.PART
+                )
+            except (rows.StoreRefused, rows.StoreSilent):
+                await asyncio.sleep(RETRY_S)
+                continue
+            self.heard_store_s = clocks.now_s()
+            for row in found:
+                self._apply(row)
+            return version
+
+    def _apply(self, row):
+        """Return whether the row shows a living owner."""
+        if row.value is None:
+            return False
+        match row.key:
+            case journal.KEY_CLAIM:
+                claim = _decode_claim(row.value)
+                if claim != self._claim:
+                    LOG.info(
+                        'the owner has changed',
+                        owner=claim.node,
+                        epoch=claim.epoch,
+                        released=claim.released,
+                        version=row.version,
+                    )
+                self._claim = claim
+                self._claim_version = row.version
+                return not claim.released
+            case journal.KEY_ROSTER:
+                self._roster = _decode_roster(row.value)
+                return False
+            case journal.KEY_BEAT:
+                self.note_beat(_decode_beat(row.value))
+                return True
+            case _:
+                return False
+
+    async def _watch(self, version):
+        """Wait for rows.
+
+        :returns: ``(version, heard)``; heard when the store answered
+            and no owner has shown itself.
+        """
+        try:
+            changed, version = await self.store.watch(
+                rows.TABLE_OWNER, after=version, wait_s=WATCH_S
+            )
+        except rows.HistoryLost:
+            return await self._read(), False
+        except (rows.StoreRefused, rows.StoreSilent):
+            await asyncio.sleep(RETRY_S)
+            return version, False
+        self.heard_store_s = clocks.now_s()
+        alive = [self._apply(row) for row in changed]
+        return version, not any(alive)
+
+    async def _try_claim(self, reason, silent_s):
+        before = self._claim
+        claim = Claim(
+            epoch=(before.epoch if before else 0) + 1,
+            node=self.node,
+            nonce=random.getrandbits(48),  # noqa: S311
+        )
+        LOG.info(
+            'this node claims the unit',
+            reason=reason,
+            silent_s=round(silent_s, 2),
+            epoch=claim.epoch,
+        )
+        return await self._write_claim(claim)
+
+    async def _write_claim(self, claim):
+        """Write a claim under the condition that it follows the last."""
+        condition = rows.Row(
+            table=rows.TABLE_OWNER,
+            key=journal.KEY_CLAIM,
+            version=self._claim_version,
+        )
+        put = rows.Row(
+            table=rows.TABLE_OWNER,
+            key=journal.KEY_CLAIM,
+            value=msgspec.msgpack.encode(claim),
+        )
+        try:
+            version = await self.store.transact(
+                expected=[condition], puts=[put]
+            )
+        except (rows.Conflicted, rows.StoreRefused) as exc:
+            LOG.info('the claim was not taken', error=str(exc))
+            return False
+        except rows.StoreSilent:
+            # Reading tells whether it took effect; if it does later, the
+            # next claim fails on its condition and reads again.
+            await self._read()
+            return self._claim == claim
+        self._claim, self._claim_version = claim, version
+        return True
+
+    async def release(self, claim_version):
+        """Give the unit up, so that another node takes it at once."""
+        if self._claim is None or claim_version != self._claim_version:
+            return
+        claim = msgspec.structs.replace(self._claim, released=True)
+        if await self._write_claim(claim):
+            LOG.info('the unit is released', epoch=claim.epoch)
--- /dev/null
+++ b/arbutusrock/engine/registry.py
@@ -0,0 +1,198 @@
+"""Follows the registrations of workers."""
+
+import asyncio
+
+from arbutusrock.engine import feeds
+from arbutusrock.engine import fleet as fleet_module
+from arbutusrock.engine import reports
+from arbutusrock.engine import rows
+from arbutusrock import logs
+from arbutusrock.utils import clocks
+
+__all__ = ['Registry']
+
+# How long the store may wait for a change before it answers.
+WATCH_S = 2.0
+# An entry that lapsed while the store was away is back within about two
+# seconds; one that is missing longer is gone.
+MISSING_S = 2.5
+# How often silent and missing workers are looked at.
+SWEEP_S = 0.25
+LOG = logs.get_log('registry')
+
+
+class Registry:
+    """Keeps the owner's workers as the store lists them.
+
+    :param term: :class:`term_module.Term`.
+    :param store: client of the store.
+    :param decode: turns a row's value into :class:`reports.WorkerEntry`.
+    :param keeper: ends what ran on workers that are gone.
+    :param connect: called with each new :class:`fleet_module.WorkerState`.
+    """
+
+    def __init__(self, *, term, store, decode, keeper, connect):
+        self.term = term
+        self.store = store
+        self.decode = decode
+        self.keeper = keeper
+        self.connect = connect
+
+    async def load(self, roster):
+        """Read all registrations once.
+
+        :param roster: workers of the earlier owner: id to (pool, VM).
+        :returns: version to watch from.
+        """
+        listed, version = await self.store.read_range(
+            rows.TABLE_WORKERS, part=''
+        )
+        until_s = self.term.began_s + self._get_uncertain_s()
+        for row in listed:
+            entry = self.decode(row.key, row.value)
+            if entry is not None:
+                self._add(entry, uncertain_until_s=until_s)
+        self._add_ghosts(roster, until_s)
+        return version
+
+    def _get_uncertain_s(self):
+        """Return how long an earlier owner's leases may last."""
+        return (
+            self.term.lease_s / fleet_module.CLOCK_RATE_LEAST
+            + fleet_module.LEASE_MARGIN_S
+        )
+
+    def _add_ghosts(self, roster, until_s):
+        """Count workers that the earlier owner knew and that lost their
+        registration: what it started there may go on until its lease ends.
+        """
+        workers = self.term.fleet.workers
+        vms = {worker.entry.vm for worker in workers.values()}
+        for worker_id, (pool, vm) in roster.items():
+            if worker_id in workers or (vm and vm in vms):
+                continue
+            entry = reports.WorkerEntry(
+                worker_id=worker_id, pool=pool, address='', vm=vm
+            )
+            ghost = fleet_module.WorkerState(
+                entry=entry, now_s=clocks.now_s(), uncertain_until_s=until_s
+            )
+            ghost.missing_since_s = clocks.now_s()
+            ghost.failing = True
+            workers[worker_id] = ghost
+
+    def _add(self, entry, *, uncertain_until_s=0.0):
+        worker = fleet_module.WorkerState(
+            entry=entry,
+            now_s=clocks.now_s(),
+            uncertain_until_s=uncertain_until_s,
+        )
+        self.term.fleet.workers[entry.worker_id] = worker
+        LOG.info(
+            'a worker is registered',
+            worker=entry.worker_id,
+            pool=entry.pool,
+            vm=entry.vm,
+            draining=entry.draining,
+        )
+        self.term.request_flush()
+        self.connect(worker)
+
+    async def run(self, version):
+        """Apply changes until the ownership ends."""
+        await feeds.follow_table(
+            self.store,
+            rows.TABLE_WORKERS,
+            apply=self._apply_all,
+            part='',
+            wait_s=WATCH_S,
+            version=version,
+        )
+
+    def _apply_all(self, found, whole):
+        for row in found:
+            self._apply(row)
+        if not whole:
+            return
+        present = {row.key for row in found}
+        for worker_id in self.term.fleet.workers:
+            if worker_id not in present:
+                self._note_missing(worker_id)
+
+    def _apply(self, row):
+        if row.value is None:
+            self._note_missing(row.key)
+            return
+        entry = self.decode(row.key, row.value)
+        if entry is None:
+            return
+        worker = self.term.fleet.workers.get(entry.worker_id)
+        if worker is not None and worker.entry.address == '':
+            # A ghost has registered again.
+            worker = None
+        if worker is not None and not worker.ended:
+            if entry.born_ms > worker.entry.born_ms > 0:
+                self.keeper.end_life(worker, 'it was born again')
+            else:
+                self._update(worker, entry)
+                return
+        elif worker is not None and entry.born_ms <= worker.entry.born_ms:
+            # The registration of a life that is known to be over.
+            return
+        self._end_earlier_life(entry)
+        self._add(entry)
+
+    def _update(self, worker, entry):
+        if entry.draining and not worker.entry.draining:
+            LOG.info(
+                'a worker drains',
+                worker=entry.worker_id,
+                vm=entry.vm,
+                leaves_in_ms=entry.leaves_in_ms,
+                runs=len(worker.runs),
+            )
+        if worker.missing_since_s is not None:
+            LOG.info('a worker is registered again', worker=entry.worker_id)
+        worker.missing_since_s = None
+        changed = entry.draining != worker.entry.draining
+        worker.entry = entry
+        if changed:
+            self.term.request_dispatch()
+
+    def _end_earlier_life(self, entry):
+        """A VM runs one worker at a time."""
+        if not entry.vm:
+            return
+        for worker in list(self.term.fleet.workers.values()):
+            if (
+                worker.entry.vm == entry.vm
+                and not worker.ended
+                and worker.entry.born_ms < entry.born_ms
+            ):
+                self.keeper.end_life(worker, 'its VM runs another worker')
+
+    def _note_missing(self, worker_id):
+        worker = self.term.fleet.workers.get(worker_id)
+        if worker is not None and worker.missing_since_s is None:
+            worker.missing_since_s = clocks.now_s()
+            LOG.info('a worker is no longer registered', worker=worker_id)
+
+    async def sweep(self):
+        """Drop workers that are gone and leases that are over."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now_s = clocks.now_s()
+            for worker_id, worker in list(self.term.fleet.workers.items()):
+                self._sweep_worker(worker_id, worker, now_s)
+
+    def _sweep_worker(self, worker_id, worker, now_s):
+        missing_s = worker.missing_since_s
+        if worker.ended:
+            if missing_s is not None:
+                del self.term.fleet.workers[worker_id]
+            return
+        if not worker.failing or not worker.is_lease_over(now_s):
+            return
+        self.keeper.expire_lease(worker)
+        if missing_s is not None and now_s - missing_s > MISSING_S:
+            self.keeper.end_life(worker, 'it is no longer registered')
--- /dev/null
+++ b/arbutusrock/engine/run_keeper.py
@@ -0,0 +1,358 @@
+"""Follows runs on workers: orders, reports, ends."""
+
+from arbutusrock.engine import plans
+from arbutusrock.engine import reports
+from arbutusrock.engine import term as term_module
+from arbutusrock.engine import work
+from arbutusrock import logs
+from arbutusrock.scheduling import Resources
+from arbutusrock.utils import clocks
+
+__all__ = ['RunKeeper']
+
+# A list of ends holds at most this many; more may follow.
+ENDS_PER_PAGE = 500
+LOG = logs.get_log('runs')
+
+
+class RunKeeper:
+    """Applies what workers answer to the owner's state.
+
+    :param term: :class:`term_module.Term`.
+    :param journal: tells when an end is durable.
+    """
+
+    def __init__(self, *, term, journal):
+        self.term = term
+        self.journal = journal
+        # Sends a stop order; set by the part that owns the connections.
+        self.links = {}
+
+    def stop_run(self, run, reason):
+        """Stop a run, unless it is being stopped."""
+        if run.state is work.RunState.STOPPING:
+            return
+        run.state = work.RunState.STOPPING
+        run.stop_reason = reason
+        link = self.links.get(run.worker.worker_id)
+        if link is not None:
+            link.send_stop(run)
+
+    def stop_job(self, job, reason):
+        """Stop all runs of a job that has ended."""
+        for task in job.iterate_tasks():
+            for run in list(task.runs):
+                self.stop_run(run, reason)
+
+    def apply_reply(self, run, reply):
+        """Apply the reply to a start order.
+
+        :raises term_module.Deposed: another owner's token was seen.
+        """
+        outcome = reply.outcome
+        worker, now_s = run.worker, clocks.now_s()
+        worker.note_clock(reply.clock_ms, now_s)
+        if outcome is reports.OrderOutcome.FENCED:
+            raise term_module.Deposed(worker.worker_id)
+        if worker.runs.get((run.name, run.number)) is not run:
+            # Its end was seen before the reply.
+            return
+        match outcome:
+            case reports.OrderOutcome.DONE:
+                if run.state is not work.RunState.STOPPING:
+                    run.state = work.RunState.RUNNING
+                run.confirmed_s = now_s
+                return
+            case reports.OrderOutcome.UNKNOWN:
+                worker.failing = True
+                if run.state is work.RunState.ORDERED:
+                    run.state = work.RunState.IN_DOUBT
+                    run.confirmed_s = now_s
+                self._log_order(run, outcome)
+                return
+            case reports.OrderOutcome.GONE:
+                self.end_life(worker, 'another life answers')
+                return
+            case reports.OrderOutcome.UNREACHABLE:
+                worker.failing = True
+            case reports.OrderOutcome.UNHEALTHY:
+                self.term.standing.note_stall(worker.vm, now_s)
+            case reports.OrderOutcome.BAD_TICKET if run.task is not None:
+                run.task.step.tickets.pop(worker.worker_id, None)
+            case reports.OrderOutcome.INVALID if run.task is not None:
+                self._fail_task(run.task, run)
+        self._log_order(run, outcome)
+        self._drop_run(run)
+
+    @staticmethod
+    def _log_order(run, outcome):
+        LOG.info(
+            'a start order was not carried out',
+            task=run.name,
+            run=run.number,
+            worker=run.worker.worker_id,
+            outcome=outcome.value,
+        )
+
+    def _drop_run(self, run):
+        """Take away a run that is not at work, and queue its task again."""
+        self.term.fleet.remove_run(run)
+        self.term.request_dispatch()
+        task = run.task
+        if task is None:
+            return
+        if task.step.plan.gang:
+            self._drop_gang(task, run)
+        elif not task.step.job.ended:
+            self.term.book.requeue(task, clocks.now_s())
+
+    def _drop_gang(self, task, run):
+        """A gang without one member is stopped, then queued as a whole."""
+        step = task.step
+        members = [other for item in step.tasks for other in item.runs]
+        for other in members:
+            if other.number <= run.number:
+                self.stop_run(other, 'a member of its gang has ended')
+        if members or step.job.ended:
+            return
+        for item in step.tasks:
+            self.term.book.requeue(item, clocks.now_s())
+
+    def end_life(self, worker, reason):
+        """All that ran on a worker has ended with it."""
+        if worker.ended:
+            return
+        worker.ended = True
+        LOG.info(
+            'a worker has ended',
+            worker=worker.worker_id,
+            vm=worker.vm,
+            reason=reason,
+            runs=len(worker.runs),
+        )
+        self._lose_runs(worker)
+        self.term.request_dispatch()
+        self.term.request_flush()
+
+    def expire_lease(self, worker):
+        """All leases that were ever sent to a worker have ended."""
+        if not worker.runs:
+            return
+        LOG.info(
+            'the lease of a silent worker is over',
+            worker=worker.worker_id,
+            silent_s=round(clocks.now_s() - worker.heard_s, 2),
+            runs=len(worker.runs),
+        )
+        self._lose_runs(worker)
+
+    def _lose_runs(self, worker):
+        for run in list(worker.runs.values()):
+            if run.task is not None:
+                self.term.book.note_checkpoint(run.task, run.checkpoint)
+            self._drop_run(run)
+
+    def apply_hold(self, worker, report, sent_s):
+        """Apply the answer to a renewal that was sent at ``sent_s``."""
+        now_s = clocks.now_s()
+        born_ms = worker.entry.born_ms
+        if born_ms and report.born_ms and report.born_ms != born_ms:
+            self.end_life(worker, 'it was born again')
+            return
+        worker.note_clock(report.clock_ms, now_s)
+        worker.heard_s = now_s
+        if not worker.known or worker.failing:
+            self.term.request_dispatch()
+        worker.known = True
+        worker.failing = False
+        for end in sorted(report.ended, key=lambda item: item.number):
+            if end.number > worker.seen_end:
+                self._apply_end(worker, end, now_s)
+        listed = set()
+        for item in report.running:
+            listed.add((item.task, item.run))
+            self._apply_running(worker, item, now_s)
+        if len(report.ended) < ENDS_PER_PAGE:
+            self._find_vanished(worker, listed, sent_s)
+
+    def _apply_end(self, worker, end, now_s):
+        worker.seen_end = end.number
+        run = worker.runs.get((end.task, end.run))
+        task = run.task if run else self.term.book.find_task(end.task)
+        job = None if task is None else task.step.job
+        if job is not None and not job.ended:
+            self._settle_end(worker, end, task, run, now_s)
+        flush = self.journal.finished
+        if job is not None and job.job_id in self.term.book.dirty:
+            flush = self.journal.get_next_flush()
+            self.term.request_flush()
+        worker.unacknowledged.append((end.number, flush))
+        if flush == self.journal.finished and len(worker.unacknowledged) == 1:
+            worker.cursor = worker.unacknowledged.pop()[0]
+        if run is not None:
+            self._drop_run(run)
+
+    def _settle_end(self, worker, end, task, run, now_s):
+        match end.kind:
+            case reports.EndKind.DONE if not task.step.plan.long_running:
+                self._note_duration(task, run, now_s)
+                self.term.standing.note_success(worker.vm)
+                self._complete(task, now_s)
+            case reports.EndKind.FAILED:
+                self.term.standing.note_failure(
+                    worker.vm, task.step.job.job_id, now_s
+                )
+                task.avoided_vms.add(worker.vm)
+                LOG.info(
+                    'a run failed',
+                    task=end.task,
+                    run=end.run,
+                    worker=worker.worker_id,
+                    attempts=len(task.failed_runs) + 1,
+                )
+                self._fail_task(task, end)
+            case _:
+                self.term.book.note_checkpoint(task, end.checkpoint)
+
+    def _note_duration(self, task, run, now_s):
+        if run is None or run.confirmed_s is None or task.checkpoint:
+            return
+        job = task.step.job
+        self.term.estimates.note_task(
+            job.submission.queue,
+            job.job_id,
+            task.step.plan.estimate_ms / 1000,
+            now_s - run.confirmed_s,
+        )
+
+    def _fail_task(self, task, run):
+        """Count a failed run; ``run`` has its number."""
+        number = run.number if isinstance(run, work.Run) else run.run
+        step, job = task.step, task.step.job
+        counted = step.tasks[0] if step.plan.gang else task
+        failed = self.term.book.mark_failed(
+            counted,
+            number,
+            max_attempts=job.submission.max_attempts,
+            wall_s=clocks.wall_time_s(),
+        )
+        if failed:
+            LOG.info(
+                'a job has failed',
+                job=job.job_id,
+                task=task.name,
+                attempts=job.submission.max_attempts,
+            )
+            self.stop_job(job, 'the job has failed')
+
+    def _complete(self, task, now_s):
+        step, job = task.step, task.step.job
+        done = step.tasks if step.plan.gang else [task]
+        for item in done:
+            completed = self.term.book.mark_done(
+                item, now_s, clocks.wall_time_s()
+            )
+            for other in list(item.runs):
+                self.stop_run(other, 'the task is done')
+        self.term.request_dispatch()
+        if completed:
+            self.term.estimates.forget_job(job.job_id)
+            LOG.info(
+                'a job is completed',
+                job=job.job_id,
+                queue=job.submission.queue,
+                age_s=round(clocks.wall_time_s() - job.accepted_s, 3),
+            )
+
+    def _apply_running(self, worker, item, now_s):
+        run = worker.runs.get((item.task, item.run))
+        if run is None:
+            run = self._adopt(worker, item, now_s)
+        if run.state in {work.RunState.ORDERED, work.RunState.IN_DOUBT}:
+            run.state = work.RunState.RUNNING
+            run.confirmed_s = now_s
+        if item.percent > run.percent:
+            run.advanced_s = now_s
+        run.percent = item.percent
+        run.load = item.load
+        if item.checkpoint:
+            run.checkpoint = item.checkpoint
+        if item.percent >= 100 and run.at_work_s is None:
+            run.at_work_s = now_s
+
+    def _adopt(self, worker, item, now_s):
+        """Take over a run that an earlier owner started, or stop it."""
+        task = self.term.book.find_task(item.task)
+        wanted = (
+            task is not None
+            and not task.step.job.ended
+            and self._is_wanted(task, item.run)
+        )
+        parts = work.split_task_name(item.task)
+        job = self.term.book.jobs.get(parts[0]) if parts else None
+        run = work.Run(
+            number=item.run,
+            name=item.task,
+            task=task if wanted else None,
+            account=job.submission.account if job else '',
+            worker=worker,
+            demand=_find_demand(job, parts),
+            now_s=now_s,
+        )
+        self.term.fleet.add_run(run)
+        if wanted:
+            run.state = work.RunState.RUNNING
+            run.confirmed_s = now_s
+            self.term.book.set_active(task)
+        else:
+            LOG.info(
+                'a run that is not wanted is stopped',
+                task=item.task,
+                run=item.run,
+                worker=worker.worker_id,
+            )
+            self.stop_run(run, 'not wanted')
+        return run
+
+    @staticmethod
+    def _is_wanted(task, number):
+        if task.step.plan.gang:
+            others = [r for t in task.step.tasks for r in t.runs]
+            return task.status in {
+                work.TaskStatus.WAITING,
+                work.TaskStatus.ACTIVE,
+            } and all(other.number == number for other in others)
+        return task.status is work.TaskStatus.WAITING
+
+    def _find_vanished(self, worker, listed, sent_s):
+        """Settle runs that the worker no longer names."""
+        for key, run in list(worker.runs.items()):
+            if key in listed:
+                continue
+            match run.state:
+                case work.RunState.RUNNING if run.confirmed_s < sent_s:
+                    LOG.warning(
+                        'a run has vanished',
+                        task=run.name,
+                        run=run.number,
+                        worker=worker.worker_id,
+                    )
+                    # It may have been an order of before a pause.
+                    self.stop_run(run, 'vanished')
+                case work.RunState.IN_DOUBT if run.confirmed_s < sent_s:
+                    self.stop_run(run, 'the order was not answered')
+                case work.RunState.STOPPING if (
+                    run.stop_answered_s is not None
+                    and run.stop_answered_s < sent_s
+                ):
+                    self._drop_run(run)
+
+
+def _find_demand(job, parts):
+    if job is None:
+        return Resources()
+    steps = job.plan.steps
+    step = (
+        steps[parts[2]] if parts[2] < len(steps) else plans.StepPlan(count=1)
+    )
+    return step.demand
--- /dev/null
+++ b/arbutusrock/engine/submitter.py
@@ -0,0 +1,147 @@
+"""Stores new jobs, many in one transaction, each exactly once."""
+
+import asyncio
+import enum
+
+from arbutusrock.engine import plans
+from arbutusrock.engine import rows
+from arbutusrock import logs
+from arbutusrock.utils import clocks
+
+__all__ = ['Stored', 'Submitter']
+
+# Time in which jobs are collected for one transaction.
+COLLECT_S = 0.004
+# Bounds of one transaction: the store takes 100 entries and 1 MB.
+MOST_JOBS = 40
+MOST_BYTES = 500_000
+# A refusing store is asked so often before callers are refused.
+TRIES = 3
+RETRY_S = 0.03
+LOG = logs.get_log('submit')
+
+
+class Stored(enum.Enum):
+    """What is known of a job that was handed to the store."""
+
+    STORED = 'stored'
+    # It is not stored and never will be.
+    REFUSED = 'refused'
+    # It may be stored, or may be later.
+    UNKNOWN = 'unknown'
+
+
+class _Entry:
+    __slots__ = ('job_id', 'value', 'until_s', 'tries', 'in_doubt', 'result')
+
+    def __init__(self, *, job_id, value, until_s):
+        self.job_id = job_id
+        self.value = value
+        self.until_s = until_s
+        self.tries = 0
+        # An earlier transaction with it got no answer.
+        self.in_doubt = False
+        self.result = asyncio.get_running_loop().create_future()
+
+    def settle(self, result):
+        if not self.result.done():
+            self.result.set_result(result)
+
+
+class Submitter:
+    """One task that writes the jobs of all callers of this node.
+
+    :param store: client of the store.
+    """
+
+    def __init__(self, *, store):
+        self.store = store
+        self._entries = {}
+        self._due = asyncio.Event()
+
+    async def submit(self, job_id, submission, *, until_s):
+        """Store a job, unless one of that id is stored already.
+
+        :param until_s: when the caller gives up.
+        :returns: :class:`Stored`.
+        """
+        entry = self._entries.get(job_id)
+        if entry is None:
+            entry = _Entry(
+                job_id=job_id,
+                value=plans.encode_row(submission),
+                until_s=until_s,
+            )
+            self._entries[job_id] = entry
+            self._due.set()
+        # A caller that leaves must not cancel the entry of another.
+        return await asyncio.shield(entry.result)
+
+    async def run(self):
+        """Write until cancelled."""
+        while True:
+            await self._due.wait()
+            await asyncio.sleep(COLLECT_S)
+            batch, size = [], 0
+            for entry in self._entries.values():
+                size += len(entry.value)
+                if len(batch) == MOST_JOBS or (batch and size > MOST_BYTES):
+                    break
+                batch.append(entry)
+            if batch:
+                await self._write(batch)
+            for entry in batch:
+                if entry.result.done():
+                    del self._entries[entry.job_id]
+            if not self._entries:
+                self._due.clear()
+
+    async def _write(self, batch):
+        expected = [
+            rows.Row(table=rows.TABLE_JOBS, key=entry.job_id)
+            for entry in batch
+        ]
+        puts = [
+            rows.Row(
+                table=rows.TABLE_JOBS, key=entry.job_id, value=entry.value
+            )
+            for entry in batch
+        ]
+        try:
+            await self.store.transact(expected=expected, puts=puts)
+        except rows.Conflicted as exc:
+            present = {row.key for row in exc.rows if row.version}
+            for entry in batch:
+                if entry.job_id in present:
+                    entry.settle(Stored.STORED)
+        except rows.StoreRefused as exc:
+            await self._note_refusal(batch, exc)
+        except rows.StoreSilent as exc:
+            LOG.warning('the store is silent', error=str(exc))
+            for entry in batch:
+                entry.in_doubt = True
+            self._drop_overdue(batch)
+        else:
+            for entry in batch:
+                entry.settle(Stored.STORED)
+
+    async def _note_refusal(self, batch, exc):
+        for entry in batch:
+            entry.tries += 1
+            # One that is in doubt may be stored by the earlier try.
+            if entry.tries >= TRIES and not entry.in_doubt:
+                LOG.info(
+                    'a job is not stored', job=entry.job_id, error=str(exc)
+                )
+                entry.settle(Stored.REFUSED)
+        self._drop_overdue(batch)
+        await asyncio.sleep(RETRY_S)
+
+    @staticmethod
+    def _drop_overdue(batch):
+        now_s = clocks.now_s()
+        for entry in batch:
+            if now_s > entry.until_s and not entry.result.done():
+                entry.settle(
+                    Stored.UNKNOWN if entry.in_doubt else Stored.REFUSED
+                )
--- /dev/null
+++ b/arbutusrock/engine/term.py
@@ -0,0 +1,100 @@
+"""What the parts of an owner share during one ownership."""
+
+import asyncio
+
+from arbutusrock.engine import book
+from arbutusrock.engine import fleet
+from arbutusrock.scheduling import estimates
+from arbutusrock.scheduling import standing
+from arbutusrock.utils import clocks
+
+__all__ = ['LEASE_S', 'Deposed', 'Term']
+
+# Long enough to bridge the takeover by another node (about 3 s), short
+# enough that the work of a lost worker is soon run elsewhere.
+LEASE_S = 5.0
+# A gap this long between two looks at the clock is a pause: half of what
+# other nodes wait before they take over.
+PAUSE_S = 0.8
+# Runs of different owners never share a number: epoch x this + count.
+RUNS_PER_EPOCH = 1_000_000
+
+
+class Deposed(Exception):
+    """Another node owns the unit now."""
+
+
+class Term:
+    """State of one ownership; it is dropped whole when the ownership ends.
+
+    :param epoch: fencing token of all orders.
+    :param claim_version: version of the claim that transactions expect.
+    :param settings: :class:`node_settings.NodeSettings`.
+    :param configuration: :class:`configuration_watch.ConfigurationWatch`.
+    :param metrics: :class:`arbutusrock.metrics.Metrics`.
+    """
+
+    def __init__(
+        self, *, epoch, claim_version, settings, configuration, metrics
+    ):
+        self.epoch = epoch
+        self.claim_version = claim_version
+        self.settings = settings
+        self.configuration = configuration
+        self.metrics = metrics
+        self.began_s = clocks.now_s()
+        self.lease_s = min(LEASE_S, settings.longest_lease_s)
+        self.book = book.JobBook(early_s=settings.early_s)
+        self.fleet = fleet.Fleet()
+        self.standing = standing.Standing()
+        self.estimates = estimates.Estimates()
+        # Set when a pass over waiting tasks is due.
+        self.work_due = asyncio.Event()
+        # Set when rows must be written.
+        self.rows_due = asyncio.Event()
+        self.stopping = False
+        self._runs = 0
+        self._tick_s = self.began_s
+        # When the process was last seen to have stood still.
+        self._stood_still_s = None
+
+    def create_run_number(self):
+        """Return a number above all earlier runs."""
+        self._runs += 1
+        return self.epoch * RUNS_PER_EPOCH + self._runs
+
+    @property
+    def paused(self):
+        """Whether orders wait: the process stood still, and another node
+        may own the unit since.
+        """
+        return (
+            self._stood_still_s is not None
+            or clocks.now_s() - self._tick_s > PAUSE_S
+        )
+
+    def note_tick(self):
+        """Look at the clock; return whether the process stood still."""
+        now_s = clocks.now_s()
+        stood_still = now_s - self._tick_s > PAUSE_S
+        self._tick_s = now_s
+        if stood_still:
+            self._stood_still_s = now_s
+        return stood_still
+
+    def confirm(self, sent_s):
+        """Note that the store confirmed the ownership.
+
+        :param sent_s: when it was asked.
+        """
+        if self._stood_still_s is not None and sent_s > self._stood_still_s:
+            self._stood_still_s = None
+            self.request_dispatch()
+
+    def request_dispatch(self):
+        """Have waiting tasks looked at soon."""
+        self.work_due.set()
+
+    def request_flush(self):
+        """Have changed rows written soon."""
+        self.rows_due.set()
--- /dev/null
+++ b/arbutusrock/engine/tickets.py
@@ -0,0 +1,95 @@
+"""Asks the policy service which workers may run a step."""
+
+from arbutusrock import logs
+from arbutusrock.utils import clocks
+
+__all__ = ['Tickets']
+
+# Workers named in one question: each one costs time to answer.
+MOST_WORKERS = 16
+# Time for an answer beyond the announced one.
+MARGIN_S = 1.0
+# A ticket is not used shortly before its end.
+UNUSED_S = 0.3
+LOG = logs.get_log('policy')
+
+
+class Tickets:
+    """Tickets by step and worker.
+
+    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param client: client of the policy service, or None.
+    :param spawn: starts a task whose failure ends the term.
+    """
+
+    def __init__(self, *, term, client, spawn):
+        self.term = term
+        self.client = client
+        self.spawn = spawn
+        # Steps with a question under way.
+        self._asking = set()
+
+    def _get_terms(self, step):
+        queue = self.term.configuration.current.queues.get(
+            step.job.submission.queue
+        )
+        if queue is None or self.client is None:
+            return None
+        return queue.advice
+
+    def get_allowed(self, step, workers, now_s):
+        """Return the ids of workers with a ticket; None allows all.
+
+        Asks about workers without an answer where none has room.
+        """
+        terms = self._get_terms(step)
+        if terms is None:
+            return None
+        valid = {
+            worker_id
+            for worker_id, (ticket, until_s) in step.tickets.items()
+            if ticket and now_s < until_s
+        }
+        if not any(worker.worker_id in valid for worker in workers):
+            self._ask(step, workers, terms, now_s)
+        return valid
+
+    def get_ticket(self, step, worker_id):
+        """Return the ticket for a start, or an empty text."""
+        return step.tickets.get(worker_id, ('', 0.0))[0]
+
+    def _ask(self, step, workers, terms, now_s):
+        if id(step) in self._asking:
+            return
+        unknown = [
+            worker
+            for worker in workers
+            if now_s >= step.tickets.get(worker.worker_id, ('', 0.0))[1]
+        ]
+        unknown.sort(key=lambda worker: -worker.free_cpu)
+        ids = [worker.worker_id for worker in unknown[:MOST_WORKERS]]
+        if ids:
+            self._asking.add(id(step))
+            self.spawn(self._ask_about(step, ids, terms))
+
+    async def _ask_about(self, step, ids, terms):
+        name = f'{step.job.job_id}.{step.key}'
+        wait_s = (terms.decide_ms + terms.each_ms * len(ids)) / 1000
+        try:
+            answer = await self.client.ask(
+                name, ids, timeout_s=wait_s * 2 + MARGIN_S
+            )
+        finally:
+            self._asking.discard(id(step))
+        if answer is None:
+            LOG.info('the policy service did not answer', step=name)
+            return
+        tickets, valid_s = answer
+        until_s = clocks.now_s() + valid_s - UNUSED_S
+        good = {item.worker_id: item.ticket for item in tickets}
+        for worker_id in ids:
+            step.tickets[worker_id] = (good.get(worker_id, ''), until_s)
+        LOG.info(
+            'a step has tickets', step=name, asked=len(ids), good=len(good)
+        )
+        self.term.request_dispatch()
--- /dev/null
+++ b/arbutusrock/engine/work.py
@@ -0,0 +1,287 @@
+"""Jobs, occurrences, steps, tasks and runs in the owner's memory."""
+
+import enum
+
+from arbutusrock.engine import plans
+from arbutusrock.engine import reports
+
+__all__ = [
+    'Job',
+    'Occurrence',
+    'Run',
+    'RunState',
+    'Step',
+    'Task',
+    'TaskStatus',
+    'name_task',
+    'split_task_name',
+]
+
+
+class TaskStatus(enum.Enum):
+    """Whether a task needs a run."""
+
+    BLOCKED = 'blocked'
+    WAITING = 'waiting'
+    ACTIVE = 'active'
+    DONE = 'done'
+
+
+class RunState(enum.Enum):
+    """What is known of a run."""
+
+    ORDERED = 'ordered'
+    # The order got no answer: it may be carried out later.
+    IN_DOUBT = 'in doubt'
+    RUNNING = 'running'
+    STOPPING = 'stopping'
+
+
+def name_task(job_id, occurrence, step, index):
+    """Return the name of a task on workers.
+
+    >>> name_task('5c0e7a21d94b36f8', 0, 1, 17)
+    '5c0e7a21d94b36f8.0.1.17'
+    """
+    return f'{job_id}.{occurrence}.{step}.{index}'
+
+
+def split_task_name(name):
+    """Return ``(job_id, occurrence, step, index)``, or None.
+
+    >>> split_task_name('5c0e7a21d94b36f8.0.1.17')
+    ('5c0e7a21d94b36f8', 0, 1, 17)
+    >>> split_task_name('other')
+    """
+    parts = name.split('.')
+    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+        return None
+    return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
+
+
+class Run:
+    """One start of a task on a worker.
+
+    :param task: :class:`Task`, or None for a run that is not ours to keep.
+    :param demand: resources that it takes on the worker.
+    """
+
+    __slots__ = (
+        'number',
+        'name',
+        'task',
+        'account',
+        'worker',
+        'demand',
+        'state',
+        'ordered_s',
+        'confirmed_s',
+        'stop_sent_s',
+        'stop_answered_s',
+        'stop_reason',
+        'percent',
+        'advanced_s',
+        'at_work_s',
+        'checkpoint',
+        'load',
+        'pace',
+        'over_target_s',
+    )
+
+    def __init__(self, *, number, name, task, account, worker, demand, now_s):
+        self.number = number
+        self.name = name
+        self.task = task
+        self.account = account
+        self.worker = worker
+        self.demand = demand
+        self.state = RunState.ORDERED
+        self.ordered_s = now_s
+        self.confirmed_s = None
+        self.stop_sent_s = None
+        self.stop_answered_s = None
+        self.stop_reason = ''
+        self.percent = 0.0
+        # When its percentage last rose.
+        self.advanced_s = now_s
+        # Since when a serving task is at work.
+        self.at_work_s = None
+        self.checkpoint = ''
+        self.load = 0.0
+        self.pace = 100
+        self.over_target_s = None
+
+
+class Task:
+    """One task of a step."""
+
+    __slots__ = (
+        'step',
+        'index',
+        'name',
+        'status',
+        'runs',
+        'failed_runs',
+        'avoided_vms',
+        'checkpoint',
+        'waiting_s',
+        'away_s',
+    )
+
+    def __init__(self, *, step, index):
+        self.step = step
+        self.index = index
+        self.name = name_task(
+            step.occurrence.job.job_id,
+            step.occurrence.number,
+            step.number,
+            index,
+        )
+        self.status = TaskStatus.BLOCKED
+        self.runs = []
+        self.failed_runs = set()
+        # VMs on which it failed or stood still.
+        self.avoided_vms = set()
+        self.checkpoint = ''
+        self.waiting_s = None
+        # Since when a serving task is not at work.
+        self.away_s = None
+
+    @property
+    def progress_key(self):
+        """Name of the task inside its job's progress row."""
+        return f'{self.step.key}.{self.index}'
+
+
+class Step:
+    """One step of one occurrence."""
+
+    __slots__ = (
+        'occurrence',
+        'number',
+        'plan',
+        'tasks',
+        'waiting',
+        'done_count',
+        'opened',
+        'key',
+        'tickets',
+        'workers',
+    )
+
+    def __init__(self, *, occurrence, number, plan):
+        self.occurrence = occurrence
+        self.number = number
+        self.plan = plan
+        self.key = f'{occurrence.number}.{number}'
+        self.tasks = [Task(step=self, index=i) for i in range(plan.count)]
+        # Indices of waiting tasks in the order in which they wait.
+        self.waiting = {}
+        self.done_count = 0
+        self.opened = False
+        # Tickets of the policy service by worker.
+        self.tickets = {}
+        # Number of runs by worker, for the bound on one worker.
+        self.workers = {}
+
+    @property
+    def job(self):
+        """The job of the step."""
+        return self.occurrence.job
+
+    @property
+    def done(self):
+        """Whether all its tasks are done."""
+        return self.done_count == self.plan.count
+
+
+class Occurrence:
+    """One run of all steps of a job."""
+
+    __slots__ = ('job', 'number', 'due_s', 'steps')
+
+    def __init__(self, *, job, number, due_s):
+        self.job = job
+        self.number = number
+        # Wall-clock time.
+        self.due_s = due_s
+        self.steps = [
+            Step(occurrence=self, number=i, plan=plan)
+            for i, plan in enumerate(job.plan.steps)
+        ]
+
+    @property
+    def done(self):
+        """Whether all its steps are done."""
+        return all(step.done for step in self.steps)
+
+
+class Job:
+    """An accepted job.
+
+    :param submission: :class:`plans.Submission`.
+    :param progress: :class:`plans.JobProgress`.
+    :param inherited: accepted before this node became the owner.
+    """
+
+    __slots__ = (
+        'job_id',
+        'submission',
+        'progress',
+        'progress_version',
+        'inherited',
+        'occurrences',
+        'next_occurrence',
+        'started',
+        'remaining_ms',
+        'excess',
+        'accepted_s',
+    )
+
+    def __init__(self, *, job_id, submission, progress, inherited):
+        self.job_id = job_id
+        self.submission = submission
+        self.progress = progress
+        self.progress_version = 0
+        self.inherited = inherited
+        # Open occurrences by number.
+        self.occurrences = {}
+        self.next_occurrence = 0
+        self.started = False
+        # Work that is left, in thousandths of core-milliseconds.
+        self.remaining_ms = 0.0
+        # Sent beyond what the account may send in a second.
+        self.excess = False
+        self.accepted_s = submission.accepted_ms / 1000
+
+    @property
+    def plan(self):
+        """What was submitted."""
+        return self.submission.plan
+
+    @property
+    def status(self):
+        """State of the job, of :class:`plans.JobStatus`."""
+        return self.progress.status
+
+    @property
+    def ended(self):
+        """Whether nothing of it will be started any more."""
+        return self.progress.status in plans.JobStatus.ENDED
+
+    def iterate_tasks(self):
+        """Yield all tasks of open occurrences."""
+        for occurrence in self.occurrences.values():
+            for step in occurrence.steps:
+                yield from step.tasks
+
+
+# Ends after which a task simply needs another run.
+RESTARTED = frozenset(
+    {
+        reports.EndKind.STOPPED,
+        reports.EndKind.LAPSED,
+        reports.EndKind.BROKEN,
+        reports.EndKind.ALONE,
+    }
+)
--- /dev/null
+++ b/arbutusrock/engine/worker_link.py
@@ -0,0 +1,179 @@
+"""Connection of the owner to one worker: leases, orders, reports."""
+
+import asyncio
+
+from arbutusrock.engine import reports
+from arbutusrock.engine import term as term_module
+from arbutusrock import logs
+from arbutusrock.utils import clocks
+
+__all__ = ['WorkerLink']
+
+# How long an answer waits for an end; a fifth of the lease.
+WAIT_S = 1.0
+# Least time between two renewals that bring ends, so that they collect.
+LEAST_GAP_S = 0.02
+# Pause before a worker that does not answer is asked again.
+RETRY_S = 0.25
+# While the store takes no ends, they are read again at this pace.
+UNACKNOWLEDGED_S = 0.3
+LOG = logs.get_log('workers')
+
+
+class WorkerLink:
+    """One task that renews the lease of a worker, and orders beside it.
+
+    :param term: :class:`term_module.Term`.
+    :param keeper: :class:`arbutusrock.engine.run_keeper.RunKeeper`.
+    :param worker: :class:`arbutusrock.engine.fleet.WorkerState`.
+    :param client: client of the worker.
+    :param spawn: starts a task whose failure ends the term.
+    """
+
+    def __init__(self, *, term, keeper, worker, client, spawn):
+        self.term = term
+        self.keeper = keeper
+        self.worker = worker
+        self.client = client
+        self.spawn = spawn
+
+    async def run(self):
+        """Renew the lease until the worker's life is over.
+
+        :raises term_module.Deposed: another owner's token was seen.
+        """
+        try:
+            while not self.worker.ended:
+                await self._wait_acknowledged()
+                if self.term.paused:
+                    await asyncio.sleep(LEAST_GAP_S)
+                    continue
+                await self._renew()
+        finally:
+            await self.client.close()
+
+    async def _wait_acknowledged(self):
+        """Let ends become durable: a worker repeats unacknowledged ones."""
+        worker = self.worker
+        if not worker.unacknowledged:
+            await asyncio.sleep(LEAST_GAP_S if worker.runs else 0)
+            return
+        worker.acknowledged.clear()
+        try:
+            async with asyncio.timeout(UNACKNOWLEDGED_S):
+                await worker.acknowledged.wait()
+        except TimeoutError:
+            # The store is slow or away: learn of further ends meanwhile.
+            return
+
+    async def _renew(self):
+        worker = self.worker
+        sent_s = clocks.now_s()
+        waits = worker.known and not worker.unacknowledged
+        reply = await self.client.hold(
+            epoch=self.term.epoch,
+            cursor=worker.cursor,
+            lease_until_ms=self._extend_lease(sent_s),
+            wait_s=WAIT_S if waits else 0,
+        )
+        if isinstance(reply, reports.HoldReport):
+            if worker.failing:
+                LOG.info('a worker answers again', worker=worker.worker_id)
+            self.keeper.apply_hold(worker, reply, sent_s)
+            return
+        match reply.outcome:
+            case reports.OrderOutcome.FENCED:
+                raise term_module.Deposed(worker.worker_id)
+            case reports.OrderOutcome.GONE:
+                self.keeper.end_life(worker, 'another life answers')
+            case _:
+                self._note_failure(reply)
+                await asyncio.sleep(RETRY_S)
+
+    def _note_failure(self, reply):
+        worker = self.worker
+        if not worker.failing:
+            LOG.info(
+                'a worker does not answer',
+                worker=worker.worker_id,
+                outcome=reply.outcome.value,
+                runs=len(worker.runs),
+            )
+        worker.failing = True
+        if worker.is_lease_over(clocks.now_s()):
+            self.keeper.expire_lease(worker)
+
+    def _extend_lease(self, now_s):
+        """Return the end of the lease on the worker's clock, or None."""
+        clock_ms = self.worker.estimate_clock_ms(now_s)
+        if clock_ms is None:
+            return None
+        until_ms = clock_ms + self.term.lease_s * 1000
+        self.worker.lease_until_ms = max(
+            until_ms, self.worker.lease_until_ms or 0.0
+        )
+        return until_ms
+
+    def send_start(self, run, *, spec, ticket=''):
+        """Order a run that was added to the worker."""
+        order = reports.RunOrder(
+            task=run.name,
+            run=run.number,
+            spec=spec,
+            lease_until_ms=self._extend_lease(clocks.now_s()),
+            epoch=self.term.epoch,
+            checkpoint=run.task.checkpoint,
+            ticket=ticket,
+        )
+        self.spawn(self._start(run, order))
+
+    async def _start(self, run, order):
+        reply = await self.client.start_run(order)
+        if run.worker.ended:
+            return
+        self.keeper.apply_reply(run, reply)
+
+    def send_stop(self, run):
+        """Order a run to stop, again until that is answered."""
+        self.spawn(self._stop(run))
+
+    async def _stop(self, run):
+        worker = self.worker
+        key = (run.name, run.number)
+        while worker.runs.get(key) is run and not worker.ended:
+            run.stop_sent_s = clocks.now_s()
+            reply = await self.client.stop_run(
+                run.name, run.number, self.term.epoch
+            )
+            worker.note_clock(reply.clock_ms, clocks.now_s())
+            match reply.outcome:
+                case reports.OrderOutcome.DONE:
+                    run.stop_answered_s = clocks.now_s()
+                    return
+                case reports.OrderOutcome.FENCED:
+                    raise term_module.Deposed(worker.worker_id)
+                case reports.OrderOutcome.GONE:
+                    self.keeper.end_life(worker, 'another life answers')
+                case _:
+                    await asyncio.sleep(RETRY_S)
+
+    def send_pace(self, run, percent):
+        """Let a run work at a share of its speed."""
+        run.pace = percent
+        self.spawn(self._pace(run, percent))
+
+    async def _pace(self, run, percent):
+        reply = await self.client.pace_run(
+            run.name, run.number, percent, self.term.epoch
+        )
+        if reply.outcome is reports.OrderOutcome.FENCED:
+            raise term_module.Deposed(self.worker.worker_id)
+        if reply.outcome is not reports.OrderOutcome.DONE:
+            LOG.info(
+                'a pace order was not carried out',
+                task=run.name,
+                run=run.number,
+                outcome=reply.outcome.value,
+            )
+            # Unknown: the next comparison sends it again.
+            run.pace = None
--- a/arbutusrock/logs.py
+++ b/arbutusrock/logs.py
@@ -41,8 +41,8 @@
         get_log('http').info('a malformed request was refused', kind=kind)
 
 
-def configure_logs(*, log_format='text', level='info'):
-    """Send logs to standard error.
+def configure_logs(*, log_format='text', level='info', stream=None):
+    """Send logs to ``stream``, standard error by default.
 
     :param log_format: ``text`` or ``json``.
     :param level: lowest level that is written.
@@ -66,10 +66,10 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(number),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
-    logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
+    logging.basicConfig(level=logging.WARNING, stream=stream or sys.stderr)
     server = logging.getLogger('aiohttp.server')
     server.handlers = [_MalformedRequests()]
     server.propagate = False
--- a/arbutusrock/metrics.py
+++ b/arbutusrock/metrics.py
@@ -7,6 +7,9 @@
 
 __all__ = ['Metrics']
 
+# Upper bounds of the buckets of latencies, in seconds.
+BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+
 
 class Metrics:
     """All metrics of one process.
@@ -38,6 +41,19 @@
         """Set a gauge."""
         self._values[(name, labels)] = value
 
+    def observe(self, name, seconds, labels=()):
+        """Add one latency to a histogram of cumulative buckets.
+
+        :param name: metric name without suffix.
+        :param seconds: what was measured.
+        """
+        for bound in BUCKETS_S:
+            if seconds <= bound:
+                self.count(f'{name}_bucket', (*labels, ('le', str(bound))))
+        self.count(f'{name}_bucket', (*labels, ('le', '+Inf')))
+        self.count(f'{name}_count', labels)
+        self.count(f'{name}_sum', labels, seconds)
+
     def get_count(self, name, labels=()):
         """Return the present value of a counter."""
         return self._counts.get((name, labels), 0)
--- /dev/null
+++ b/arbutusrock/platform/__main__.py
@@ -0,0 +1,122 @@
+"""Runs one node on the platform: ``python -m arbutusrock.platform``."""
+
+import asyncio
+import gc
+import signal
+import sys
+
+from aiohttp import web
+import uvloop
+
+from arbutusrock.engine import node as node_module
+from arbutusrock import errors
+from arbutusrock import logs
+from arbutusrock import metrics as metrics_module
+from arbutusrock.platform import adapter as adapter_module
+from arbutusrock.platform import boot
+from arbutusrock.platform import ingress as ingress_module
+from arbutusrock.utils import clocks
+
+__all__ = ['main']
+
+# The last of the ports that are free on every machine.
+METRICS_PORT = 7015
+BACKLOG = 512
+# The balancer needs two misses of a probe each second to stop sending.
+NOTICE_S = 2.5
+# Time before SIGKILL in which the process must have ended by itself.
+EXIT_MARGIN_S = 1.2
+IDLE_CHECK_S = 0.05
+LOG = logs.get_log('daemon')
+
+
+async def _listen(handler, address, port, runners):
+    runner = web.ServerRunner(
+        web.Server(handler, access_log=None, keepalive_timeout=75)
+    )
+    await runner.setup()
+    site = web.TCPSite(runner, address, port, backlog=BACKLOG)
+    await site.start()
+    runners.append(runner)
+
+
+async def _serve(settings):
+    metrics = metrics_module.Metrics()
+    adapter = adapter_module.PlatformAdapter(settings=settings, meter=metrics)
+    node = node_module.Node(
+        settings=settings, adapter=adapter, metrics=metrics
+    )
+    ingress = ingress_module.Ingress(node=node)
+    runners = []
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+
+    async def show_metrics(_request):
+        body, headers = metrics.render()
+        return web.Response(body=body, headers=headers)
+
+    await node.start()
+    for handler, where in (
+        (ingress.handle, settings.callers),
+        (ingress.handle_readiness, settings.readiness),
+        (show_metrics, f'{settings.address}:{METRICS_PORT}'),
+    ):
+        address, _, port = where.rpartition(':')
+        await _listen(handler, address, int(port), runners)
+    LOG.info('serving', node=settings.name, callers=settings.callers)
+    waiters = {
+        asyncio.ensure_future(stop.wait()),
+        asyncio.ensure_future(node.wait_until_stopped()),
+    }
+    await asyncio.wait(waiters, return_when=asyncio.FIRST_COMPLETED)
+    if node.crashed:
+        LOG.error('the node has failed', exc_info=node.crash_reason)
+        return errors.ArbutusrockError.code.exit_status
+    await _shut_down(node, ingress, settings)
+    for runner in runners:
+        await runner.cleanup()
+    await node.stop()
+    await adapter.close()
+    LOG.info('stopped', node=settings.name)
+    return 0
+
+
+def _note_reload():
+    # Fields that matter here do not change while a process runs.
+    LOG.info('the settings file may have changed')
+
+
+async def _shut_down(node, ingress, settings):
+    """Hand over, then serve until the balancer sends nobody any more."""
+    began_s = clocks.now_s()
+    LOG.info('graceful shutdown begins', requests=ingress.open_requests)
+    await node.hand_over()
+    latest_s = began_s + settings.grace_s - EXIT_MARGIN_S
+    notice_s = min(began_s + NOTICE_S, latest_s)
+    while clocks.now_s() < notice_s or (
+        ingress.open_requests and clocks.now_s() < latest_s
+    ):
+        await asyncio.sleep(IDLE_CHECK_S)
+
+
+def main():
+    """Run until a signal.
+
+    :returns: exit status.
+    """
+    logs.configure_logs(log_format='json', level='info', stream=sys.stdout)
+    try:
+        settings = boot.load_node_settings()
+    except errors.InvalidSettings as exc:
+        LOG.error('the settings are not valid', error=str(exc))
+        return exc.code.exit_status
+    gc.freeze()
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(_serve(settings))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/arbutusrock/platform/adapter.py
@@ -0,0 +1,57 @@
+"""The platform as the engine uses it: clients and decoders in one place."""
+
+from arbutusrock.platform import advice
+from arbutusrock.platform import machines
+from arbutusrock.platform import manifest
+from arbutusrock.platform import store
+from arbutusrock.platform import workers
+
+__all__ = ['PlatformAdapter']
+
+# Store calls take about 10 ms, 60 times that when the store is slow.
+STORE_TIMEOUT_S = 1.5
+
+
+class PlatformAdapter:
+    """Clients of the platform for one node.
+
+    :param settings: :class:`arbutusrock.engine.node_settings.NodeSettings`.
+    :param meter: :class:`arbutusrock.metrics.Metrics`.
+    """
+
+    decode_worker = staticmethod(workers.decode_worker)
+    decode_operator_row = staticmethod(manifest.decode_operator_row)
+    encode_wave_status = staticmethod(manifest.encode_wave_status)
+
+    def __init__(self, *, settings, meter):
+        self.meter = meter
+        self.store = store.StoreClient(
+            address=settings.store, timeout_s=STORE_TIMEOUT_S, meter=meter
+        )
+        self.vms = None
+        if settings.vm_service:
+            self.vms = machines.VMClient(
+                address=settings.vm_service, holder=settings.name, meter=meter
+            )
+        self.advice = None
+        if settings.advice_service:
+            self.advice = advice.AdviceClient(
+                address=settings.advice_service, meter=meter
+            )
+
+    def connect_worker(self, entry):
+        """Return a client of one life of a worker."""
+        return workers.WorkerClient(
+            address=entry.address, worker_id=entry.worker_id, meter=self.meter
+        )
+
+    @staticmethod
+    def create_parts(_leader):
+        """Return further coroutines of an ownership."""
+        return ()
+
+    async def close(self):
+        """Close all connections."""
+        for client in (self.store, self.vms, self.advice):
+            if client is not None:
+                await client.close()
--- /dev/null
+++ b/arbutusrock/platform/advice.py
@@ -0,0 +1,59 @@
+"""Calls to the service that knows a queue's placement policy."""
+
+import msgspec
+
+from arbutusrock.engine import reports
+from arbutusrock.platform import http
+
+__all__ = ['AdviceClient']
+
+
+class _WireAnswer(msgspec.Struct):
+    # Rows of worker id and ticket.
+    good: list[tuple[str, str]] = []
+    validMs: float = 0.0  # noqa: N815
+
+
+_decode = msgspec.json.Decoder(_WireAnswer).decode
+
+
+class AdviceClient:
+    """Asks which workers may run a step.
+
+    :param address: ``host:port``.
+    :param meter: counts calls.
+    """
+
+    def __init__(self, *, address, meter):
+        self.meter = meter
+        # The service takes the calls of one node in turn.
+        self._http = http.HTTPClient(base=f'http://{address}', limit=2)
+
+    async def close(self):
+        """Close all connections."""
+        await self._http.close()
+
+    async def ask(self, step, worker_ids, *, timeout_s):
+        """Ask about ``worker_ids`` (at most 100).
+
+        :returns: ``(tickets, valid_s)``, or None when there was no answer.
+        """
+        body = {'step': step, 'workers': list(worker_ids)}
+        self.meter.count('advice_calls')
+        try:
+            answer = await self._http.call(
+                'POST',
+                '/api/advise',
+                body=msgspec.json.encode(body),
+                timeout_s=timeout_s,
+            )
+        except (http.NotSent, http.NoAnswer):
+            return None
+        if answer.status != 200:
+            return None
+        wire = _decode(answer.body)
+        tickets = [
+            reports.Ticket(worker_id=worker_id, ticket=ticket)
+            for worker_id, ticket in wire.good
+        ]
+        return tickets, wire.validMs / 1000
--- /dev/null
+++ b/arbutusrock/platform/boot.py
@@ -0,0 +1,94 @@
+"""The settings file of the platform, decoded into the node's settings."""
+
+import os
+import pathlib
+
+from arbutusrock import errors
+from arbutusrock.engine import node_settings
+
+__all__ = ['load_node_settings']
+
+PATH_VARIABLE = 'ARBUTUSROCK_BOOT'
+DEFAULT_PATH = '/etc/arbutusrock/boot.conf'
+
+
+class _Fields:
+    """Lines ``a.b=value`` with checked look-ups."""
+
+    def __init__(self, *, text, source):
+        self.source = source
+        self.values = {}
+        for line in text.splitlines():
+            name, separator, value = line.partition('=')
+            if separator and not line.lstrip().startswith('#'):
+                self.values[name.strip()] = value.strip()
+
+    def get_text(self, name, default=None):
+        value = self.values.get(name, default)
+        if value is None:
+            raise errors.InvalidSettings(f'{self.source}: {name} is missing')
+        return value
+
+    def get_number(self, name, default, least=0.0):
+        text = self.values.get(name, '')
+        if not text:
+            return default
+        try:
+            value = float(text)
+        except ValueError:
+            value = None
+        if value is None or not least <= value < float('inf'):
+            raise errors.InvalidSettings(
+                f'{self.source}: {name} must be a number of at least '
+                f'{least:g}; got {text!r}'
+            )
+        return value
+
+    def get_address(self, name, default=None):
+        text = self.get_text(name, default)
+        host, separator, port = text.rpartition(':')
+        if not (separator and host and port.isdigit()):
+            raise errors.InvalidSettings(
+                f'{self.source}: {name} must be host:port; got {text!r}'
+            )
+        return text
+
+
+def load_node_settings(path=None):
+    """Read the settings of this process.
+
+    :param path: file; taken from the environment when None.
+    :returns: :class:`node_settings.NodeSettings`.
+    :raises errors.InvalidSettings: naming the file, the field, the range.
+    """
+    path = path or os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        raise errors.InvalidSettings(f'{path}: {exc}') from exc
+    fields = _Fields(text=text, source=str(path))
+    first_port, _, _ = fields.get_text('portRange', '7000,7015').partition(',')
+    number = fields.get_number
+    return node_settings.NodeSettings(
+        name=fields.get_text('nodeName'),
+        address=fields.get_text('ip'),
+        data_centre=fields.get_text('zone', ''),
+        callers=fields.get_address('listen.frontend'),
+        readiness=fields.get_address('listen.readiness'),
+        peer_port=int(first_port),
+        store=fields.get_address('platform.address'),
+        vm_service=fields.values.get('cloudApi.address', ''),
+        advice_service=fields.values.get('advice', ''),
+        configuration_bound_s=number('bounds.configApplyMs', 2000) / 1000,
+        drain_s=number('bounds.drainMs', 2000) / 1000,
+        grace_s=number('bounds.graceS', 6),
+        longest_lease_s=number('bounds.maxHoldMs', 6000, 1) / 1000,
+        early_s=number('bounds.early_ms', 250) / 1000,
+        status_s=number('bounds.status_s', 120),
+        far_factor=number('bounds.farFactor', 2, 1),
+        move_s=number('bounds.moveS', 1.5),
+        maintenance_s=number('bounds.maintenanceS', 2),
+        notice_s=number('bounds.noticeMs', 4500) / 1000,
+        vm_calls_per_s=number('cloudApi.dutyRateS', 64.0),
+        worker_report_s=number('heartbeatMs', 1500) / 1000,
+    )
--- /dev/null
+++ b/arbutusrock/platform/http.py
@@ -0,0 +1,86 @@
+"""HTTP calls to the platform, with what is known when one fails."""
+
+import asyncio
+
+import aiohttp
+from yarl import URL
+
+__all__ = ['Answer', 'HTTPClient', 'NoAnswer', 'NotSent']
+
+
+class NotSent(Exception):
+    """No connection could be made: nothing was done."""
+
+
+class NoAnswer(Exception):
+    """The call may have been carried out, or may be later."""
+
+
+class Answer:
+    """Status, headers and body of one answer."""
+
+    __slots__ = ('status', 'headers', 'body')
+
+    def __init__(self, *, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class HTTPClient:
+    """Connections to one server.
+
+    :param base: ``http://host:port``.
+    :param limit: most connections at once.
+    """
+
+    def __init__(self, *, base, limit):
+        self.base = base
+        self.limit = limit
+        self._session = None
+
+    def _open(self):
+        # Idle connections stay open, as new ones cost more than idle ones.
+        connector = aiohttp.TCPConnector(
+            limit=self.limit, keepalive_timeout=600, force_close=False
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
+            skip_auto_headers=('User-Agent', 'Accept-Encoding', 'Accept'),
+            auto_decompress=False,
+        )
+
+    async def close(self):
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def call(
+        self, method, path, *, timeout_s, query=None, body=None, headers=None
+    ):
+        """Make one call.
+
+        :raises NotSent: the connection was refused.
+        :raises NoAnswer: no whole answer came.
+        """
+        if self._session is None:
+            self._session = self._open()
+        headers = dict(headers or ())
+        if body is not None:
+            headers['Content-Type'] = 'application/json'
+        url = URL(self.base + path, encoded=True)
+        if query:
+            url = url.with_query(query)
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self._session.request(
+                    method, url, data=body, headers=headers
+                ) as reply:
+                    data = await reply.read()
+                    return Answer(
+                        status=reply.status, headers=reply.headers, body=data
+                    )
+        except aiohttp.ClientConnectorError as exc:
+            raise NotSent(f'{self.base}: {exc}') from exc
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise NoAnswer(f'{self.base}: {type(exc).__name__}') from exc
--- /dev/null
+++ b/arbutusrock/platform/ingress.py
@@ -0,0 +1,167 @@
+"""HTTP interface of jobs and readiness, as the platform's clients speak it."""
+
+import re
+
+from aiohttp import web
+import msgspec
+
+from arbutusrock import errors
+from arbutusrock import logs
+from arbutusrock.platform import job_bodies
+from arbutusrock.utils import clocks
+
+__all__ = ['Ingress']
+
+KEY_HEADER = 'Arbutusrock-Key'
+WAIT_HEADER = 'Arbutusrock-Deadline-Ms'
+# How long a caller waits when it does not say.
+DEFAULT_WAIT_S = 3.0
+# An answer must be on its way before the caller leaves.
+ANSWER_MARGIN_S = 0.15
+JOB_ID = re.compile(r'[0-9a-f]{16}')
+JSON = 'application/json'
+LOG = logs.get_log('callers')
+
+# Statuses that the platform's clients understand.
+_STATUSES = (
+    (errors.KeyRefused, 401),
+    (errors.NotFound, 404),
+    (errors.BodyTooLarge, 413),
+    (errors.InvalidRequest, 400),
+    (errors.StoreUncertain, 504),
+    (errors.Unavailable, 503),
+)
+
+
+class Ingress:
+    """Translates calls of clients into calls of the gateway.
+
+    :param node: :class:`arbutusrock.engine.node.Node`.
+    """
+
+    def __init__(self, *, node):
+        self.node = node
+        self.gateway = node.gateway
+        self.open_requests = 0
+
+    async def handle(self, request):
+        """Answer one call."""
+        began_s = clocks.now_s()
+        self.open_requests += 1
+        try:
+            response = await self._answer(request)
+        finally:
+            self.open_requests -= 1
+        if self.node.stopping:
+            response.force_close()
+        metrics = self.node.metrics
+        labels = (
+            ('method', request.method),
+            ('status', str(response.status)),
+        )
+        metrics.count('calls', labels)
+        metrics.observe('call_seconds', clocks.now_s() - began_s)
+        return response
+
+    async def _answer(self, request):
+        try:
+            return await self._dispatch(request)
+        except errors.ArbutusrockError as exc:
+            return self._refuse(request, exc)
+
+    def _refuse(self, request, exc):
+        status = next(
+            (code for kind, code in _STATUSES if isinstance(exc, kind)), 500
+        )
+        LOG.info(
+            'a call was refused',
+            method=request.method,
+            path=request.path,
+            status=status,
+            reason=str(exc),
+            configuration_age_s=round(self.node.configuration.age_s, 2),
+        )
+        headers = {}
+        if exc.retry_after is not None:
+            headers['Retry-After'] = str(int(exc.retry_after))
+        body = msgspec.json.encode({'error': str(exc)})
+        return web.Response(
+            status=status, body=body, content_type=JSON, headers=headers
+        )
+
+    async def _dispatch(self, request):
+        path = request.path
+        host = request.headers.get('Host', '').partition(':')[0]
+        queue, account = self.gateway.find_queue(
+            host, path, request.headers.get(KEY_HEADER, '')
+        )
+        rest = path[len(queue.prefix) :]
+        until_s = clocks.now_s() + self._get_wait_s(request)
+        if not rest and request.method == 'GET':
+            count = self.gateway.count_waiting(queue)
+            return _reply(job_bodies.encode_waiting(count))
+        if not JOB_ID.fullmatch(rest):
+            raise errors.NotFound('not the id of a job')
+        match request.method:
+            case 'POST':
+                return await self._submit(
+                    request, queue, account, rest, until_s
+                )
+            case 'GET':
+                return await self._get_status(rest)
+            case 'DELETE':
+                return await self._cancel(rest, until_s)
+            case _:
+                return web.Response(status=405)
+
+    @staticmethod
+    def _get_wait_s(request):
+        text = request.headers.get(WAIT_HEADER, '')
+        wait_s = int(text) / 1000 if text.isdigit() else DEFAULT_WAIT_S
+        return max(0.0, wait_s - ANSWER_MARGIN_S)
+
+    async def _submit(self, request, queue, account, job_id, until_s):
+        limit = self.node.configuration.current.limits.body_bytes
+        data = await _read_body(request, limit)
+        plan = job_bodies.decode_job(data)
+        await self.gateway.submit(
+            queue, account, job_id, plan, until_s=until_s
+        )
+        return _reply(b'{}')
+
+    async def _get_status(self, job_id):
+        status = await self.gateway.get_status(job_id)
+        if status is None:
+            return web.Response(status=410)
+        return _reply(job_bodies.encode_state(status))
+
+    async def _cancel(self, job_id, until_s):
+        if not await self.gateway.cancel(job_id, until_s=until_s):
+            return web.Response(status=410)
+        return _reply(b'{}')
+
+    async def handle_readiness(self, _request):
+        """Answer the balancer."""
+        if self.node.stopping:
+            return web.Response(status=503)
+        try:
+            self.node.check_ready()
+        except errors.ArbutusrockError:
+            return web.Response(status=503)
+        return web.Response(status=200)
+
+
+def _reply(body):
+    return web.Response(body=body, content_type=JSON)
+
+
+async def _read_body(request, limit):
+    if (request.content_length or 0) > limit:
+        raise errors.BodyTooLarge(f'over {limit} bytes')
+    parts, size = [], 0
+    async for part in request.content.iter_any():
+        size += len(part)
+        if size > limit:
+            raise errors.BodyTooLarge(f'over {limit} bytes')
+        parts.append(part)
+    return b''.join(parts)
--- /dev/null
+++ b/arbutusrock/platform/machines.py
@@ -0,0 +1,137 @@
+"""Calls to the platform's VM service."""
+
+import msgspec
+
+from arbutusrock.engine import reports
+from arbutusrock.platform import http
+from arbutusrock.platform import workers
+
+__all__ = ['VMClient']
+
+# Calls take a few ms; they are repeated when no answer comes.
+TIMEOUT_S = 1.0
+_REASONS = {
+    'fence': reports.VMOutcome.FENCED,
+    'busy': reports.VMOutcome.BUSY,
+    'wave': reports.VMOutcome.WRONG_WAVE,
+}
+
+
+class _WireVM(msgspec.Struct):
+    machine: str
+    pool: str
+    state: str
+    zone: str = ''
+    labels: tuple[str, ...] = ()
+    capacity: workers.WireResources = msgspec.field(
+        default_factory=workers.WireResources
+    )
+    # The worker that runs on it.
+    id: str | None = None
+
+
+class _WirePage(msgspec.Struct):
+    machines: list[_WireVM] = []
+    nextToken: str | None = None  # noqa: N815
+
+
+class _WireRefusal(msgspec.Struct):
+    reason: str = ''
+
+
+_decode_page = msgspec.json.Decoder(_WirePage).decode
+_decode_refusal = msgspec.json.Decoder(_WireRefusal).decode
+
+
+class VMClient:
+    """Lists VMs, moves them between pools and sends them to maintenance.
+
+    :param address: ``host:port``.
+    :param holder: name of this node.
+    :param meter: counts calls.
+    """
+
+    def __init__(self, *, address, holder, meter):
+        self.holder = holder
+        self.meter = meter
+        self._http = http.HTTPClient(base=f'http://{address}', limit=4)
+
+    async def close(self):
+        """Close all connections."""
+        await self._http.close()
+
+    async def list_vms(self):
+        """Return all :class:`reports.VMEntry`, or None when it failed."""
+        found, token = [], None
+        while True:
+            query = {'pageToken': token} if token else None
+            try:
+                answer = await self._http.call(
+                    'GET', '/api/machines', query=query, timeout_s=TIMEOUT_S
+                )
+            except (http.NotSent, http.NoAnswer):
+                return None
+            self.meter.count('vm_calls')
+            if answer.status != 200:
+                return None
+            page = _decode_page(answer.body)
+            found += [_read_vm(item) for item in page.machines]
+            token = page.nextToken
+            if not token:
+                return found
+
+    async def move_vm(self, vm, pool, epoch):
+        """Move a VM; all that runs on it ends at once."""
+        body = {'machine': vm, 'pool': pool}
+        return await self._order('/api/machine-move', body, epoch)
+
+    async def maintain_vm(self, vm, wave, epoch):
+        """Begin the maintenance of a VM; all that runs on it ends."""
+        body = {'machine': vm, 'wave': wave}
+        return await self._order('/api/machine-upkeep', body, epoch)
+
+    async def _order(self, path, body, epoch):
+        self.meter.count('vm_calls')
+        try:
+            answer = await self._http.call(
+                'POST',
+                path,
+                body=msgspec.json.encode(body),
+                headers={
+                    'Arbutusrock-Lease-Holder': self.holder,
+                    'Arbutusrock-Fencing-Token': str(epoch),
+                },
+                timeout_s=TIMEOUT_S,
+            )
+        except http.NotSent:
+            return reports.VMOutcome.THROTTLED
+        except http.NoAnswer:
+            return reports.VMOutcome.UNKNOWN
+        return _read_outcome(answer)
+
+
+def _read_outcome(answer):
+    match answer.status:
+        case 200:
+            return reports.VMOutcome.DONE
+        case 400:
+            return reports.VMOutcome.INVALID
+        case 409:
+            reason = _decode_refusal(answer.body).reason
+            return _REASONS.get(reason, reports.VMOutcome.BUSY)
+        case 429 | 503:
+            return reports.VMOutcome.THROTTLED
+        case _:
+            return reports.VMOutcome.UNKNOWN
+
+
+def _read_vm(wire):
+    return reports.VMEntry(
+        vm=wire.machine,
+        pool=wire.pool,
+        state=reports.VMState(wire.state),
+        worker_id=wire.id or '',
+        data_centre=wire.zone,
+        labels=wire.labels,
+        capacity=wire.capacity.to_resources(),
+    )
--- /dev/null
+++ b/arbutusrock/platform/manifest.py
@@ -0,0 +1,167 @@
+"""The operator's configuration and maintenance orders, decoded."""
+
+import msgspec
+
+from arbutusrock.engine import reports
+from arbutusrock.platform import workers
+from arbutusrock.scheduling import configuration
+
+__all__ = ['decode_operator_row', 'encode_wave_status']
+
+KEY_CONFIGURATION = 'config'
+WAVE_PREFIX = 'wave/'
+
+
+class _WireAdvice(msgspec.Struct):
+    decideMs: float = 0.0  # noqa: N815
+    eachMs: float = 0.0  # noqa: N815
+    validMs: float = 0.0  # noqa: N815
+
+
+class _WireRoute(msgspec.Struct):
+    name: str
+    host: str
+    pathPrefix: str  # noqa: N815
+    # The pool whose workers run the tasks.
+    service: str
+    priority: int = 0
+    maxAttempts: int = 3  # noqa: N815
+    stretch: float = 1.0
+    # Time added to the stretched chain of work in the objective.
+    sloMs: float = 1000.0  # noqa: N815
+    timeoutMs: float = 0.0  # noqa: N815
+    # No key is asked for.
+    public: bool = False
+    advice: _WireAdvice | None = None
+
+
+class _WireService(msgspec.Struct):
+    name: str
+    enforcesCapacity: bool = False  # noqa: N815
+    spare: bool = False
+    healthPath: str = ''  # noqa: N815
+
+
+class _WireTenant(msgspec.Struct):
+    name: str
+    apiKeys: tuple[str, ...] = ()  # noqa: N815
+    weight: float = 1.0
+    # What it may have running; 0 means no limit.
+    maximum: workers.WireResources | None = None
+
+
+class _WireLimits(msgspec.Struct):
+    maxHeaderBytes: int = 16384  # noqa: N815
+    maxBodyBytes: int = 262144  # noqa: N815
+    headerTimeoutMs: int = 3000  # noqa: N815
+    idleTimeoutMs: int = 15000  # noqa: N815
+
+
+class _WireManifest(msgspec.Struct):
+    version: int
+    routes: list[_WireRoute] = []
+    services: list[_WireService] = []
+    tenants: list[_WireTenant] = []
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+
+
+class _WireWave(msgspec.Struct):
+    wave: int
+    machines: tuple[str, ...]
+    durationS: float  # noqa: N815
+    # VMs that may be down for the wave at once.
+    maximum: int = 1
+
+
+_decode_manifest = msgspec.json.Decoder(_WireManifest).decode
+_decode_wave = msgspec.json.Decoder(_WireWave).decode
+
+
+def decode_operator_row(row):
+    """Return what the operator wrote, or None where it is not for us.
+
+    :raises msgspec.DecodeError: when it cannot be read.
+    """
+    if row.key == KEY_CONFIGURATION:
+        return decode_configuration(row.value)
+    if row.key.startswith(WAVE_PREFIX):
+        return decode_wave(row.value)
+    return None
+
+
+def decode_configuration(data):
+    """Return the :class:`configuration.FleetConfiguration` in ``data``.
+
+    :raises msgspec.DecodeError: when it is none.
+    """
+    wire = _decode_manifest(data)
+    return configuration.FleetConfiguration(
+        version=wire.version,
+        queues=[_to_queue(route) for route in wire.routes],
+        pools=[
+            configuration.Pool(
+                name=item.name,
+                enforces_capacity=item.enforcesCapacity,
+                spare=item.spare,
+                health_path=item.healthPath,
+            )
+            for item in wire.services
+        ],
+        accounts=[
+            configuration.Account(
+                name=item.name,
+                keys=item.apiKeys,
+                weight=item.weight,
+                upper_limit=(
+                    item.maximum or workers.WireResources()
+                ).to_resources(),
+            )
+            for item in wire.tenants
+        ],
+        limits=configuration.RequestLimits(
+            header_bytes=wire.limits.maxHeaderBytes,
+            body_bytes=wire.limits.maxBodyBytes,
+            header_timeout_ms=wire.limits.headerTimeoutMs,
+            idle_timeout_ms=wire.limits.idleTimeoutMs,
+        ),
+    )
+
+
+def _to_queue(route):
+    advice = None
+    if route.advice is not None:
+        advice = configuration.AdviceTerms(
+            decide_ms=route.advice.decideMs,
+            each_ms=route.advice.eachMs,
+            valid_ms=route.advice.validMs,
+        )
+    return configuration.Queue(
+        name=route.name,
+        host=route.host,
+        prefix=route.pathPrefix,
+        pool=route.service,
+        urgency=route.priority,
+        max_attempts=route.maxAttempts,
+        stretch=route.stretch,
+        objective_ms=route.sloMs,
+        timeout_ms=route.timeoutMs,
+        open_to_all=route.public,
+        advice=advice,
+    )
+
+
+def decode_wave(data):
+    """Return the :class:`reports.WaveRequest` in ``data``."""
+    wire = _decode_wave(data)
+    return reports.WaveRequest(
+        number=wire.wave,
+        vms=wire.machines,
+        duration_s=wire.durationS,
+        most_at_once=wire.maximum,
+    )
+
+
+def encode_wave_status(*, number, completed):
+    """Return what the operator reads about a wave."""
+    state = 'completed' if completed else 'running'
+    return msgspec.json.encode({'wave': number, 'state': state})
--- /dev/null
+++ b/arbutusrock/platform/store.py
@@ -0,0 +1,184 @@
+"""Client of the platform's metadata store."""
+
+import base64
+
+import msgspec
+
+from arbutusrock.engine import rows
+from arbutusrock.platform import http
+
+__all__ = ['StoreClient']
+
+TX_PATH = '/api/rows-tx'
+GET_PATH = '/api/rows-get'
+FEED_PATH = '/api/rows-feed'
+# What the platform calls the tables that it shares with others.
+_TABLES = {
+    rows.TABLE_OPERATOR: 'op',
+    rows.TABLE_WORKERS: 'servers',
+    rows.TABLE_REPORTS: 'status',
+}
+_OWN_NAMES = {name: table for table, name in _TABLES.items()}
+# A page holds 500 rows (store's own bound).
+PAGE_ROWS = 500
+# Waits beyond the time that the store itself is asked to wait.
+FEED_MARGIN_S = 1.0
+
+
+class _WireRow(msgspec.Struct):
+    table: str
+    key: str
+    part: str = ''
+    value: str = ''
+    ver: int = 0
+    # Marks a row that was removed.
+    tombstone: bool = False
+
+    def to_row(self):
+        return rows.Row(
+            table=_OWN_NAMES.get(self.table, self.table),
+            part=self.part,
+            key=self.key,
+            value=None if self.tombstone else _decode_value(self.value),
+            version=self.ver,
+        )
+
+
+class _WireRows(msgspec.Struct):
+    rows: list[_WireRow] = []
+    ver: int = 0
+    # More rows follow the last key.
+    morePages: bool = False  # noqa: N815
+
+
+def _decode_value(text):
+    try:
+        return base64.b64decode(text)
+    except ValueError:
+        # Other writers may leave bytes that are no base64.
+        return b''
+
+
+_decode_rows = msgspec.json.Decoder(_WireRows).decode
+_encode = msgspec.json.Encoder().encode
+
+
+class StoreClient:
+    """Rows of the platform's store.
+
+    :param address: ``host:port`` of the store.
+    :param timeout_s: how long a call may take.
+    :param meter: counts calls and bytes.
+    """
+
+    def __init__(self, *, address, timeout_s, meter):
+        self.timeout_s = timeout_s
+        self.meter = meter
+        self._http = http.HTTPClient(base=f'http://{address}', limit=16)
+
+    async def close(self):
+        """Close all connections."""
+        await self._http.close()
+
+    async def transact(self, *, expected=(), puts=(), removes=()):
+        """Apply all of it or nothing.
+
+        :param expected: rows with the version that each must have; 0 means
+            absent.
+        :returns: version of the written rows.
+        :raises rows.Conflicted: nothing was written.
+        :raises rows.StoreRefused: nothing was written.
+        :raises rows.StoreSilent: it may have been written or may be later.
+        """
+        body = _encode(
+            {
+                'expected': [
+                    {**_encode_key(row), 'ver': row.version}
+                    for row in expected
+                ],
+                'puts': [
+                    {
+                        **_encode_key(row),
+                        'value': base64.b64encode(row.value).decode(),
+                    }
+                    for row in puts
+                ],
+                'remove': [_encode_key(row) for row in removes],
+            }
+        )
+        status, data = await self._call(
+            'POST', TX_PATH, body=body, timeout_s=self.timeout_s
+        )
+        self.meter.count('store_writes')
+        answer = _decode_rows(data)
+        if status == 412:
+            raise rows.Conflicted([row.to_row() for row in answer.rows])
+        return answer.ver
+
+    async def read_range(self, table, *, first='', last='', limit=0, part=''):
+        """Read rows in key order.
+
+        :param last: first key after the range; empty reads to the end.
+        :returns: ``(rows, version)`` where version is the store's newest
+            before the first page.
+        """
+        found, version, start = [], None, first
+        while True:
+            query = {'table': _TABLES.get(table, table), 'part': part}
+            if start:
+                query['from'] = start
+            if last:
+                query['target'] = last
+            query['limit'] = str(limit or PAGE_ROWS)
+            _, data = await self._call(
+                'GET', GET_PATH, query=query, timeout_s=self.timeout_s
+            )
+            self.meter.count('store_reads')
+            page = _decode_rows(data)
+            version = page.ver if version is None else version
+            found += [row.to_row() for row in page.rows]
+            if not page.morePages or limit or not page.rows:
+                return found, version
+            start = page.rows[-1].key + '\0'
+
+    async def watch(self, table, *, after, wait_s):
+        """Wait for changed rows of a table.
+
+        :returns: ``(rows, version)`` to continue after.
+        :raises rows.HistoryLost: the table must be read anew.
+        """
+        query = {
+            'table': _TABLES.get(table, table),
+            'after': str(after),
+            'waitMs': str(int(wait_s * 1000)),
+        }
+        status, data = await self._call(
+            'GET', FEED_PATH, query=query, timeout_s=wait_s + FEED_MARGIN_S
+        )
+        self.meter.count('store_reads')
+        if status == 410:
+            raise rows.HistoryLost(table)
+        answer = _decode_rows(data)
+        return [row.to_row() for row in answer.rows], answer.ver
+
+    async def _call(self, method, path, *, query=None, body=None, timeout_s):
+        try:
+            answer = await self._http.call(
+                method, path, query=query, body=body, timeout_s=timeout_s
+            )
+        except http.NotSent as exc:
+            raise rows.StoreRefused(str(exc)) from exc
+        except http.NoAnswer as exc:
+            raise rows.StoreSilent(str(exc)) from exc
+        self.meter.count('store_bytes', amount=len(answer.body))
+        if answer.status in {200, 410, 412}:
+            return answer.status, answer.body
+        raise rows.StoreRefused(f'{path} answered {answer.status}')
+
+
+def _encode_key(row):
+    return {
+        'table': _TABLES.get(row.table, row.table),
+        'part': row.part,
+        'key': row.key,
+    }
--- /dev/null
+++ b/arbutusrock/scheduling/__init__.py
@@ -0,0 +1,19 @@
+"""Decisions on waiting, refusal and placement, without input or output."""
+
+from arbutusrock.scheduling.configuration import Account
+from arbutusrock.scheduling.configuration import AdviceTerms
+from arbutusrock.scheduling.configuration import FleetConfiguration
+from arbutusrock.scheduling.configuration import Pool
+from arbutusrock.scheduling.configuration import Queue
+from arbutusrock.scheduling.configuration import RequestLimits
+from arbutusrock.scheduling.configuration import Resources
+
+__all__ = [
+    'Account',
+    'AdviceTerms',
+    'FleetConfiguration',
+    'Pool',
+    'Queue',
+    'RequestLimits',
+    'Resources',
+]
--- /dev/null
+++ b/arbutusrock/scheduling/configuration.py
@@ -0,0 +1,137 @@
+"""The configuration in force: queues, pools, client accounts, limits."""
+
+import msgspec
+
+__all__ = [
+    'Account',
+    'AdviceTerms',
+    'FleetConfiguration',
+    'Pool',
+    'Queue',
+    'RequestLimits',
+    'Resources',
+]
+
+
+class Resources(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
+    """An amount of each resource.
+
+    :param cpu: thousandths of a core.
+    :param memory_mb: megabytes.
+    :param accelerators: whole accelerators.
+    """
+
+    cpu: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
+class AdviceTerms(msgspec.Struct, kw_only=True, frozen=True):
+    """Costs of asking the placement policy of a queue.
+
+    :param decide_ms: time for one question.
+    :param each_ms: further time for each worker named.
+    :param valid_ms: how long a ticket may be used.
+    """
+
+    decide_ms: float
+    each_ms: float
+    valid_ms: float
+
+
+class Queue(msgspec.Struct, kw_only=True, frozen=True):
+    """Where the jobs of one kind wait.
+
+    :param urgency: 0 is the most urgent.
+    :param max_attempts: failed runs after which a task fails for good.
+    :param stretch: factor on the longest chain of a job in its objective.
+    :param objective_ms: time added to the stretched chain.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    pool: str
+    urgency: int = 0
+    max_attempts: int = 3
+    stretch: float = 1.0
+    objective_ms: float = 1000.0
+    timeout_ms: float = 0.0
+    open_to_all: bool = False
+    advice: AdviceTerms | None = None
+
+
+class Pool(msgspec.Struct, kw_only=True, frozen=True):
+    """VMs that run the tasks of the same queues.
+
+    :param enforces_capacity: whether workers refuse what does not fit.
+    :param spare: VMs in this pool are switched off.
+    """
+
+    name: str
+    enforces_capacity: bool = False
+    spare: bool = False
+    health_path: str = ''
+
+
+class Account(msgspec.Struct, kw_only=True, frozen=True):
+    """A client account.
+
+    :param weight: share when everything is full.
+    :param upper_limit: most it may have running; 0 means no limit.
+    """
+
+    name: str
+    keys: tuple[str, ...] = ()
+    weight: float = 1.0
+    upper_limit: Resources = Resources()
+
+
+class RequestLimits(msgspec.Struct, kw_only=True, frozen=True):
+    """Bounds of the caller interface."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 262144
+    header_timeout_ms: int = 3000
+    idle_timeout_ms: int = 15000
+
+
+class FleetConfiguration:
+    """One version of the configuration, with the look-ups it answers.
+
+    :param version: rises with each change.
+    """
+
+    __slots__ = (
+        'version',
+        'queues',
+        'pools',
+        'accounts',
+        'limits',
+        '_by_host',
+        '_by_key',
+    )
+
+    def __init__(self, *, version, queues, pools, accounts, limits):
+        self.version = version
+        self.queues = {queue.name: queue for queue in queues}
+        self.pools = {pool.name: pool for pool in pools}
+        self.accounts = {account.name: account for account in accounts}
+        self.limits = limits
+        self._by_host = {}
+        for queue in sorted(queues, key=lambda item: -len(item.prefix)):
+            self._by_host.setdefault(queue.host, []).append(queue)
+        self._by_key = {
+            key: account for account in accounts for key in account.keys
+        }
+
+    def find_queue(self, host, path):
+        """Return the queue of the longest matching prefix, or None."""
+        for queue in self._by_host.get(host, ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
+
+    def find_account(self, key):
+        """Return the account that holds ``key``, or None."""
+        return self._by_key.get(key)
--- /dev/null
+++ b/arbutusrock/scheduling/estimates.py
@@ -0,0 +1,58 @@
+"""How long tasks take, learned from those that ended.
+
+Load: declared durations are off by half, each job in its own way. The ratio
+of observed to declared time is kept by queue, and by job where some of its
+tasks have ended.
+"""
+
+__all__ = ['Estimates']
+
+# Weight of the newest task in the running mean of a queue.
+NEWEST_WEIGHT = 0.05
+# Bounds of a learned ratio: one odd task must not turn the order around.
+LEAST_RATIO = 0.2
+GREATEST_RATIO = 5.0
+# Work of a job before any is known (core-seconds).
+FIRST_WORK = 10.0
+
+
+class Estimates:
+    """Observed durations and sizes."""
+
+    __slots__ = ('_by_queue', '_by_job', '_work')
+
+    def __init__(self):
+        self._by_queue = {}
+        self._by_job = {}
+        self._work = {}
+
+    def note_task(self, queue, job_id, declared_s, observed_s):
+        """Learn from a task that ended well."""
+        if declared_s <= 0:
+            return
+        ratio = observed_s / declared_s
+        ratio = min(GREATEST_RATIO, max(LEAST_RATIO, ratio))
+        before = self._by_queue.get(queue, ratio)
+        self._by_queue[queue] = before + NEWEST_WEIGHT * (ratio - before)
+        count, total = self._by_job.get(job_id, (0, 0.0))
+        self._by_job[job_id] = (count + 1, total + ratio)
+
+    def get_ratio(self, queue, job_id):
+        """Return observed over declared duration."""
+        usual = self._by_queue.get(queue, 1.0)
+        count, total = self._by_job.get(job_id, (0, 0.0))
+        # One prior observation of the queue's usual ratio.
+        return (total + usual) / (count + 1)
+
+    def note_work(self, queue, work):
+        """Learn the declared work of an accepted job (core-seconds)."""
+        before = self._work.get(queue, work)
+        self._work[queue] = before + NEWEST_WEIGHT * (work - before)
+
+    def get_usual_work(self, queue):
+        """Return the mean work of the queue's jobs (core-seconds)."""
+        return max(self._work.get(queue, FIRST_WORK), 1e-3)
+
+    def forget_job(self, job_id):
+        """Drop what was learned of an ended job."""
+        self._by_job.pop(job_id, None)
--- /dev/null
+++ b/arbutusrock/scheduling/placement.py
@@ -0,0 +1,133 @@
+"""On which worker a task runs.
+
+Load: tasks of very different sizes arrive in bursts, and what lasts holds
+part of each worker. Tasks go where the least room is left over, so that
+large tasks still find room and empty VMs stay empty; near their data where
+they can; away from VMs on which they failed.
+"""
+
+__all__ = ['Wish', 'choose_gang', 'choose_worker']
+
+
+class Wish:
+    """What a task asks of a worker.
+
+    :param demand: :class:`Resources`; its cpu is 0 for tasks that fill.
+    :param placed: runs of the step by VM.
+    :param most_per_worker: most runs of the step on one VM; 0 is no bound.
+    :param avoided: VMs on which it failed or stood still.
+    :param allowed: ids of workers that a policy allows; None allows all.
+    :param doubtful: VMs whose tasks failed lately: last choice.
+    """
+
+    __slots__ = (
+        'demand',
+        'label',
+        'data_rack',
+        'most_per_worker',
+        'placed',
+        'avoided',
+        'allowed',
+        'doubtful',
+    )
+
+    def __init__(
+        self,
+        *,
+        demand,
+        label='',
+        data_rack='',
+        most_per_worker=0,
+        placed=None,
+        avoided=frozenset(),
+        allowed=None,
+        doubtful=frozenset(),
+    ):
+        self.demand = demand
+        self.label = label
+        self.data_rack = data_rack
+        self.most_per_worker = most_per_worker
+        self.placed = placed or {}
+        self.avoided = avoided
+        self.allowed = allowed
+        self.doubtful = doubtful
+
+
+def _fits(worker, wish, taken=None):
+    demand = wish.demand
+    cpu, memory_mb, accelerators, runs = (
+        taken.get(worker.worker_id, (0, 0, 0, 0)) if taken else (0, 0, 0, 0)
+    )
+    if worker.free_cpu - cpu < demand.cpu:
+        return False
+    if worker.free_memory_mb - memory_mb < demand.memory_mb:
+        return False
+    if worker.free_accelerators - accelerators < demand.accelerators:
+        return False
+    if wish.label and wish.label not in worker.entry.labels:
+        return False
+    if wish.allowed is not None and worker.worker_id not in wish.allowed:
+        return False
+    most = wish.most_per_worker
+    return not most or wish.placed.get(worker.vm, 0) + runs < most
+
+
+def _rank(worker, wish):
+    return (
+        worker.vm in wish.avoided,
+        worker.vm in wish.doubtful,
+        bool(wish.data_rack) and worker.entry.rack != wish.data_rack,
+        worker.free_cpu - wish.demand.cpu,
+        worker.worker_id,
+    )
+
+
+def choose_worker(workers, wish):
+    """Return the best worker with room, or None.
+
+    :param workers: usable workers of the pool.
+    :param wish: :class:`Wish`.
+    """
+    fitting = [worker for worker in workers if _fits(worker, wish)]
+    return min(fitting, key=lambda item: _rank(item, wish), default=None)
+
+
+def choose_gang(workers, wish, count, *, same_rack):
+    """Return a worker for each of ``count`` tasks, or None.
+
+    :param same_rack: try racks one by one before spreading over all.
+    """
+    groups = [workers]
+    if same_rack:
+        racks = {}
+        for worker in workers:
+            racks.setdefault(worker.entry.rack, []).append(worker)
+        groups = [
+            *sorted(racks.values(), key=lambda group: group[0].entry.rack),
+            workers,
+        ]
+    for group in groups:
+        chosen = _fill_gang(group, wish, count)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _fill_gang(workers, wish, count):
+    taken, chosen = {}, []
+    for _ in range(count):
+        fitting = [item for item in workers if _fits(item, wish, taken)]
+        worker = min(fitting, key=lambda item: _rank(item, wish), default=None)
+        if worker is None:
+            return None
+        cpu, memory_mb, accelerators, runs = taken.get(
+            worker.worker_id, (0, 0, 0, 0)
+        )
+        taken[worker.worker_id] = (
+            cpu + wish.demand.cpu,
+            memory_mb + wish.demand.memory_mb,
+            accelerators + wish.demand.accelerators,
+            runs + 1,
+        )
+        chosen.append(worker)
+    return chosen
