Carry out waves, size pools by load, empty workers that leave

Change: VMKeeper with the decisions pools, waves and relocation; Evacuation. Conclusion: takeovers start tasks whose stray runs are still being stopped; that is next.

--- /dev/null
+++ b/arbutusrock/engine/evacuation.py
@@ -0,0 +1,119 @@
+"""Empties workers whose VM is needed for something else, or that leave."""
+
+import asyncio
+
+from arbutusrock.engine import work
+from arbutusrock import logs
+from arbutusrock.scheduling import placement
+from arbutusrock.scheduling import relocation
+from arbutusrock.utils import clocks
+
+__all__ = ['Evacuation']
+
+PASS_S = 0.1
+# Other tasks on a VM that is needed may run on for this time.
+PATIENCE_S = 3.0
+# A draining worker's serving tasks move without regard to each other when
+# it leaves in less than this.
+URGENT_MS = 1500.0
+LOG = logs.get_log('evacuation')
+
+
+class Evacuation:
+    """One task that moves runs away from draining and cordoned workers.
+
+    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param keeper: stops runs.
+    """
+
+    def __init__(self, *, term, keeper):
+        self.term = term
+        self.keeper = keeper
+        self._since = {}
+
+    async def run(self):
+        """Make passes until the ownership ends."""
+        while True:
+            await asyncio.sleep(PASS_S)
+            now_s = clocks.now_s()
+            leaving = [
+                worker
+                for worker in self.term.fleet.workers.values()
+                if (worker.entry.draining or worker.cordon)
+                and worker.known
+                and not worker.ended
+            ]
+            self._since = {
+                worker.worker_id: self._since.get(worker.worker_id, now_s)
+                for worker in leaving
+            }
+            for worker in leaving:
+                self._empty(worker, now_s)
+
+    def _empty(self, worker, now_s):
+        waited_s = now_s - self._since[worker.worker_id]
+        for run in list(worker.runs.values()):
+            if run.task is None or run.state is work.RunState.STOPPING:
+                continue
+            plan = run.task.step.plan
+            if plan.fills:
+                self.keeper.stop_run(run, 'its worker is emptied')
+            elif plan.long_running:
+                self._move_serving(run, worker)
+            elif self._cannot_finish(run, worker, waited_s):
+                self.keeper.stop_run(run, 'its worker is emptied')
+
+    def _move_serving(self, run, worker):
+        urgent = worker.entry.draining and (
+            worker.entry.leaves_in_ms is not None
+            and worker.entry.leaves_in_ms < URGENT_MS
+        )
+        step = run.task.step
+        away = sum(
+            1
+            for task in step.tasks
+            if task is not run.task and not is_at_work(task)
+        )
+        allowed = relocation.may_move(away=away, may_miss=step.plan.may_miss)
+        if not (allowed or urgent) or not self._has_place(run):
+            return
+        LOG.info(
+            'a serving task moves',
+            task=run.name,
+            worker=worker.worker_id,
+            away=away,
+            draining=worker.entry.draining,
+        )
+        self.keeper.stop_run(run, 'its worker is emptied')
+
+    def _has_place(self, run):
+        step = run.task.step
+        workers = [
+            worker
+            for worker in self.term.fleet.find_pool(run.worker.entry.pool)
+            if worker.usable
+        ]
+        wish = placement.Wish(
+            demand=step.plan.demand,
+            label=step.plan.label,
+            most_per_worker=step.plan.most_per_worker,
+            placed=step.workers,
+        )
+        return placement.choose_worker(workers, wish) is not None
+
+    def _cannot_finish(self, run, worker, waited_s):
+        if not worker.entry.draining:
+            return waited_s > PATIENCE_S
+        leaves_ms = worker.entry.leaves_in_ms
+        if leaves_ms is None:
+            return False
+        left_ms = run.task.step.plan.estimate_ms * (1 - run.percent / 100)
+        return left_ms > leaves_ms
+
+
+def is_at_work(task):
+    """Return whether a run of a serving task is known to be at work."""
+    return any(
+        run.state is work.RunState.RUNNING and run.percent >= 100
+        for run in task.runs
+    )
--- a/arbutusrock/engine/journal.py
+++ b/arbutusrock/engine/journal.py
@@ -58,6 +58,8 @@
         self._beats = 0
         self._beat_s = 0.0
         self._versions = {}
+        # Rows of other parts that wait for the next flush.
+        self._others = {}
 
     def set_version(self, job_id, version):
         """Note the version of a progress row that was read."""
@@ -67,6 +69,11 @@
         """Drop a job whose rows were removed."""
         self._versions.pop(job_id, None)
 
+    def put(self, row):
+        """Have a row written with the next flush."""
+        self._others[(row.table, row.key)] = row
+        self.term.request_flush()
+
     def get_next_flush(self):
         """Return the number of the flush that will hold present changes."""
         return self.begun + 1
@@ -96,7 +103,9 @@
         first = True
         while puts or first:
             batch, puts = puts[:MOST_ROWS], puts[MOST_ROWS:]
-            await self._commit(batch, with_beat=first)
+            others = list(self._others.values()) if first else []
+            self._others.clear()
+            await self._commit(batch, others, with_beat=first)
             first = False
         self.finished = self.begun
         self._release_ends()
@@ -135,13 +144,13 @@
             )
         return puts, roster
 
-    async def _commit(self, progress, *, with_beat):
+    async def _commit(self, progress, others, *, with_beat):
         claim = rows.Row(
             table=rows.TABLE_OWNER,
             key=KEY_CLAIM,
             version=self.term.claim_version,
         )
-        puts, roster = list(progress), None
+        puts, roster = [*progress, *others], None
         # Between heartbeats a flush carries only progress.
         if with_beat and (
             not progress or clocks.now_s() - self._beat_s > BEAT_S / 2
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -1,8 +1,10 @@
 """The owner of the unit: all that one ownership does."""
 
 import asyncio
+from collections import deque
 
 from arbutusrock.engine import dispatcher
+from arbutusrock.engine import evacuation
 from arbutusrock.engine import feeds
 from arbutusrock.engine import journal as journal_module
 from arbutusrock.engine import plans
@@ -11,6 +13,7 @@
 from arbutusrock.engine import run_keeper
 from arbutusrock.engine import term as term_module
 from arbutusrock.engine import tickets
+from arbutusrock.engine import vm_keeper
 from arbutusrock.engine import worker_link
 from arbutusrock import logs
 from arbutusrock.utils import clocks
@@ -59,6 +62,17 @@
         self.dispatcher = dispatcher.Dispatcher(
             term=term, links=self.links, tickets=self.tickets
         )
+        self.evacuation = evacuation.Evacuation(term=term, keeper=self.keeper)
+        self.vm_keeper = None
+        if adapter.vms is not None:
+            self.vm_keeper = vm_keeper.VMKeeper(
+                term=term,
+                journal=self.journal,
+                keeper=self.keeper,
+                store=store,
+                adapter=adapter,
+                spawn=self.spawn,
+            )
         self._group = None
 
     def spawn(self, coroutine):
@@ -95,9 +109,11 @@
                     ),
                     self._watch_pauses(),
                     self.dispatcher.run(),
-                    *self.adapter.create_parts(self),
+                    self.evacuation.run(),
                 ):
                     self.spawn(part)
+                if self.vm_keeper is not None:
+                    self.spawn(self.vm_keeper.run())
         except* term_module.Deposed as group:
             LOG.info(
                 'another node owns the unit',
@@ -139,6 +155,8 @@
             known = {row.key: row for row in progress}
             for row in listed:
                 self._apply_job(row, known, inherited=True)
+            # Tasks must be known before workers tell what they run.
+            self.term.book.open_due(clocks.wall_time_s(), clocks.now_s())
             return version
 
     def _apply_job(self, row, progress, *, inherited=False):
@@ -165,6 +183,10 @@
             for step in submission.plan.steps
         )
         self.term.estimates.note_work(submission.queue, total / 1e6)
+        if not inherited:
+            self.term.arrivals.setdefault(submission.pool, deque()).append(
+                (clocks.now_s(), total / 1000)
+            )
 
     def _cancel(self, job_id):
         job = self.term.book.jobs.get(job_id)
--- a/arbutusrock/engine/rows.py
+++ b/arbutusrock/engine/rows.py
@@ -15,6 +15,7 @@
     'TABLE_OWNER',
     'TABLE_PROGRESS',
     'TABLE_REPORTS',
+    'TABLE_WAVES',
     'TABLE_WORKERS',
 ]
 
@@ -22,6 +23,7 @@
 TABLE_JOBS = 'arbutusrock-jobs'
 TABLE_PROGRESS = 'arbutusrock-progress'
 TABLE_OWNER = 'arbutusrock-owner'
+TABLE_WAVES = 'arbutusrock-waves'
 # Tables of others; the adapter knows what the platform calls them.
 TABLE_OPERATOR = 'operator'
 TABLE_WORKERS = 'workers'
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -48,6 +48,8 @@
         self.fleet = fleet.Fleet()
         self.standing = standing.Standing()
         self.estimates = estimates.Estimates()
+        # By pool, (time, thousandths of core-seconds) of accepted jobs.
+        self.arrivals = {}
         # Set when a pass over waiting tasks is due.
         self.work_due = asyncio.Event()
         # Set when rows must be written.
--- /dev/null
+++ b/arbutusrock/engine/vm_board.py
@@ -0,0 +1,94 @@
+"""What the owner knows of VMs, and of its orders to them."""
+
+from arbutusrock.engine import reports
+
+__all__ = ['VMOrder', 'VMState', 'VMBoard']
+
+
+class VMOrder:
+    """An order for a VM that is not over yet.
+
+    :param wave: number of the wave, or None for a move.
+    :param target: pool that the VM joins.
+    """
+
+    __slots__ = ('wave', 'target', 'begun_s', 'answered_s')
+
+    def __init__(self, *, target, begun_s, wave=None):
+        self.wave = wave
+        self.target = target
+        self.begun_s = begun_s
+        # When the platform confirmed that it has begun.
+        self.answered_s = None
+
+
+class VMState:
+    """One VM."""
+
+    __slots__ = (
+        'entry',
+        'order',
+        'empty_since_s',
+        'refused_until_s',
+        'cordoned_wave',
+        'cordoned_s',
+    )
+
+    def __init__(self, *, entry):
+        self.entry = entry
+        self.order = None
+        self.empty_since_s = None
+        self.refused_until_s = 0.0
+        # Wave for which it is being emptied.
+        self.cordoned_wave = None
+        self.cordoned_s = 0.0
+
+
+class VMBoard:
+    """All VMs by name."""
+
+    __slots__ = ('vms',)
+
+    def __init__(self):
+        self.vms = {}
+
+    def update(self, entries, sent_s, settle_s):
+        """Take over a list of VMs that was asked for at ``sent_s``.
+
+        :param settle_s: an order is over when the VM is up this long after
+            it was confirmed.
+        """
+        names = set()
+        for entry in entries:
+            names.add(entry.vm)
+            state = self.vms.get(entry.vm)
+            if state is None:
+                state = self.vms[entry.vm] = VMState(entry=entry)
+            state.entry = entry
+            order = state.order
+            if (
+                order is not None
+                and order.answered_s is not None
+                and order.answered_s + settle_s < sent_s
+                and entry.state is reports.VMState.UP
+            ):
+                state.order = None
+        for name in set(self.vms) - names:
+            del self.vms[name]
+
+    def find_pool(self, pool):
+        """Return the VMs that are in a pool or on their way there."""
+        return [
+            state
+            for state in self.vms.values()
+            if (state.order.target if state.order else state.entry.pool)
+            == pool
+        ]
+
+    def count_down(self, wave):
+        """Return how many VMs are down for a wave."""
+        return sum(
+            1
+            for state in self.vms.values()
+            if state.order is not None and state.order.wave == wave
+        )
--- /dev/null
+++ b/arbutusrock/engine/vm_keeper.py
@@ -0,0 +1,323 @@
+"""Carries out waves and the sizing of pools."""
+
+import asyncio
+
+import msgspec
+
+from arbutusrock.engine import reports
+from arbutusrock.engine import rows
+from arbutusrock.engine import term as term_module
+from arbutusrock.engine import vm_board
+from arbutusrock.engine import vm_views
+from arbutusrock import logs
+from arbutusrock.scheduling import pools as pools_module
+from arbutusrock.scheduling import waves as waves_module
+from arbutusrock.utils import clocks
+
+__all__ = ['VMKeeper', 'WaveRecord']
+
+PASS_S = 0.2
+# VMs are listed this often when nothing is under way, and when something is.
+LIST_S = 5.0
+LIST_BUSY_S = 0.7
+# Orders are given only when the store confirmed the ownership this recently:
+# less than what other nodes wait before they take over.
+CONFIRMED_S = 1.4
+RETRY_S = 0.15
+# A VM that could not be taken is left alone for this time.
+REFUSED_S = 3.0
+# Time beyond the announced one after which a VM is looked at again.
+SETTLE_S = 0.3
+LOG = logs.get_log('vms')
+
+
+class WaveRecord(msgspec.Struct, kw_only=True):
+    """Row with the progress of a wave.
+
+    :param done: VMs that have begun their maintenance or are gone.
+    """
+
+    began_ms: float
+    done: list[str] = []
+    completed: bool = False
+
+
+class VMKeeper:
+    """Moves VMs between pools and sends them to maintenance.
+
+    :param term: :class:`term_module.Term`.
+    :param journal: knows when the ownership was last confirmed.
+    :param keeper: :class:`arbutusrock.engine.run_keeper.RunKeeper`.
+    :param store: client of the store.
+    :param adapter: has ``vms`` and ``encode_wave_status``.
+    :param spawn: starts a task whose failure ends the term.
+    """
+
+    def __init__(self, *, term, journal, keeper, store, adapter, spawn):
+        self.term = term
+        self.journal = journal
+        self.keeper = keeper
+        self.store = store
+        self.client = adapter.vms
+        self.encode_wave_status = adapter.encode_wave_status
+        self.spawn = spawn
+        self.board = vm_board.VMBoard()
+        self.records = {}
+        self._listed_s = None
+        self._reported = {}
+
+    async def run(self):
+        """Make passes until the ownership ends."""
+        await self._load_records()
+        while True:
+            await asyncio.sleep(PASS_S)
+            await self._list_vms()
+            if self._listed_s is None or not self.term.configuration.current:
+                continue
+            now_s = clocks.now_s()
+            self._settle_orders(now_s)
+            if self._may_order(now_s):
+                await self._work_on_waves(now_s)
+                self._resize_pools(now_s)
+
+    def _may_order(self, now_s):
+        return (
+            not self.term.paused
+            and not self.term.stopping
+            and now_s - self.journal.confirmed_s < CONFIRMED_S
+        )
+
+    async def _list_vms(self):
+        now_s = clocks.now_s()
+        busy = any(state.order for state in self.board.vms.values())
+        every_s = LIST_BUSY_S if busy else LIST_S
+        if self._listed_s is not None and now_s - self._listed_s < every_s:
+            return
+        entries = await self.client.list_vms()
+        if entries is None:
+            return
+        if self._listed_s is None:
+            LOG.info('VMs are listed', vms=len(entries))
+        self._listed_s = now_s
+        self.board.update(entries, now_s, SETTLE_S)
+
+    def _settle_orders(self, now_s):
+        """Note which orders are over, and since when VMs are empty."""
+        workers = vm_views.find_workers(self.term.fleet)
+        current = self.term.configuration.current
+        for name, state in self.board.vms.items():
+            worker = workers.get(name)
+            order = state.order
+            if order is not None and order.answered_s is not None:
+                spare = current.pools.get(order.target)
+                if worker is not None and worker.known:
+                    self._finish_order(state, order)
+                elif (
+                    order.wave is None
+                    and spare is not None
+                    and spare.spare
+                    and now_s
+                    > order.answered_s + self.term.settings.move_s + SETTLE_S
+                ):
+                    self._finish_order(state, order)
+            if worker is None or worker.runs:
+                state.empty_since_s = None
+            elif state.empty_since_s is None:
+                state.empty_since_s = now_s
+
+    @staticmethod
+    def _finish_order(state, order):
+        state.order = None
+        state.entry = msgspec.structs.replace(
+            state.entry, pool=order.target, state=reports.VMState.UP
+        )
+
+    # Waves.
+
+    async def _load_records(self):
+        while True:
+            try:
+                found, _ = await self.store.read_range(
+                    rows.TABLE_WAVES, part=rows.PART
+                )
+            except (rows.StoreRefused, rows.StoreSilent):
+                await asyncio.sleep(RETRY_S)
+                continue
+            for row in found:
+                self.records[int(row.key)] = msgspec.msgpack.decode(
+                    row.value, type=WaveRecord
+                )
+            return
+
+    async def _work_on_waves(self, now_s):
+        for number, wave in sorted(self.term.configuration.waves.items()):
+            record = self.records.get(number)
+            if record is None:
+                record = self.records[number] = WaveRecord(
+                    began_ms=clocks.wall_time_s() * 1000
+                )
+                self._write_record(number, record)
+            if not record.completed:
+                self._work_on_wave(wave, record, now_s)
+            await self._report_wave(number, record)
+
+    def _work_on_wave(self, wave, record, now_s):
+        waiting = self._find_waiting(wave, record)
+        if not waiting and not self.board.count_down(wave.number):
+            record.completed = True
+            LOG.info('a wave is completed', wave=wave.number)
+            self._write_record(wave.number, record)
+            return
+        elapsed_s = clocks.wall_time_s() - record.began_ms / 1000
+        chosen = waves_module.choose_wave_vms(
+            waiting,
+            down=self.board.count_down(wave.number),
+            most=wave.most_at_once,
+            time_left_s=wave.duration_s - elapsed_s,
+            maintenance_s=self.term.settings.maintenance_s,
+            pool_loads=vm_views.measure_loads(self.term.fleet),
+        )
+        workers = vm_views.find_workers(self.term.fleet)
+        for item in chosen:
+            state = self.board.vms[item.vm]
+            worker = workers.get(item.vm)
+            if state.cordoned_wave is None:
+                LOG.info(
+                    'a VM is emptied for a wave',
+                    vm=item.vm,
+                    wave=wave.number,
+                    runs=len(worker.runs) if worker else 0,
+                )
+                state.cordoned_s = now_s
+            state.cordoned_wave = wave.number
+            if worker is not None and not worker.cordon:
+                worker.cordon = 'wave'
+            if (worker is None or not worker.runs) and (
+                now_s >= state.refused_until_s
+            ):
+                self._give_order(state, worker, wave=wave, record=record)
+
+    def _find_waiting(self, wave, record):
+        """Return the VMs of a wave whose maintenance is still to begin."""
+        workers = vm_views.find_workers(self.term.fleet)
+        done = set(record.done)
+        found = []
+        for name in wave.vms:
+            state = self.board.vms.get(name)
+            if name in done or (state is not None and state.order):
+                continue
+            if state is None:
+                # It is not listed any more: it has left.
+                record.done.append(name)
+                continue
+            found.append(
+                vm_views.view_wave_vm(state, workers.get(name), wave.number)
+            )
+        return found
+
+    def _write_record(self, number, record):
+        self.journal.put(
+            rows.Row(
+                table=rows.TABLE_WAVES,
+                key=str(number),
+                value=msgspec.msgpack.encode(record),
+            )
+        )
+
+    async def _report_wave(self, number, record):
+        """Tell the operator how far a wave is."""
+        if self._reported.get(number) == record.completed:
+            return
+        row = rows.Row(
+            table=rows.TABLE_REPORTS,
+            part='',
+            key=f'wave/{number}',
+            value=self.encode_wave_status(
+                number=number, completed=record.completed
+            ),
+        )
+        try:
+            await self.store.transact(puts=[row])
+        except (rows.StoreRefused, rows.StoreSilent) as exc:
+            LOG.info('a wave is not reported yet', error=str(exc))
+            return
+        self._reported[number] = record.completed
+
+    # Pools.
+
+    def _resize_pools(self, now_s):
+        views = vm_views.view_pools(self.term, self.board, now_s)
+        moves = pools_module.plan_moves(views)
+        workers = vm_views.find_workers(self.term.fleet)
+        for move in moves:
+            state = self.board.vms[move.vm]
+            LOG.info(
+                'a VM is moved',
+                vm=move.vm,
+                origin=move.origin,
+                target=move.target,
+            )
+            self._give_order(state, workers.get(move.vm), target=move.target)
+
+    # Orders.
+
+    def _give_order(
+        self, state, worker, *, target=None, wave=None, record=None
+    ):
+        order = vm_board.VMOrder(
+            target=target or state.entry.pool,
+            begun_s=clocks.now_s(),
+            wave=wave.number if wave else None,
+        )
+        state.order = order
+        if worker is not None:
+            worker.cordon = 'order'
+        self.spawn(self._execute(state, worker, order, wave, record))
+
+    async def _execute(self, state, worker, order, wave, record):
+        """Repeat an order until its outcome is certain."""
+        vm, epoch = state.entry.vm, self.term.epoch
+        while True:
+            if not self._may_order(clocks.now_s()):
+                await asyncio.sleep(RETRY_S)
+                continue
+            if wave is None:
+                outcome = await self.client.move_vm(vm, order.target, epoch)
+            else:
+                outcome = await self.client.maintain_vm(vm, wave.number, epoch)
+            match outcome:
+                case reports.VMOutcome.THROTTLED | reports.VMOutcome.UNKNOWN:
+                    await asyncio.sleep(RETRY_S)
+                case reports.VMOutcome.FENCED:
+                    raise term_module.Deposed(vm)
+                case _:
+                    break
+        LOG.info(
+            'an order to a VM is answered',
+            vm=vm,
+            wave=order.wave,
+            target=order.target,
+            outcome=outcome.value,
+        )
+        self._apply_outcome(state, worker, order, outcome, wave, record)
+
+    def _apply_outcome(self, state, worker, order, outcome, wave, record):
+        done = outcome is reports.VMOutcome.DONE
+        gone = outcome in {
+            reports.VMOutcome.INVALID,
+            reports.VMOutcome.WRONG_WAVE,
+        }
+        if wave is not None and (done or gone):
+            record.done.append(state.entry.vm)
+            state.cordoned_wave = None
+            self._write_record(wave.number, record)
+        if done:
+            order.answered_s = clocks.now_s()
+            if worker is not None:
+                self.keeper.end_life(worker, 'its VM was taken')
+            return
+        state.order = None
+        state.refused_until_s = clocks.now_s() + REFUSED_S
+        if worker is not None:
+            worker.cordon = 'wave' if state.cordoned_wave is not None else ''
+        self.term.request_dispatch()
--- /dev/null
+++ b/arbutusrock/engine/vm_views.py
@@ -0,0 +1,144 @@
+"""Plain views of pools and VMs for the decisions on them."""
+
+from arbutusrock.engine import reports
+from arbutusrock.scheduling import pools
+from arbutusrock.scheduling import waves
+
+__all__ = ['find_workers', 'measure_loads', 'view_pools', 'view_wave_vm']
+
+# Span over which arriving work is summed.
+ARRIVAL_SPAN_S = 1.0
+
+
+def find_workers(fleet):
+    """Return the living worker of each VM."""
+    return {
+        worker.entry.vm: worker
+        for worker in fleet.workers.values()
+        if worker.entry.vm and not worker.ended
+    }
+
+
+def measure_loads(fleet):
+    """Return the part of each pool's room that is in use."""
+    used, room = {}, {}
+    for worker in fleet.workers.values():
+        if worker.usable:
+            pool = worker.entry.pool
+            used[pool] = used.get(pool, 0) + worker.used_cpu
+            room[pool] = room.get(pool, 0) + worker.entry.capacity.cpu
+    return {pool: used[pool] / room[pool] for pool in room}
+
+
+def view_wave_vm(state, worker, wave):
+    """Return the :class:`waves.WaveVM` of a VM that waits."""
+    runs = worker.runs.values() if worker else ()
+    return waves.WaveVM(
+        vm=state.entry.vm,
+        pool=state.entry.pool,
+        empty=not runs,
+        chosen=state.cordoned_wave == wave,
+        lasting=sum(1 for run in runs if _is_lasting(run)),
+        load=(
+            worker.used_cpu / max(1, worker.entry.capacity.cpu)
+            if worker
+            else 0.0
+        ),
+    )
+
+
+def _is_lasting(run):
+    return run.task is not None and run.task.step.plan.long_running
+
+
+def view_pools(term, board, now_s):
+    """Return a :class:`pools.PoolView` for each pool."""
+    workers = find_workers(term.fleet)
+    views = {
+        pool.name: pools.PoolView(name=pool.name, spare=pool.spare)
+        for pool in term.configuration.current.pools.values()
+    }
+    for name, state in board.vms.items():
+        view = views.get(
+            state.order.target if state.order else state.entry.pool
+        )
+        if view is not None:
+            vm = _view_vm(name, state, workers.get(name), now_s, view.spare)
+            if vm is not None:
+                view.vms.append(vm)
+    _add_running(views, term)
+    _add_waiting(views, term)
+    for pool, arrivals in term.arrivals.items():
+        while arrivals and now_s - arrivals[0][0] > ARRIVAL_SPAN_S:
+            arrivals.popleft()
+        if pool in views:
+            views[pool].arriving_work = sum(item[1] for item in arrivals)
+    return list(views.values())
+
+
+def _view_vm(name, state, worker, now_s, spare):
+    """Return the view of a VM, or None where it does not count."""
+    if state.order is not None:
+        if state.order.wave is not None and not spare:
+            # It is away for a short time and comes back by itself.
+            return None
+        return pools.VMView(
+            vm=name,
+            cpu=state.entry.capacity.cpu,
+            movable=False,
+            arriving=True,
+        )
+    up = state.entry.state is reports.VMState.UP
+    free = up and state.cordoned_wave is None
+    free = free and now_s >= state.refused_until_s
+    if spare:
+        return pools.VMView(
+            vm=name, cpu=state.entry.capacity.cpu, movable=free
+        )
+    if worker is None or worker.entry.draining:
+        return None
+    idle_s = 0.0
+    if state.empty_since_s is not None:
+        idle_s = now_s - state.empty_since_s
+    return pools.VMView(
+        vm=name,
+        cpu=worker.entry.capacity.cpu,
+        movable=free and worker.usable and not worker.runs,
+        idle_s=idle_s,
+    )
+
+
+def _add_running(views, term):
+    lasting_vms = {}
+    for worker in term.fleet.workers.values():
+        view = views.get(worker.entry.pool)
+        if view is None:
+            continue
+        for run in worker.runs.values():
+            if run.task is None or run.task.step.plan.fills:
+                continue
+            if _is_lasting(run):
+                view.lasting_cpu += run.demand.cpu
+                lasting_vms.setdefault(view.name, set()).add(worker.vm)
+            else:
+                view.running_cpu += run.demand.cpu
+    for name, vms in lasting_vms.items():
+        views[name].lasting_vms = len(vms)
+
+
+def _add_waiting(views, term):
+    for pool, steps in term.book.waiting_steps.items():
+        view = views.get(pool)
+        if view is None:
+            continue
+        for step in steps.values():
+            if step.plan.fills or step.job.excess:
+                continue
+            cpu = step.plan.demand.cpu * len(step.waiting)
+            if step.plan.long_running:
+                view.lasting_cpu += cpu
+                continue
+            ratio = term.estimates.get_ratio(
+                step.job.submission.queue, step.job.job_id
+            )
+            view.waiting_work += cpu * step.plan.estimate_ms / 1000 * ratio
--- a/arbutusrock/platform/adapter.py
+++ b/arbutusrock/platform/adapter.py
@@ -45,11 +45,6 @@
             address=entry.address, worker_id=entry.worker_id, meter=self.meter
         )
 
-    @staticmethod
-    def create_parts(_leader):
-        """Return further coroutines of an ownership."""
-        return ()
-
     async def close(self):
         """Close all connections."""
         for client in (self.store, self.vms, self.advice):
--- /dev/null
+++ b/arbutusrock/scheduling/pools.py
@@ -0,0 +1,167 @@
+"""How many VMs each pool needs, and which VMs move.
+
+Load: the queues burst in turn. In its turn a pool is asked for more than it
+holds for some seconds while the others stand nearly idle, and a VM in a pool
+costs the same idle or not. So pools grow with what arrives and waits, from
+VMs that stand idle elsewhere or are switched off, and shrink when VMs stood
+idle for longer than two moves cost.
+"""
+
+import math
+
+__all__ = ['Move', 'PoolView', 'VMView', 'measure_target', 'plan_moves']
+
+# Waiting work is to be done in this time.
+DRAIN_S = 1.0
+# Part of a VM that tasks of uneven size fill.
+FILL = 0.85
+# Idle time after which a VM is switched off: a move there and back costs as
+# much as about two seconds in a pool.
+IDLE_S = 2.5
+# Empty VMs that each pool keeps: the room for the first second of a burst.
+RESERVE = 1
+# Moves that one pass may start.
+MOST_MOVES = 12
+
+
+class VMView:
+    """A VM as the sizing sees it.
+
+    :param movable: up, empty and not reserved for anything else.
+    :param idle_s: how long it has been empty.
+    :param arriving: it is on its way into the pool.
+    """
+
+    __slots__ = ('vm', 'cpu', 'movable', 'idle_s', 'arriving')
+
+    def __init__(self, *, vm, cpu, movable, idle_s=0.0, arriving=False):
+        self.vm = vm
+        self.cpu = cpu
+        self.movable = movable
+        self.idle_s = idle_s
+        self.arriving = arriving
+
+
+class PoolView:
+    """A pool and what it is asked for, in thousandths of a core.
+
+    :param spare: its VMs are switched off.
+    :param lasting_cpu: tasks that run until they are cancelled.
+    :param running_cpu: other tasks that run.
+    :param waiting_work: work that waits (thousandths of core-seconds).
+    :param arriving_work: work that arrived in the last second.
+    :param lasting_vms: least VMs that hold the lasting tasks.
+    """
+
+    __slots__ = (
+        'name',
+        'spare',
+        'vms',
+        'lasting_cpu',
+        'running_cpu',
+        'waiting_work',
+        'arriving_work',
+        'lasting_vms',
+    )
+
+    def __init__(
+        self,
+        *,
+        name,
+        spare=False,
+        vms=(),
+        lasting_cpu=0,
+        running_cpu=0,
+        waiting_work=0.0,
+        arriving_work=0.0,
+        lasting_vms=0,
+    ):
+        self.name = name
+        self.spare = spare
+        self.vms = list(vms)
+        self.lasting_cpu = lasting_cpu
+        self.running_cpu = running_cpu
+        self.waiting_work = waiting_work
+        self.arriving_work = arriving_work
+        self.lasting_vms = lasting_vms
+
+
+class Move:
+    """A VM that is to change its pool."""
+
+    __slots__ = ('vm', 'origin', 'target')
+
+    def __init__(self, *, vm, origin, target):
+        self.vm = vm
+        self.origin = origin
+        self.target = target
+
+
+def measure_target(pool, vm_cpu):
+    """Return how many VMs of ``vm_cpu`` a pool should have.
+
+    >>> idle = PoolView(name='a', lasting_cpu=15000, lasting_vms=1)
+    >>> measure_target(idle, 32000)
+    2
+    >>> busy = PoolView(
+    ...     name='a', lasting_cpu=15000, running_cpu=100000,
+    ...     waiting_work=150000, arriving_work=200000, lasting_vms=1)
+    >>> measure_target(busy, 32000)
+    14
+    """
+    flow = max(pool.running_cpu, pool.arriving_work)
+    wanted = pool.lasting_cpu + flow + pool.waiting_work / DRAIN_S
+    needed = math.ceil(wanted / (vm_cpu * FILL))
+    least = pool.lasting_vms + RESERVE
+    return max(needed, least)
+
+
+def plan_moves(pools):
+    """Return the moves that bring pools towards their targets.
+
+    :param pools: all :class:`PoolView`, spare ones included.
+    """
+    sized = [pool for pool in pools if not pool.spare]
+    spare = [pool for pool in pools if pool.spare]
+    vm_cpu = _get_usual_cpu(pools)
+    if not vm_cpu:
+        return []
+    missing, surplus = {}, []
+    for pool in sized:
+        excess = len(pool.vms) - measure_target(pool, vm_cpu)
+        if excess < 0:
+            missing[pool.name] = -excess
+            continue
+        idle = sorted(
+            (vm for vm in pool.vms if vm.movable),
+            key=lambda vm: (-vm.idle_s, vm.vm),
+        )
+        surplus += [(vm, pool.name) for vm in idle[:excess]]
+    off = [(vm, pool.name) for pool in spare for vm in pool.vms if vm.movable]
+    moves = _fill_missing(missing, off, surplus)
+    if spare and len(moves) < MOST_MOVES:
+        taken = {move.vm for move in moves}
+        moves += [
+            Move(vm=vm.vm, origin=name, target=spare[0].name)
+            for vm, name in surplus
+            if vm.vm not in taken and vm.idle_s > IDLE_S
+        ]
+    return moves[:MOST_MOVES]
+
+
+def _get_usual_cpu(pools):
+    sizes = sorted(vm.cpu for pool in pools for vm in pool.vms)
+    return sizes[len(sizes) // 2] if sizes else 0
+
+
+def _fill_missing(missing, off, surplus):
+    """Give VMs to the pools that lack most, idle ones before those off."""
+    moves = []
+    sources = sorted(surplus, key=lambda item: -item[0].idle_s) + off
+    for vm, origin in sources:
+        name = max(missing, key=missing.get, default=None)
+        if name is None or missing[name] <= 0:
+            break
+        missing[name] -= 1
+        moves.append(Move(vm=vm.vm, origin=origin, target=name))
+    return moves
--- /dev/null
+++ b/arbutusrock/scheduling/waves.py
@@ -0,0 +1,70 @@
+"""Which VMs of a wave go to maintenance now.
+
+Load: a wave names up to half of all VMs while a queue bursts. Empty VMs and
+those that are off go first; busy ones are emptied only when the time left
+asks for it, so that the burst keeps its room.
+"""
+
+import math
+
+__all__ = ['WaveVM', 'choose_wave_vms']
+
+# Time that a VM takes to be emptied, beside its maintenance.
+EMPTYING_S = 3.0
+# The wave is to be done in this part of its time.
+EARLY = 0.7
+
+
+class WaveVM:
+    """A VM of a wave that has not begun its maintenance.
+
+    :param empty: nothing runs there, or it is off.
+    :param chosen: it is being emptied for the wave.
+    :param lasting: number of tasks there that must be moved.
+    :param load: part of its room that is in use.
+    """
+
+    __slots__ = ('vm', 'pool', 'empty', 'chosen', 'lasting', 'load')
+
+    def __init__(self, *, vm, pool, empty, chosen, lasting, load):
+        self.vm = vm
+        self.pool = pool
+        self.empty = empty
+        self.chosen = chosen
+        self.lasting = lasting
+        self.load = load
+
+
+def choose_wave_vms(
+    waiting, *, down, most, time_left_s, maintenance_s, pool_loads
+):
+    """Return the VMs to empty (or to maintain, where empty) now.
+
+    :param waiting: :class:`WaveVM` that have not begun.
+    :param down: how many are down for the wave.
+    :param most: how many may be down at once.
+    :param time_left_s: until all must have begun.
+    :param pool_loads: part of each pool's room that is in use.
+    """
+    chosen = [vm for vm in waiting if vm.chosen]
+    room = most - down - len(chosen)
+    if room <= 0:
+        return chosen
+    rounds = math.ceil(len(waiting) / most)
+    needed_s = rounds * (maintenance_s + EMPTYING_S)
+    hurried = needed_s > time_left_s * EARLY
+    others = sorted(
+        (vm for vm in waiting if not vm.chosen),
+        key=lambda vm: (
+            not vm.empty,
+            pool_loads.get(vm.pool, 0.0) > 0.7,
+            vm.lasting,
+            vm.load,
+            vm.vm,
+        ),
+    )
+    for vm in others[:room]:
+        calm = pool_loads.get(vm.pool, 0.0) < 0.5
+        if vm.empty or hurried or calm:
+            chosen.append(vm)
+    return chosen
