Size pools by what jobs need to end in time; trace takeover faults

Tasks of steps that the earlier owner had opened were stopped as not wanted and started again while they were still stopping (TWICE); a silent worker's lease was extended by each attempt to reach it (LOST); VMs that an earlier owner had sent to maintenance were not counted as down (LIMIT). Ruled out: stale progress rows (they were read at the claim's version). Change: measure_need; stray runs block their task; no lease is extended while a worker is silent; listed maintenance counts as down.

--- a/arbutusrock/engine/book.py
+++ b/arbutusrock/engine/book.py
@@ -77,12 +77,6 @@
         job.occurrences[number] = occurrence
         for step in occurrence.steps:
             self._restore_step(step)
-        for step in occurrence.steps:
-            job.remaining_ms += sum(
-                step.plan.demand.cpu * step.plan.estimate_ms
-                for task in step.tasks
-                if task.status is not work.TaskStatus.DONE
-            )
         self._open_steps(occurrence, now_s)
 
     @staticmethod
@@ -133,8 +127,12 @@
 
     def requeue(self, task, now_s):
         """Let a task without runs wait for the next one."""
-        if task.status is work.TaskStatus.ACTIVE and not task.runs:
+        if task.status is not work.TaskStatus.ACTIVE or task.runs:
+            return
+        if task.step.opened:
             self._set_waiting(task, now_s)
+        else:
+            task.status = work.TaskStatus.BLOCKED
 
     def mark_done(self, task, now_s, wall_s):
         """Note that a task is done, and open what waited for it.
@@ -147,7 +145,6 @@
         task.status = work.TaskStatus.DONE
         step, job = task.step, task.step.job
         step.done_count += 1
-        job.remaining_ms -= step.plan.demand.cpu * step.plan.estimate_ms
         bits = bytearray(job.progress.done.get(step.key, b''))
         byte, bit = divmod(task.index, 8)
         bits.extend(bytes(max(0, byte + 1 - len(bits))))
--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from arbutusrock.engine import outlooks
 from arbutusrock.engine import work
 from arbutusrock import logs
 from arbutusrock.scheduling import ordering
@@ -109,7 +110,10 @@
             return True
         if step.plan.gang:
             return self._start_gang(step, workers, doubtful, allowed, now_s)
+        strays = self.term.fleet.strays
         for task in list(step.waiting.values()):
+            if task.name in strays and not step.plan.speculative:
+                continue
             if not self._fits_limit(step, 1):
                 return True
             wish = self._create_wish(step, task, doubtful, allowed)
@@ -123,6 +127,9 @@
 
     def _start_gang(self, step, workers, doubtful, allowed, now_s):
         count = len(step.waiting)
+        strays = self.term.fleet.strays
+        if any(task.name in strays for task in step.tasks):
+            return True
         if count < step.plan.count or not self._fits_limit(step, count):
             return True
         wish = self._create_wish(step, step.tasks[0], doubtful, allowed)
@@ -207,24 +214,16 @@
     def _create_view(self, job, step):
         submission, estimates = job.submission, self.term.estimates
         queue = self.term.configuration.current.queues.get(submission.queue)
-        occurrence = step.occurrence
-        ratio = estimates.get_ratio(submission.queue, job.job_id)
-        whole_s = measure_chain(occurrence, whole=True) * ratio
-        total = sum(
-            item.plan.count * item.plan.demand.cpu * item.plan.estimate_ms
-            for item in occurrence.steps
-        )
+        outlook = outlooks.estimate(estimates, step.occurrence)
         return ordering.JobView(
             serving=step.plan.long_running and not step.plan.fills,
             excess=job.excess,
             urgency=queue.urgency if queue else 0,
-            age_s=clocks.wall_time_s() - max(occurrence.due_s, 0),
-            objective_s=(
-                submission.stretch * whole_s + submission.objective_ms / 1000
-            ),
-            chain_s=measure_chain(occurrence, whole=False) * ratio,
-            work=total / 1e6,
-            work_left=job.remaining_ms * ratio / 1e6,
+            age_s=clocks.wall_time_s() - step.occurrence.due_s,
+            objective_s=outlook.objective_s,
+            chain_s=outlook.chain_left_s,
+            work=outlook.work,
+            work_left=outlook.work_left,
             usual_work=estimates.get_usual_work(submission.queue),
         )
 
@@ -235,19 +234,3 @@
         and demand.memory_mb >= other.memory_mb
         and demand.accelerators >= other.accelerators
     )
-
-
-def measure_chain(occurrence, *, whole):
-    """Return the longest chain of declared work of an occurrence.
-
-    :param whole: also count steps that are done.
-    :returns: seconds.
-    """
-    ends = []
-    for step in occurrence.steps:
-        begin_s = max((ends[number] for number in step.plan.after), default=0)
-        length_s = step.plan.estimate_ms / 1000
-        if step.done and not whole:
-            length_s = 0.0
-        ends.append(begin_s + length_s)
-    return max(ends)
--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -38,7 +38,7 @@
         'unacknowledged',
         'missing_since_s',
         'cordon',
-        'ended',
+        'ended_s',
         'rostered',
         'acknowledged',
     )
@@ -68,8 +68,7 @@
         self.missing_since_s = None
         # Why it gets no more runs, or empty.
         self.cordon = ''
-        # Its life is over: nothing runs there.
-        self.ended = False
+        self.ended_s = None
         # Whether a later owner would know that it may hold runs.
         self.rostered = False
         # Set when ends were made durable.
@@ -80,6 +79,11 @@
         """Id of this life."""
         return self.entry.worker_id
 
+    @property
+    def ended(self):
+        """Whether its life is over: nothing runs there."""
+        return self.ended_s is not None
+
     @property
     def vm(self):
         """VM that it runs on."""
@@ -142,11 +146,14 @@
 class Fleet:
     """All workers, and the resources in use by account."""
 
-    __slots__ = ('workers', 'usage')
+    __slots__ = ('workers', 'usage', 'strays')
 
     def __init__(self):
         self.workers = {}
         self.usage = {}
+        # Names of tasks with runs that are not wanted and may still be at
+        # work, and how many.
+        self.strays = {}
 
     def find_pool(self, pool):
         """Return the workers of a pool."""
@@ -170,7 +177,9 @@
         worker = run.worker
         worker.runs[(run.name, run.number)] = run
         self._count(run, 1)
-        if run.task is not None:
+        if run.task is None:
+            self.strays[run.name] = self.strays.get(run.name, 0) + 1
+        else:
             run.task.runs.append(run)
             counts = run.task.step.workers
             counts[worker.vm] = counts.get(worker.vm, 0) + 1
@@ -181,7 +190,11 @@
         if worker.runs.pop((run.name, run.number), None) is None:
             return
         self._count(run, -1)
-        if run.task is not None:
+        if run.task is None:
+            self.strays[run.name] -= 1
+            if not self.strays[run.name]:
+                del self.strays[run.name]
+        else:
             run.task.runs.remove(run)
             run.task.step.workers[worker.vm] -= 1
 
--- a/arbutusrock/engine/gateway.py
+++ b/arbutusrock/engine/gateway.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections import OrderedDict
 
-from arbutusrock import errors
 from arbutusrock.engine import leader
 from arbutusrock.engine import plans
 from arbutusrock.engine import rows
 from arbutusrock.engine import submitter
+from arbutusrock import errors
 from arbutusrock import logs
 from arbutusrock.utils import clocks
 
--- a/arbutusrock/engine/journal.py
+++ b/arbutusrock/engine/journal.py
@@ -60,6 +60,7 @@
         self._versions = {}
         # Rows of other parts that wait for the next flush.
         self._others = {}
+        self._written = asyncio.Event()
 
     def set_version(self, job_id, version):
         """Note the version of a progress row that was read."""
@@ -93,6 +94,14 @@
                 pass
             await self.flush()
 
+    async def wait_written(self):
+        """Wait until all present changes are durable."""
+        flush = self.get_next_flush()
+        self.term.request_flush()
+        while self.finished < flush:
+            self._written.clear()
+            await self._written.wait()
+
     async def flush(self):
         """Write all rows that have changed, and the heartbeat."""
         self.term.rows_due.clear()
@@ -108,6 +117,7 @@
             await self._commit(batch, others, with_beat=first)
             first = False
         self.finished = self.begun
+        self._written.set()
         self._release_ends()
 
     def _create_progress(self, job):
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -1,7 +1,6 @@
 """The owner of the unit: all that one ownership does."""
 
 import asyncio
-from collections import deque
 
 from arbutusrock.engine import dispatcher
 from arbutusrock.engine import evacuation
@@ -183,10 +182,6 @@
             for step in submission.plan.steps
         )
         self.term.estimates.note_work(submission.queue, total / 1e6)
-        if not inherited:
-            self.term.arrivals.setdefault(submission.pool, deque()).append(
-                (clocks.now_s(), total / 1000)
-            )
 
     def _cancel(self, job_id):
         job = self.term.book.jobs.get(job_id)
--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -10,7 +10,6 @@
 from arbutusrock.engine import ownership as ownership_module
 from arbutusrock.engine import term as term_module
 from arbutusrock import logs
-from arbutusrock.utils import clocks
 
 __all__ = ['Node']
 
@@ -105,12 +104,12 @@
         leader = self.leader
         if leader is None:
             return
-        began_s = clocks.now_s()
         term = leader.term
         term.stopping = True
         term.request_flush()
-        while (
-            term.book.dirty or leader.journal.finished < leader.journal.begun
-        ) and clocks.now_s() - began_s < HAND_OVER_S:
-            await asyncio.sleep(0.01)
+        try:
+            async with asyncio.timeout(HAND_OVER_S):
+                await leader.journal.wait_written()
+        except TimeoutError:
+            LOG.warning('rows were not written before the hand-over')
         await self.ownership.release(term.claim_version)
--- /dev/null
+++ b/arbutusrock/engine/outlooks.py
@@ -0,0 +1,71 @@
+"""What is left of an occurrence, by declared and learned durations."""
+
+__all__ = ['Outlook', 'estimate', 'measure_chain']
+
+
+class Outlook:
+    """Estimate of one occurrence of a job.
+
+    :param lasting: its tasks run until the job is cancelled.
+    :param work: declared work, corrected (core-seconds).
+    :param work_left: part of it that is not done.
+    :param chain_left_s: longest chain of work that is left.
+    :param objective_s: time in which it should be completed.
+    """
+
+    __slots__ = (
+        'lasting',
+        'work',
+        'work_left',
+        'chain_left_s',
+        'objective_s',
+    )
+
+    def __init__(self, *, lasting, work, work_left, chain_left_s, objective_s):
+        self.lasting = lasting
+        self.work = work
+        self.work_left = work_left
+        self.chain_left_s = chain_left_s
+        self.objective_s = objective_s
+
+
+def estimate(estimates, occurrence):
+    """Return the :class:`Outlook` of an occurrence.
+
+    :param estimates: :class:`arbutusrock.scheduling.estimates.Estimates`.
+    """
+    job = occurrence.job
+    submission = job.submission
+    ratio = estimates.get_ratio(submission.queue, job.job_id)
+    whole_s = measure_chain(occurrence, whole=True) * ratio
+    work, work_left = 0.0, 0.0
+    for step in occurrence.steps:
+        plan = step.plan
+        each = plan.demand.cpu * plan.estimate_ms * ratio / 1e6
+        work += each * plan.count
+        work_left += each * (plan.count - step.done_count)
+    return Outlook(
+        lasting=any(step.plan.long_running for step in occurrence.steps),
+        work=work,
+        work_left=work_left,
+        chain_left_s=measure_chain(occurrence, whole=False) * ratio,
+        objective_s=(
+            submission.stretch * whole_s + submission.objective_ms / 1000
+        ),
+    )
+
+
+def measure_chain(occurrence, *, whole):
+    """Return the longest chain of declared work of an occurrence.
+
+    :param whole: also count steps that are done.
+    :returns: seconds.
+    """
+    ends = []
+    for step in occurrence.steps:
+        begin_s = max((ends[number] for number in step.plan.after), default=0)
+        length_s = step.plan.estimate_ms / 1000
+        if step.done and not whole:
+            length_s = 0.0
+        ends.append(begin_s + length_s)
+    return max(ends)
--- a/arbutusrock/engine/registry.py
+++ b/arbutusrock/engine/registry.py
@@ -16,6 +16,9 @@
 # An entry that lapsed while the store was away is back within about two
 # seconds; one that is missing longer is gone.
 MISSING_S = 2.5
+# A worker that still registers this long after its end was taken for over
+# is alive: registrations come every 1.5 s.
+REVIVED_S = 3.0
 # How often silent and missing workers are looked at.
 SWEEP_S = 0.25
 LOG = logs.get_log('registry')
@@ -63,8 +66,9 @@
         )
 
     def _add_ghosts(self, roster, until_s):
-        """Count workers that the earlier owner knew and that lost their
-        registration: what it started there may go on until its lease ends.
+        """Count workers that the earlier owner knew and that are not listed.
+
+        What it started there may go on until its lease ends.
         """
         workers = self.term.fleet.workers
         vms = {worker.entry.vm for worker in workers.values()}
@@ -136,8 +140,12 @@
             else:
                 self._update(worker, entry)
                 return
-        elif worker is not None and entry.born_ms <= worker.entry.born_ms:
-            # The registration of a life that is known to be over.
+        elif (
+            worker is not None
+            and entry.born_ms <= worker.entry.born_ms
+            and clocks.now_s() - worker.ended_s < REVIVED_S
+        ):
+            # A last registration of a life that is known to be over.
             return
         self._end_earlier_life(entry)
         self._add(entry)
--- a/arbutusrock/engine/run_keeper.py
+++ b/arbutusrock/engine/run_keeper.py
@@ -122,7 +122,7 @@
         """All that ran on a worker has ended with it."""
         if worker.ended:
             return
-        worker.ended = True
+        worker.ended_s = clocks.now_s()
         LOG.info(
             'a worker has ended',
             worker=worker.worker_id,
@@ -318,11 +318,14 @@
     def _is_wanted(task, number):
         if task.step.plan.gang:
             others = [r for t in task.step.tasks for r in t.runs]
-            return task.status in {
-                work.TaskStatus.WAITING,
-                work.TaskStatus.ACTIVE,
-            } and all(other.number == number for other in others)
-        return task.status is work.TaskStatus.WAITING
+            return task.status is not work.TaskStatus.DONE and all(
+                other.number == number for other in others
+            )
+        # A blocked one: the earlier owner saw ends that we have not seen yet.
+        return task.status in {
+            work.TaskStatus.BLOCKED,
+            work.TaskStatus.WAITING,
+        }
 
     def _find_vanished(self, worker, listed, sent_s):
         """Settle runs that the worker no longer names."""
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -48,8 +48,6 @@
         self.fleet = fleet.Fleet()
         self.standing = standing.Standing()
         self.estimates = estimates.Estimates()
-        # By pool, (time, thousandths of core-seconds) of accepted jobs.
-        self.arrivals = {}
         # Set when a pass over waiting tasks is due.
         self.work_due = asyncio.Event()
         # Set when rows must be written.
@@ -67,8 +65,9 @@
 
     @property
     def paused(self):
-        """Whether orders wait: the process stood still, and another node
-        may own the unit since.
+        """Whether orders wait, as the process stood still.
+
+        Another node may own the unit since.
         """
         return (
             self._stood_still_s is not None
--- a/arbutusrock/engine/vm_board.py
+++ b/arbutusrock/engine/vm_board.py
@@ -86,9 +86,16 @@
         ]
 
     def count_down(self, wave):
-        """Return how many VMs are down for a wave."""
+        """Return how many VMs are, or may be, down for a wave.
+
+        One without an order of ours went down for an earlier owner.
+        """
         return sum(
             1
             for state in self.vms.values()
-            if state.order is not None and state.order.wave == wave
+            if (
+                state.entry.state is reports.VMState.UPKEEP
+                if state.order is None
+                else state.order.wave == wave
+            )
         )
--- a/arbutusrock/engine/vm_keeper.py
+++ b/arbutusrock/engine/vm_keeper.py
@@ -110,15 +110,14 @@
             order = state.order
             if order is not None and order.answered_s is not None:
                 spare = current.pools.get(order.target)
-                if worker is not None and worker.known:
-                    self._finish_order(state, order)
-                elif (
+                off = (
                     order.wave is None
                     and spare is not None
                     and spare.spare
                     and now_s
                     > order.answered_s + self.term.settings.move_s + SETTLE_S
-                ):
+                )
+                if off or (worker is not None and worker.known):
                     self._finish_order(state, order)
             if worker is None or worker.runs:
                 state.empty_since_s = None
@@ -206,8 +205,8 @@
             state = self.board.vms.get(name)
             if name in done or (state is not None and state.order):
                 continue
-            if state is None:
-                # It is not listed any more: it has left.
+            if state is None or state.entry.state is reports.VMState.UPKEEP:
+                # It has left, or an earlier owner sent it.
                 record.done.append(name)
                 continue
             found.append(
@@ -248,6 +247,8 @@
     def _resize_pools(self, now_s):
         views = vm_views.view_pools(self.term, self.board, now_s)
         moves = pools_module.plan_moves(views)
+        if moves:
+            LOG.info('pools are resized', **_describe_pools(views))
         workers = vm_views.find_workers(self.term.fleet)
         for move in moves:
             state = self.board.vms[move.vm]
@@ -321,3 +322,14 @@
         if worker is not None:
             worker.cordon = 'wave' if state.cordoned_wave is not None else ''
         self.term.request_dispatch()
+
+
+def _describe_pools(views):
+    """Return what decided on moves, by pool, in whole cores."""
+    return {
+        view.name: (
+            f'vms={len(view.vms)} lasting={view.lasting_cpu // 1000}'
+            f' needed={view.needed_cpu / 1000:.0f}'
+        )
+        for view in views
+    }
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -1,14 +1,13 @@
 """Plain views of pools and VMs for the decisions on them."""
 
+from arbutusrock.engine import outlooks
 from arbutusrock.engine import reports
 from arbutusrock.scheduling import pools
 from arbutusrock.scheduling import waves
+from arbutusrock.utils import clocks
 
 __all__ = ['find_workers', 'measure_loads', 'view_pools', 'view_wave_vm']
 
-# Span over which arriving work is summed.
-ARRIVAL_SPAN_S = 1.0
-
 
 def find_workers(fleet):
     """Return the living worker of each VM."""
@@ -68,11 +67,7 @@
                 view.vms.append(vm)
     _add_running(views, term)
     _add_waiting(views, term)
-    for pool, arrivals in term.arrivals.items():
-        while arrivals and now_s - arrivals[0][0] > ARRIVAL_SPAN_S:
-            arrivals.popleft()
-        if pool in views:
-            views[pool].arriving_work = sum(item[1] for item in arrivals)
+    _add_needs(views, term)
     return list(views.values())
 
 
@@ -120,8 +115,6 @@
             if _is_lasting(run):
                 view.lasting_cpu += run.demand.cpu
                 lasting_vms.setdefault(view.name, set()).add(worker.vm)
-            else:
-                view.running_cpu += run.demand.cpu
     for name, vms in lasting_vms.items():
         views[name].lasting_vms = len(vms)
 
@@ -132,13 +125,23 @@
         if view is None:
             continue
         for step in steps.values():
-            if step.plan.fills or step.job.excess:
-                continue
-            cpu = step.plan.demand.cpu * len(step.waiting)
-            if step.plan.long_running:
-                view.lasting_cpu += cpu
+            if step.plan.long_running and not step.plan.fills:
+                view.lasting_cpu += step.plan.demand.cpu * len(step.waiting)
+
+
+def _add_needs(views, term):
+    wall_s = clocks.wall_time_s()
+    for job in term.book.jobs.values():
+        view = views.get(job.submission.pool)
+        if view is None or job.ended or job.excess:
+            continue
+        for occurrence in job.occurrences.values():
+            outlook = outlooks.estimate(term.estimates, occurrence)
+            if outlook.lasting:
                 continue
-            ratio = term.estimates.get_ratio(
-                step.job.submission.queue, step.job.job_id
+            age_s = wall_s - occurrence.due_s
+            view.needed_cpu += pools.measure_need(
+                work_left=outlook.work_left * 1000,
+                chain_left_s=outlook.chain_left_s,
+                time_left_s=outlook.objective_s - age_s,
             )
-            view.waiting_work += cpu * step.plan.estimate_ms / 1000 * ratio
--- a/arbutusrock/engine/work.py
+++ b/arbutusrock/engine/work.py
@@ -233,7 +233,6 @@
         'occurrences',
         'next_occurrence',
         'started',
-        'remaining_ms',
         'excess',
         'accepted_s',
     )
@@ -248,8 +247,6 @@
         self.occurrences = {}
         self.next_occurrence = 0
         self.started = False
-        # Work that is left, in thousandths of core-milliseconds.
-        self.remaining_ms = 0.0
         # Sent beyond what the account may send in a second.
         self.excess = False
         self.accepted_s = submission.accepted_ms / 1000
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -70,11 +70,14 @@
         worker = self.worker
         sent_s = clocks.now_s()
         waits = worker.known and not worker.unacknowledged
+        # An unanswered renewal may arrive later: a silent worker's lease
+        # is not extended, so that it ends.
+        until_ms = None if worker.failing else self._extend_lease(sent_s)
         reply = await self.client.hold(
             epoch=self.term.epoch,
             cursor=worker.cursor,
-            lease_until_ms=self._extend_lease(sent_s),
-            wait_s=WAIT_S if waits else 0,
+            lease_until_ms=until_ms,
+            wait_s=WAIT_S if waits and not worker.failing else 0,
         )
         if isinstance(reply, reports.HoldReport):
             if worker.failing:
--- a/arbutusrock/platform/__main__.py
+++ b/arbutusrock/platform/__main__.py
@@ -26,7 +26,6 @@
 NOTICE_S = 2.5
 # Time before SIGKILL in which the process must have ended by itself.
 EXIT_MARGIN_S = 1.2
-IDLE_CHECK_S = 0.05
 LOG = logs.get_log('daemon')
 
 
@@ -96,10 +95,12 @@
     await node.hand_over()
     latest_s = began_s + settings.grace_s - EXIT_MARGIN_S
     notice_s = min(began_s + NOTICE_S, latest_s)
-    while clocks.now_s() < notice_s or (
-        ingress.open_requests and clocks.now_s() < latest_s
-    ):
-        await asyncio.sleep(IDLE_CHECK_S)
+    await asyncio.sleep(max(0.0, notice_s - clocks.now_s()))
+    try:
+        async with asyncio.timeout(max(0.0, latest_s - clocks.now_s())):
+            await ingress.wait_idle()
+    except TimeoutError:
+        LOG.warning('requests are open', requests=ingress.open_requests)
 
 
 def main():
--- a/arbutusrock/platform/boot.py
+++ b/arbutusrock/platform/boot.py
@@ -3,8 +3,8 @@
 import os
 import pathlib
 
-from arbutusrock import errors
 from arbutusrock.engine import node_settings
+from arbutusrock import errors
 
 __all__ = ['load_node_settings']
 
--- a/arbutusrock/platform/ingress.py
+++ b/arbutusrock/platform/ingress.py
@@ -1,5 +1,6 @@
 """HTTP interface of jobs and readiness, as the platform's clients speak it."""
 
+import asyncio
 import re
 
 from aiohttp import web
@@ -43,15 +44,24 @@
         self.node = node
         self.gateway = node.gateway
         self.open_requests = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def wait_idle(self):
+        """Wait until no request is open."""
+        await self._idle.wait()
 
     async def handle(self, request):
         """Answer one call."""
         began_s = clocks.now_s()
         self.open_requests += 1
+        self._idle.clear()
         try:
             response = await self._answer(request)
         finally:
             self.open_requests -= 1
+            if not self.open_requests:
+                self._idle.set()
         if self.node.stopping:
             response.force_close()
         metrics = self.node.metrics
--- a/arbutusrock/platform/job_bodies.py
+++ b/arbutusrock/platform/job_bodies.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from arbutusrock import errors
 from arbutusrock.engine import plans
+from arbutusrock import errors
 from arbutusrock.scheduling import Resources
 
 __all__ = ['decode_job', 'encode_state', 'encode_waiting']
--- a/arbutusrock/scheduling/pools.py
+++ b/arbutusrock/scheduling/pools.py
@@ -9,12 +9,24 @@
 
 import math
 
-__all__ = ['Move', 'PoolView', 'VMView', 'measure_target', 'plan_moves']
+__all__ = [
+    'Move',
+    'PoolView',
+    'VMView',
+    'measure_need',
+    'measure_target',
+    'plan_moves',
+]
 
-# Waiting work is to be done in this time.
-DRAIN_S = 1.0
 # Part of a VM that tasks of uneven size fill.
 FILL = 0.85
+# Growth of demand while a VM is on its way, as a factor.
+GROWTH = 1.2
+# Part of a job's remaining time that is planned for: the rest is for steps
+# that end late and for starts.
+PLANNED = 0.8
+# Least time over which the work of a job is spread.
+LEAST_S = 0.5
 # Idle time after which a VM is switched off: a move there and back costs as
 # much as about two seconds in a pool.
 IDLE_S = 2.5
@@ -47,9 +59,7 @@
 
     :param spare: its VMs are switched off.
     :param lasting_cpu: tasks that run until they are cancelled.
-    :param running_cpu: other tasks that run.
-    :param waiting_work: work that waits (thousandths of core-seconds).
-    :param arriving_work: work that arrived in the last second.
+    :param needed_cpu: what its jobs need to end in time.
     :param lasting_vms: least VMs that hold the lasting tasks.
     """
 
@@ -58,9 +68,7 @@
         'spare',
         'vms',
         'lasting_cpu',
-        'running_cpu',
-        'waiting_work',
-        'arriving_work',
+        'needed_cpu',
         'lasting_vms',
     )
 
@@ -71,18 +79,14 @@
         spare=False,
         vms=(),
         lasting_cpu=0,
-        running_cpu=0,
-        waiting_work=0.0,
-        arriving_work=0.0,
+        needed_cpu=0.0,
         lasting_vms=0,
     ):
         self.name = name
         self.spare = spare
         self.vms = list(vms)
         self.lasting_cpu = lasting_cpu
-        self.running_cpu = running_cpu
-        self.waiting_work = waiting_work
-        self.arriving_work = arriving_work
+        self.needed_cpu = needed_cpu
         self.lasting_vms = lasting_vms
 
 
@@ -97,6 +101,28 @@
         self.target = target
 
 
+def measure_need(*, work_left, chain_left_s, time_left_s):
+    """Return the room that a job needs to end in time.
+
+    A job that can no longer end in time needs none: its small worth does
+    not pay for a VM, and it runs in the room that others leave.
+
+    :param work_left: work that is left (thousandths of core-seconds).
+    :param chain_left_s: longest chain of work that is left.
+    :param time_left_s: until its objective.
+    :returns: thousandths of a core.
+
+    >>> measure_need(work_left=8000, chain_left_s=1, time_left_s=5)
+    2000.0
+    >>> measure_need(work_left=8000, chain_left_s=2, time_left_s=1)
+    0.0
+    """
+    if chain_left_s > time_left_s:
+        return 0.0
+    span_s = max(chain_left_s, time_left_s * PLANNED, LEAST_S)
+    return work_left / span_s
+
+
 def measure_target(pool, vm_cpu):
     """Return how many VMs of ``vm_cpu`` a pool should have.
 
@@ -104,13 +130,11 @@
     >>> measure_target(idle, 32000)
     2
     >>> busy = PoolView(
-    ...     name='a', lasting_cpu=15000, running_cpu=100000,
-    ...     waiting_work=150000, arriving_work=200000, lasting_vms=1)
+    ...     name='a', lasting_cpu=15000, needed_cpu=200000, lasting_vms=1)
     >>> measure_target(busy, 32000)
-    14
+    10
     """
-    flow = max(pool.running_cpu, pool.arriving_work)
-    wanted = pool.lasting_cpu + flow + pool.waiting_work / DRAIN_S
+    wanted = pool.lasting_cpu + pool.needed_cpu * GROWTH
     needed = math.ceil(wanted / (vm_cpu * FILL))
     least = pool.lasting_vms + RESERVE
     return max(needed, least)
