Keep the runs of a worker that registers again after a takeover

Ruled out: a lease that had ended (the runs went on until they were stopped). Change: the worker takes the placeholder's place and its time limit. A restarted owner claims at once instead of waiting for its own silence; a renewal waits at most a fifth of the lease.

--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -80,6 +80,8 @@
                     random.uniform(0, START_SPREAD_S)  # noqa: S311
                 )
                 due = 'nobody owns the unit'
+            elif self._claim.node == self.node:
+                due = 'an earlier process of this node owned the unit'
             elif silent_s > threshold_s:
                 due = 'the owner is silent'
             else:
--- a/arbutusrock/engine/registry.py
+++ b/arbutusrock/engine/registry.py
@@ -131,9 +131,11 @@
         if entry is None:
             return
         worker = self.term.fleet.workers.get(entry.worker_id)
-        if worker is not None and worker.entry.address == '':
-            # A ghost has registered again.
-            worker = None
+        if worker is not None and not worker.entry.address:
+            # What an earlier owner started there may still be at work.
+            del self.term.fleet.workers[entry.worker_id]
+            self._add(entry, uncertain_until_s=worker.uncertain_until_s)
+            return
         if worker is not None and not worker.ended:
             if entry.born_ms > worker.entry.born_ms > 0:
                 self.keeper.end_life(worker, 'it was born again')
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -9,8 +9,9 @@
 
 __all__ = ['WorkerLink']
 
-# How long an answer waits for an end; a fifth of the lease.
+# How long an answer waits for an end, and which part of the lease at most.
 WAIT_S = 1.0
+WAIT_PART = 0.2
 # Least time between two renewals that bring ends, so that they collect.
 LEAST_GAP_S = 0.02
 # Pause before a worker that does not answer is asked again.
@@ -36,6 +37,7 @@
         self.worker = worker
         self.client = client
         self.spawn = spawn
+        self._wait_s = min(WAIT_S, term.lease_s * WAIT_PART)
 
     async def run(self):
         """Renew the lease until the worker's life is over.
@@ -77,7 +79,7 @@
             epoch=self.term.epoch,
             cursor=worker.cursor,
             lease_until_ms=until_ms,
-            wait_s=WAIT_S if waits and not worker.failing else 0,
+            wait_s=self._wait_s if waits and not worker.failing else 0,
         )
         if isinstance(reply, reports.HoldReport):
             if worker.failing:
--- /dev/null
+++ b/examples/standins/site/faults.py
@@ -0,0 +1,67 @@
+"""Faults of one stand-in service."""
+
+import asyncio
+
+from aiohttp import web
+
+__all__ = ['Faults']
+
+# A silent service holds calls for longer than any client waits.
+SILENT_S = 30.0
+
+
+class Faults:
+    """What is wrong with a service now.
+
+    :ivar busy: calls are refused with 503.
+    :ivar silent: calls are not answered and not carried out.
+    :ivar lose: calls are carried out and not answered.
+    :ivar late_s: calls are carried out this late and not answered.
+    :ivar delay_s: every answer waits this long.
+    :ivar only: paths that the faults apply to; empty means all.
+    """
+
+    def __init__(self):
+        self.busy = False
+        self.silent = False
+        self.lose = False
+        self.late_s = 0.0
+        self.delay_s = 0.0
+        self.only = frozenset()
+        self._late = set()
+
+    def clear(self):
+        """Be healthy again."""
+        self.busy = self.silent = self.lose = False
+        self.late_s = self.delay_s = 0.0
+        self.only = frozenset()
+
+    @web.middleware
+    async def apply(self, request, handler):
+        """Middleware that brings the faults about."""
+        if self.only and request.path not in self.only:
+            return await handler(request)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        if self.busy:
+            return web.Response(status=503)
+        if self.silent:
+            await asyncio.sleep(SILENT_S)
+            raise ConnectionResetError
+        if self.late_s:
+            await request.read()
+            task = asyncio.ensure_future(self._run_late(request, handler))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            return self._drop(request)
+        response = await handler(request)
+        return self._drop(request) if self.lose else response
+
+    async def _run_late(self, request, handler):
+        await asyncio.sleep(self.late_s)
+        await handler(request)
+
+    @staticmethod
+    def _drop(request):
+        request.transport.abort()
+        return web.Response()
--- /dev/null
+++ b/examples/standins/site/machines.py
@@ -0,0 +1,141 @@
+"""Stand-in of the platform's VM service, and of the policy service."""
+
+import asyncio
+
+from aiohttp import web
+
+from examples.standins.site import faults
+
+__all__ = ['PolicyService', 'VMService']
+
+
+class VMService:
+    """VMs in pools; moves and maintenance take ``move_s``.
+
+    :param start_life: coroutine function called with the VM's name and
+        pool when a worker is to begin there.
+    :param end_life: coroutine function called with the VM's name.
+    """
+
+    def __init__(self, *, start_life, end_life, spare_pool, move_s=0.2):
+        self.faults = faults.Faults()
+        self.start_life = start_life
+        self.end_life = end_life
+        self.spare_pool = spare_pool
+        self.move_s = move_s
+        # Name to a dict as it is listed.
+        self.vms = {}
+        self.fences = {}
+        # (what, VM, holder, fence) of orders that were carried out.
+        self.orders = []
+        self.most_down = 0
+        self.maintained = {}
+        self._tasks = set()
+
+    def create_app(self):
+        """Return the aiohttp application."""
+        app = web.Application(middlewares=[self.faults.apply])
+        app.router.add_get('/api/machines', self.list_vms)
+        app.router.add_post('/api/machine-move', self.move)
+        app.router.add_post('/api/machine-upkeep', self.maintain)
+        return app
+
+    async def list_vms(self, _request):
+        """Return all VMs."""
+        return web.json_response(
+            {
+                'machines': list(self.vms.values()),
+                'nextToken': None,
+            }
+        )
+
+    def _refuse(self, reason):
+        return web.json_response({'reason': reason}, status=409)
+
+    def _check(self, request, vm):
+        holder = request.headers['Arbutusrock-Lease-Holder']
+        fence = int(request.headers['Arbutusrock-Fencing-Token'])
+        if fence < self.fences.get(vm['machine'], 0):
+            return None
+        self.fences[vm['machine']] = fence
+        return holder, fence
+
+    async def move(self, request):
+        """Move a VM to another pool."""
+        body = await request.json()
+        vm = self.vms.get(body['machine'])
+        if vm is None:
+            return web.Response(status=400)
+        who = self._check(request, vm)
+        if who is None:
+            return self._refuse('fence')
+        if vm['pool'] == body['pool']:
+            return web.json_response({})
+        if vm['state'] != 'up':
+            return self._refuse('busy')
+        vm['pool'] = body['pool']
+        await self._take('move', vm, who, 'moving')
+        return web.json_response({})
+
+    async def maintain(self, request):
+        """Begin the maintenance of a VM."""
+        body = await request.json()
+        vm = self.vms.get(body['machine'])
+        if vm is None:
+            return web.Response(status=400)
+        who = self._check(request, vm)
+        if who is None:
+            return self._refuse('fence')
+        done = self.maintained.setdefault(body['wave'], set())
+        if vm['machine'] in done:
+            return web.json_response({})
+        if vm['state'] != 'up':
+            return self._refuse('busy')
+        done.add(vm['machine'])
+        await self._take('upkeep', vm, who, 'upkeep')
+        return web.json_response({})
+
+    async def _take(self, what, vm, who, state):
+        vm['state'] = state
+        vm['id'] = None
+        self.orders.append((what, vm['machine'], *who))
+        down = sum(
+            1 for item in self.vms.values() if item['state'] == 'upkeep'
+        )
+        self.most_down = max(self.most_down, down)
+        await self.end_life(vm['machine'])
+        task = asyncio.ensure_future(self._bring_back(vm))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _bring_back(self, vm):
+        await asyncio.sleep(self.move_s)
+        vm['state'] = 'up'
+        if vm['pool'] != self.spare_pool:
+            await self.start_life(vm['machine'], vm['pool'])
+
+
+class PolicyService:
+    """Allows the workers in ``good`` to run any step."""
+
+    def __init__(self):
+        self.faults = faults.Faults()
+        self.good = set()
+        self.asked = []
+
+    def create_app(self):
+        """Return the aiohttp application."""
+        app = web.Application(middlewares=[self.faults.apply])
+        app.router.add_post('/api/advise', self.advise)
+        return app
+
+    async def advise(self, request):
+        """Answer one question."""
+        body = await request.json()
+        self.asked.append((body['step'], tuple(body['workers'])))
+        good = [
+            [worker_id, f'ticket-{worker_id}']
+            for worker_id in body['workers']
+            if worker_id in self.good
+        ]
+        return web.json_response({'good': good, 'validMs': 3000})
--- /dev/null
+++ b/examples/standins/site/site.py
@@ -0,0 +1,334 @@
+"""All stand-ins together, and nodes of the fleet manager on them."""
+
+import asyncio
+import base64
+import itertools
+import json
+import time
+
+import aiohttp
+from aiohttp import web
+
+from arbutusrock.engine import node as node_module
+from arbutusrock.engine import node_settings
+from arbutusrock import metrics as metrics_module
+from arbutusrock.platform import adapter as adapter_module
+from arbutusrock.platform import ingress as ingress_module
+from examples.standins.site import machines
+from examples.standins.site import store as store_module
+from examples.standins.site import workers
+
+__all__ = ['Site', 'SiteNode', 'create_step']
+
+HOST = '127.0.0.1'
+KEY = 'key-1'
+REPORT_S = 0.3
+SPARE_POOL = 'spare'
+
+
+def create_step(count, **fields):
+    """Return a step of a job body."""
+    return {
+        'count': count,
+        'cpu': 1000,
+        'memMb': 100,
+        'estimateMs': 40,
+        **fields,
+    }
+
+
+async def _serve(app):
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.05)
+    await runner.setup()
+    site = web.TCPSite(runner, HOST, 0)
+    await site.start()
+    return runner, f'{HOST}:{runner.addresses[0][1]}'
+
+
+class SiteNode:
+    """One node of the fleet manager in this process."""
+
+    def __init__(self, *, node, adapter, runners, address, readiness):
+        self.node = node
+        self.adapter = adapter
+        self.runners = runners
+        self.address = address
+        self.readiness = readiness
+
+    @property
+    def is_owner(self):
+        """Whether the node owns the unit."""
+        leader = self.node.leader
+        return leader is not None and leader.journal.finished > 0
+
+    async def stop(self):
+        """End without a hand-over, as a killed process does."""
+        for runner in self.runners:
+            await runner.cleanup()
+        await self.node.stop()
+        await self.adapter.close()
+
+
+class Site:
+    """Store, VMs with workers, policy service, configuration, nodes.
+
+    :param pools: number of VMs by pool.
+    :param cores: cores of each VM.
+    """
+
+    def __init__(self, *, pools, cores=8):
+        self.pools = {**pools, SPARE_POOL: pools.get(SPARE_POOL, 0)}
+        self.cores = cores
+        self.store = store_module.MetadataStore()
+        self.policy = machines.PolicyService()
+        self.vms = machines.VMService(
+            start_life=self._start_life,
+            end_life=self._end_life,
+            spare_pool=SPARE_POOL,
+        )
+        self.ledger = []
+        self.workers = {}
+        self.nodes = []
+        self.version = 0
+        self.queues = {}
+        self.accounts = {'acme': {'apiKeys': [KEY], 'weight': 50}}
+        self._addresses = {}
+        self._runners = []
+        self._tasks = {}
+        self._life = itertools.count(1)
+        self._rack = itertools.count()
+        self.session = None
+
+    async def start(self):
+        """Start all services and the workers."""
+        self.session = aiohttp.ClientSession()
+        for name, app in (
+            ('store', self.store.create_app()),
+            ('vms', self.vms.create_app()),
+            ('policy', self.policy.create_app()),
+        ):
+            runner, self._addresses[name] = await _serve(app)
+            self._runners.append(runner)
+        for pool, count in self.pools.items():
+            for number in range(count):
+                vm = f'm-{pool}-{number}'
+                self.vms.vms[vm] = {
+                    'machine': vm,
+                    'pool': pool,
+                    'state': 'up',
+                    'zone': 'z1',
+                    'labels': ['a', f'r{next(self._rack) // 4}'],
+                    'capacity': self._get_capacity(),
+                    'id': None,
+                }
+                if pool != SPARE_POOL:
+                    await self._start_life(vm, pool)
+            if pool != SPARE_POOL:
+                self.queues[pool] = {}
+        await self.configure()
+
+    def _get_capacity(self):
+        return {'cpu': self.cores * 1000, 'memMb': 65536, 'gpus': 0}
+
+    async def stop(self):
+        """End everything."""
+        for node in list(self.nodes):
+            await self.stop_node(node)
+        for vm in list(self._tasks):
+            await self._end_life(vm)
+        for runner in self._runners:
+            await runner.cleanup()
+        await self.session.close()
+
+    async def configure(self, **changes):
+        """Write a new version of the configuration."""
+        self.version += 3
+        routes = [
+            {
+                'name': f'r-{pool}',
+                'host': f'{pool}.example',
+                'pathPrefix': '/jobs/',
+                'type': 'unsafe',
+                'service': pool,
+                'sloMs': 600,
+                'priority': 0,
+                'maxAttempts': 3,
+                'stretch': 2.0,
+                'public': False,
+                **fields,
+            }
+            for pool, fields in self.queues.items()
+        ]
+        document = {
+            'version': self.version,
+            'routes': routes,
+            'services': [
+                {'name': pool, 'spare': pool == SPARE_POOL}
+                for pool in self.pools
+            ],
+            'limits': {},
+            'tenants': [
+                {'name': name, **fields}
+                for name, fields in self.accounts.items()
+            ],
+            **changes,
+        }
+        await self._put_document('op', 'config', document)
+
+    async def _put_document(self, table, key, document):
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        await self.store.put(table, key, value)
+
+    async def order_wave(self, number, vms, *, duration_s, most):
+        """Write an operator's order for maintenance."""
+        document = {
+            'wave': number,
+            'machines': vms,
+            'durationS': duration_s,
+            'maximum': most,
+        }
+        await self._put_document('op', f'wave/{number}', document)
+
+    def get_wave_state(self, number):
+        """Return what the operator reads about a wave."""
+        value, _ = self.store.rows.get(
+            ('status', '', f'wave/{number}'), (None, 0)
+        )
+        return json.loads(base64.b64decode(value))['state'] if value else None
+
+    # Workers.
+
+    async def _start_life(self, vm, pool):
+        worker_id = f'i-{next(self._life):04d}'
+        worker = workers.StandInWorker(worker_id=worker_id, ledger=self.ledger)
+        runner, address = await _serve(worker.create_app())
+        self.workers[vm] = worker
+        self.vms.vms[vm]['id'] = worker_id
+        tasks = [
+            asyncio.ensure_future(worker.watch_lease()),
+            asyncio.ensure_future(self._report(vm, pool, worker, address)),
+        ]
+        self._tasks[vm] = (tasks, runner)
+        await self.write_entry(vm, pool, worker, address)
+
+    async def _report(self, vm, pool, worker, address):
+        while True:
+            await asyncio.sleep(REPORT_S)
+            await self.write_entry(vm, pool, worker, address)
+
+    async def write_entry(self, vm, pool, worker, address, **fields):
+        """Register a worker."""
+        entry = {
+            'service': pool,
+            'address': address,
+            'zone': 'z1',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'coldRemainingMs': 0,
+            'capacity': self._get_capacity(),
+            'labels': self.vms.vms[vm]['labels'],
+            'machine': vm,
+            'born': worker.born_ms,
+            'clockMs': int(worker.clock_ms),
+            'seq': int(time.monotonic() * 1000),
+            **fields,
+        }
+        await self._put_document('servers', worker.worker_id, entry)
+
+    async def _end_life(self, vm):
+        if vm not in self._tasks:
+            return
+        tasks, runner = self._tasks.pop(vm)
+        for task in tasks:
+            task.cancel()
+        worker = self.workers.pop(vm)
+        worker.die()
+        await runner.cleanup()
+        await self.store.put('servers', worker.worker_id, None)
+
+    async def crash_worker(self, vm):
+        """End a worker without a word; its registration lapses."""
+        await self._end_life(vm)
+        self.vms.vms[vm]['id'] = None
+
+    # Nodes.
+
+    async def start_node(self, name='n1', **changes):
+        """Start one node of the fleet manager.
+
+        :returns: :class:`SiteNode`.
+        """
+        settings = node_settings.NodeSettings(
+            name=name,
+            address=HOST,
+            data_centre='z1',
+            callers=f'{HOST}:0',
+            readiness=f'{HOST}:0',
+            peer_port=0,
+            store=self._addresses['store'],
+            vm_service=self._addresses['vms'],
+            advice_service=self._addresses['policy'],
+            move_s=self.vms.move_s,
+            **changes,
+        )
+        metrics = metrics_module.Metrics()
+        adapter = adapter_module.PlatformAdapter(
+            settings=settings, meter=metrics
+        )
+        node = node_module.Node(
+            settings=settings, adapter=adapter, metrics=metrics
+        )
+        ingress = ingress_module.Ingress(node=node)
+        await node.start()
+        runners, addresses = [], []
+        for handler in (ingress.handle, ingress.handle_readiness):
+            runner = web.ServerRunner(
+                web.Server(handler, access_log=None), shutdown_timeout=0.05
+            )
+            await runner.setup()
+            await web.TCPSite(runner, HOST, 0).start()
+            runners.append(runner)
+            addresses.append(f'{HOST}:{runner.addresses[0][1]}')
+        site_node = SiteNode(
+            node=node,
+            adapter=adapter,
+            runners=runners,
+            address=addresses[0],
+            readiness=addresses[1],
+        )
+        self.nodes.append(site_node)
+        return site_node
+
+    async def stop_node(self, site_node):
+        """Kill a node."""
+        self.nodes.remove(site_node)
+        await site_node.stop()
+
+    # Callers.
+
+    async def call(self, method, pool, rest, *, node=None, key=KEY, body=None):
+        """Make one call.
+
+        :returns: ``(status, decoded body or None)``.
+        """
+        node = node or self.nodes[0]
+        async with self.session.request(
+            method,
+            f'http://{node.address}/jobs/{rest}',
+            headers={'Host': f'{pool}.example', 'Arbutusrock-Key': key},
+            json=body,
+        ) as reply:
+            text = await reply.text()
+            return reply.status, json.loads(text) if text else None
+
+    async def submit(self, pool, job_id, steps, *, spec='', node=None, **more):
+        """Submit a job; returns the status."""
+        body = {'spec': spec, 'steps': steps, **more}
+        status, _ = await self.call('POST', pool, job_id, node=node, body=body)
+        return status
+
+    async def get_state(self, pool, job_id, node=None):
+        """Return the state of a job."""
+        status, body = await self.call('GET', pool, job_id, node=node)
+        return body['state'] if status == 200 else status
--- /dev/null
+++ b/examples/standins/site/workers.py
@@ -0,0 +1,204 @@
+"""Stand-in worker: runs tasks under a lease, keeps a ledger of them.
+
+A task's ``spec`` may hold JSON: ``ms`` (duration), ``fail`` (it fails).
+"""
+
+import asyncio
+import json
+import time
+
+from aiohttp import web
+
+from examples.standins.site import faults
+
+__all__ = ['LedgerLine', 'StandInWorker']
+
+DEFAULT_MS = 40
+STARTUP_S = 0.02
+# Where the middleware leaves the decoded body.
+BODY = web.RequestKey('body', dict)
+
+
+class LedgerLine:
+    """One run as the worker saw it."""
+
+    __slots__ = ('worker_id', 'task', 'run', 'spec', 'begin_s', 'end_s', 'how')
+
+    def __init__(self, *, worker_id, task, run, spec):
+        self.worker_id = worker_id
+        self.task = task
+        self.run = run
+        self.spec = spec
+        self.begin_s = time.monotonic()
+        self.end_s = None
+        self.how = None
+
+
+class _Refused(Exception):
+    def __init__(self, reason):
+        super().__init__(reason)
+        self.reason = reason
+
+
+class StandInWorker:
+    """One life of a worker.
+
+    :param worker_id: id of this life.
+    :param ledger: list that gets a :class:`LedgerLine` for each run.
+    """
+
+    def __init__(self, *, worker_id, ledger):
+        self.worker_id = worker_id
+        self.ledger = ledger
+        self.faults = faults.Faults()
+        self.born_ms = int(time.time() * 1000)
+        self.began_s = time.monotonic()
+        self.fence = 0
+        self.lease_until_ms = 0.0
+        self.running = {}
+        self.ended = []
+        self.ends = 0
+        self.closed_runs = {}
+        self.paces = {}
+        self._timers = {}
+        self._changed = asyncio.Condition()
+
+    def create_app(self):
+        """Return the aiohttp application."""
+        app = web.Application(middlewares=[self.faults.apply, self._check])
+        app.router.add_post('/api/run-start', self.start)
+        app.router.add_post('/api/run-stop', self.stop)
+        app.router.add_post('/api/hold', self.hold)
+        app.router.add_post('/api/pace', self.pace)
+        return app
+
+    @web.middleware
+    async def _check(self, request, handler):
+        if request.headers['Arbutusrock-Expected-Instance'] != self.worker_id:
+            return web.Response(status=421)
+        body = await request.json()
+        try:
+            self._check_fence(body.get('fenceToken', 0))
+            request[BODY] = body
+            return await handler(request)
+        except _Refused as exc:
+            return self._answer(status=409, reason=exc.reason)
+
+    def _check_fence(self, fence):
+        if fence < self.fence:
+            raise _Refused('fence')
+        self.fence = fence
+
+    @property
+    def clock_ms(self):
+        """The steady clock of this life."""
+        return (time.monotonic() - self.began_s) * 1000
+
+    def _answer(self, status=200, **fields):
+        return web.json_response(
+            {'clockMs': int(self.clock_ms), **fields}, status=status
+        )
+
+    def _extend(self, until_ms):
+        self.lease_until_ms = max(self.lease_until_ms, until_ms or 0)
+
+    async def start(self, request):
+        """Start a run."""
+        body = request[BODY]
+        task, run = body['task'], body['run']
+        self._extend(body['deadlineMs'])
+        if task in self.running and self.running[task].run == run:
+            return self._answer()
+        if run <= self.closed_runs.get(task, 0) or task in self.running:
+            raise _Refused('old')
+        if body['deadlineMs'] < self.clock_ms:
+            raise _Refused('late')
+        line = LedgerLine(
+            worker_id=self.worker_id, task=task, run=run, spec=body['spec']
+        )
+        self.ledger.append(line)
+        self.running[task] = line
+        self._timers[task] = asyncio.ensure_future(self._work(line))
+        return self._answer()
+
+    async def _work(self, line):
+        try:
+            wish = json.loads(line.spec)
+        except ValueError:
+            wish = {}
+        if wish.get('lasts'):
+            return
+        await asyncio.sleep(wish.get('ms', DEFAULT_MS) / 1000)
+        await self._end(line, 'failed' if wish.get('fail') else 'done')
+
+    async def _end(self, line, how):
+        if self.running.get(line.task) is not line:
+            return
+        del self.running[line.task]
+        line.end_s, line.how = time.monotonic(), how
+        self.closed_runs[line.task] = line.run
+        self.ends += 1
+        self.ended.append([self.ends, line.task, line.run, how, ''])
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def stop(self, request):
+        """Stop a run, also one that comes later."""
+        body = request[BODY]
+        task, run = body['task'], body['run']
+        line = self.running.get(task)
+        if line is not None and line.run <= run:
+            self._timers[task].cancel()
+            await self._end(line, 'stopped')
+        self.closed_runs[task] = max(run, self.closed_runs.get(task, 0))
+        return self._answer()
+
+    async def pace(self, request):
+        """Let a run work at a share of its speed."""
+        body = request[BODY]
+        self.paces[body['task']] = body['percent']
+        return self._answer()
+
+    async def hold(self, request):
+        """Renew the lease and tell what runs and has ended."""
+        body = request[BODY]
+        self._extend(body.get('deadlineMs'))
+        cursor = body['ackCursor']
+        self.ended = [end for end in self.ended if end[0] > cursor]
+        try:
+            async with (
+                asyncio.timeout(body.get('waitMs', 0) / 1000),
+                self._changed,
+            ):
+                await self._changed.wait_for(lambda: self.ended)
+        except TimeoutError:
+            # Nothing has ended in time.
+            pass
+        running = [
+            [line.task, line.run, '', self._get_percent(line)]
+            for line in self.running.values()
+        ]
+        return self._answer(
+            running=running, ended=self.ended[:500], born=self.born_ms
+        )
+
+    @staticmethod
+    def _get_percent(line):
+        return 100 if time.monotonic() - line.begin_s > STARTUP_S else 0
+
+    async def watch_lease(self):
+        """Kill everything when the lease ends."""
+        while True:
+            await asyncio.sleep(0.02)
+            if self.running and self.clock_ms > self.lease_until_ms:
+                for line in list(self.running.values()):
+                    self._timers[line.task].cancel()
+                    await self._end(line, 'lapsed')
+
+    def die(self):
+        """End this life: what runs ends with it."""
+        for timer in self._timers.values():
+            timer.cancel()
+        for line in self.running.values():
+            line.end_s, line.how = time.monotonic(), 'lost'
+        self.running.clear()
--- /dev/null
+++ b/tests/test_site.py
@@ -0,0 +1,233 @@
+"""The whole path on the stand-ins of the users' platform."""
+
+import time
+
+import pytest
+
+from examples.standins.site import Site
+from examples.standins.site.site import create_step
+from examples.standins.site.workers import LedgerLine
+from tests import site_checks
+from tests.site_checks import start_nodes
+from tests.site_checks import wait_state
+
+JOB = site_checks.JOB
+OTHER = '00000000000000b2'
+
+
+@pytest.fixture
+async def site():
+    """Two pools with two VMs each, and spare ones."""
+    stand_in = Site(pools={'alpha': 2, 'beta': 2, 'spare': 2})
+    await stand_in.start()
+    yield stand_in
+    await stand_in.stop()
+    site_checks.check_ledger(stand_in.ledger)
+
+
+async def test_a_job_of_two_steps_is_completed_in_order(site):
+    await start_nodes(site, 1)
+    steps = [create_step(3), create_step(2, after=[0])]
+    assert await site.submit('alpha', JOB, steps) == 200
+    await wait_state(site, 'completed')
+    first = [
+        line for line in site.ledger if line.task.startswith(f'{JOB}.0.0')
+    ]
+    second = [
+        line for line in site.ledger if line.task.startswith(f'{JOB}.0.1')
+    ]
+    assert (len(first), len(second)) == (3, 2)
+    assert max(line.end_s for line in first) <= min(
+        line.begin_s for line in second
+    )
+
+
+async def test_the_same_id_is_one_job_at_every_node(site):
+    nodes = await start_nodes(site, 3)
+    for node in nodes:
+        status = await site.submit('alpha', JOB, [create_step(2)], node=node)
+        assert status == 200
+    await wait_state(site, 'completed', node=nodes[2])
+    assert len(site.ledger) == 2
+
+
+async def test_keys_and_queues_decide_who_is_served(site):
+    await start_nodes(site, 1)
+    calls = (
+        (('POST', 'alpha', JOB), {'key': 'other'}, 401),
+        (('POST', 'gamma', JOB), {}, 404),
+        (('GET', 'alpha', OTHER), {}, 410),
+        (('DELETE', 'alpha', OTHER), {}, 410),
+        (('GET', 'alpha', 'not-an-id'), {}, 404),
+    )
+    for call, options, expected in calls:
+        body = {'spec': '', 'steps': [create_step(1)]}
+        body = body if call[0] == 'POST' else None
+        status, _ = await site.call(*call, body=body, **options)
+        assert status == expected, call
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        {'steps': []},
+        {'spec': '', 'steps': []},
+        {'spec': '', 'steps': [create_step(0)]},
+        {'spec': '', 'steps': [create_step(1, after=[0])]},
+        {'spec': 'x' * 4001, 'steps': [create_step(1)]},
+        {'spec': '', 'steps': [create_step(1)], 'times': 2},
+        [],
+    ],
+)
+async def test_a_body_that_breaks_a_rule_is_refused(site, body):
+    await start_nodes(site, 1)
+    status, answer = await site.call('POST', 'alpha', JOB, body=body)
+    assert status == 400
+    assert answer['error']
+    assert await site.get_state('alpha', JOB) == 410
+
+
+async def test_a_withdrawn_key_stops_working(site):
+    await start_nodes(site, 1)
+    site.accounts['acme']['apiKeys'] = ['another']
+    await site.configure()
+
+    async def is_refused():
+        return await site.submit('alpha', JOB, [create_step(1)]) == 401
+
+    await site_checks.wait_until(is_refused, what='the key is refused')
+
+
+async def test_an_older_configuration_is_not_taken(site):
+    (node,) = await start_nodes(site, 1)
+    newest = site.version
+    await site.configure(version=1)
+    site.queues['late'] = {'service': 'alpha'}
+    await site.configure()
+    await site_checks.wait_until(
+        lambda: node.node.configuration.current.version == site.version,
+        what='the newest configuration',
+    )
+    assert site.version > newest
+
+
+async def test_a_cancelled_job_stops_and_stays_cancelled(site):
+    await start_nodes(site, 2)
+    await site.submit('alpha', JOB, [create_step(2)], spec='{"ms": 60000}')
+    await site_checks.wait_until(
+        lambda: len(site.ledger) == 2, what='both tasks start'
+    )
+    status, _ = await site.call('DELETE', 'alpha', JOB, node=site.nodes[1])
+    assert status == 200
+    await wait_state(site, 'cancelled')
+    await site_checks.wait_until(
+        lambda: all(line.how == 'stopped' for line in site.ledger),
+        what='both tasks are stopped',
+    )
+
+
+async def test_a_task_that_always_fails_uses_its_attempts(site):
+    await start_nodes(site, 1)
+    await site.submit('alpha', JOB, [create_step(1)], spec='{"fail": 1}')
+    await wait_state(site, 'failed')
+    assert len(site.ledger) == 3
+    assert len({line.worker_id for line in site.ledger}) == 2
+
+
+async def test_an_upper_limit_holds_over_pools(site):
+    await start_nodes(site, 1)
+    site.accounts['acme']['maximum'] = {'cpu': 3000}
+    await site.configure()
+    await site_checks.wait_until(
+        lambda: (
+            site.nodes[0].node.configuration.current.version == site.version
+        ),
+        what='the limit is in force',
+    )
+    for pool, job in (('alpha', JOB), ('beta', OTHER)):
+        assert await site.submit(pool, job, [create_step(6)]) == 200
+    for pool, job in (('alpha', JOB), ('beta', OTHER)):
+        await wait_state(site, 'completed', job, pool)
+    # All ids begin with zeros, so both jobs are counted together.
+    site_checks.check_ledger(site.ledger, limit_by_job={'0': 3})
+
+
+async def test_a_worker_is_not_filled_over_its_room(site):
+    await start_nodes(site, 1)
+    await site.submit('alpha', JOB, [create_step(12, cpu=3000)])
+    await wait_state(site, 'completed')
+    for worker in {line.worker_id for line in site.ledger}:
+        lines = [line for line in site.ledger if line.worker_id == worker]
+        for line in lines:
+            beside = [
+                other
+                for other in lines
+                if other.begin_s <= line.begin_s < other.end_s
+            ]
+            assert len(beside) <= 2
+
+
+async def test_a_gang_runs_under_one_number(site):
+    await start_nodes(site, 1)
+    await site.submit('alpha', JOB, [create_step(4, gang=True)])
+    await wait_state(site, 'completed')
+    assert len({line.run for line in site.ledger}) == 1
+
+
+async def test_times_start_when_they_are_due(site):
+    await start_nodes(site, 1)
+    begin_ms = time.time() * 1000 + 300
+    status = await site.submit(
+        'alpha',
+        JOB,
+        [create_step(1)],
+        times=3,
+        startAtMs=begin_ms,
+        intervalMs=200,
+    )
+    assert status == 200
+    await wait_state(site, 'completed')
+    offset_s = time.time() - time.monotonic()
+    for number, line in enumerate(site.ledger):
+        due_s = begin_ms / 1000 + 0.2 * number
+        assert line.task == f'{JOB}.{number}.0.0'
+        assert line.begin_s + offset_s >= due_s - 0.25
+
+
+async def test_a_step_with_a_policy_runs_where_it_allows(site):
+    site.queues['alpha'] = {
+        'advice': {'decideMs': 1, 'eachMs': 1, 'validMs': 3000}
+    }
+    await site.configure()
+    allowed = site.workers['m-alpha-1'].worker_id
+    site.policy.good = {allowed}
+    await start_nodes(site, 1)
+    await site.submit('alpha', JOB, [create_step(4)])
+    await wait_state(site, 'completed')
+    assert {line.worker_id for line in site.ledger} == {allowed}
+
+
+async def test_waiting_counts_jobs_without_a_start(site):
+    nodes = await start_nodes(site, 2)
+    await site.submit('alpha', JOB, [create_step(1, requires='nowhere')])
+
+    async def is_counted():
+        status, body = await site.call('GET', 'alpha', '', node=nodes[1])
+        return status == 200 and body == {'waiting': 1}
+
+    await site_checks.wait_until(is_counted, what='the job is counted')
+
+
+def test_the_check_finds_planted_faults():
+    def line(task, run, begin_s, end_s, how):
+        item = LedgerLine(worker_id='w', task=task, run=run, spec='')
+        item.begin_s, item.end_s, item.how = begin_s, end_s, how
+        return item
+
+    find = site_checks.find_broken
+    twice = [line('a', 1, 0, 2, 'done'), line('a', 2, 1, 3, 'done')]
+    assert len(list(find(twice))) == 2
+    falling = [line('a', 2, 0, 1, 'failed'), line('a', 1, 2, 3, 'done')]
+    assert 'do not rise' in next(find(falling))
+    wide = [line('a', 1, 0, 2, 'done'), line('a1', 1, 1, 3, 'done')]
+    assert 'over 1' in next(find(wide, limit_by_job={'a': 1}))
--- /dev/null
+++ b/tests/test_site_faults.py
@@ -0,0 +1,202 @@
+"""Faults of nodes, store and workers on the stand-ins of the platform."""
+
+import asyncio
+
+import pytest
+
+from arbutusrock.engine import ownership
+from examples.standins.site import Site
+from examples.standins.site.site import create_step
+from tests import site_checks
+from tests.site_checks import JOB
+from tests.site_checks import start_nodes
+from tests.site_checks import wait_owner
+from tests.site_checks import wait_state
+from tests.site_checks import wait_until
+
+LASTING = '{"lasts": 1}'
+LONG = '{"ms": 1500}'
+START = frozenset({'/api/run-start'})
+HOLD = frozenset({'/api/hold'})
+
+
+@pytest.fixture
+async def site():
+    """One pool with three VMs."""
+    stand_in = Site(pools={'alpha': 3})
+    await stand_in.start()
+    yield stand_in
+    await stand_in.stop()
+    site_checks.check_ledger(stand_in.ledger)
+
+
+def count_running(site):
+    return sum(len(worker.running) for worker in site.workers.values())
+
+
+async def test_a_new_owner_takes_over_what_runs(site):
+    nodes = await start_nodes(site, 2)
+    lasting = create_step(3, longRunning=True, mayMiss=1)
+    await site.submit('alpha', JOB, [lasting], spec=LASTING)
+    await site.submit('alpha', '0' * 16, [create_step(3)], spec=LONG)
+    await wait_until(lambda: len(site.ledger) == 6, what='all tasks start')
+    owner = next(node for node in nodes if node.is_owner)
+    await site.stop_node(owner)
+    await wait_owner(site)
+    await wait_state(site, 'completed', '0' * 16)
+    assert len(site.ledger) == 6
+    assert count_running(site) == 3
+
+
+async def test_ends_that_only_the_old_owner_knew_start_nothing_twice(site):
+    """The second step runs before the first one's ends are durable."""
+    nodes = await start_nodes(site, 2)
+    steps = [create_step(2), create_step(2, after=[0])]
+    spec = '{"ms": 400}'
+    await site.submit('alpha', JOB, steps, spec=spec)
+    await wait_until(lambda: len(site.ledger) == 2, what='step 0 starts')
+    site.store.faults.busy = True
+    await wait_until(lambda: len(site.ledger) == 4, what='step 1 starts')
+    owner = next(node for node in nodes if node.is_owner)
+    await site.stop_node(owner)
+    site.store.faults.clear()
+    await wait_owner(site)
+    await wait_state(site, 'completed')
+    assert len(site.ledger) == 4
+
+
+async def test_a_restarted_owner_does_not_wait_for_itself(site, monkeypatch):
+    await start_nodes(site, 1)
+    monkeypatch.setattr(ownership, 'TAKEOVER_S', 1000.0)
+    await site.stop_node(site.nodes[0])
+    await site.start_node('n1')
+    await wait_owner(site)
+
+
+async def test_a_silent_worker_loses_its_lease(site):
+    await start_nodes(site, 1, longest_lease_s=1.0)
+    await site.submit(
+        'alpha', JOB, [create_step(1, longRunning=True)], spec=LASTING
+    )
+    await wait_until(lambda: site.ledger, what='the task starts')
+    worker = next(item for item in site.workers.values() if item.running)
+    worker.faults.silent = True
+    await wait_until(lambda: len(site.ledger) == 2, what='it starts again')
+    assert site.ledger[0].how == 'lapsed'
+
+
+async def test_an_order_that_arrives_late_starts_nothing_twice(site):
+    await start_nodes(site, 1)
+    for worker in site.workers.values():
+        worker.faults.only = START
+        worker.faults.late_s = 1.5
+    await site.submit('alpha', JOB, [create_step(3)], spec='{"ms": 300}')
+    await asyncio.sleep(0.3)
+    for worker in site.workers.values():
+        worker.faults.clear()
+    await wait_state(site, 'completed')
+    await asyncio.sleep(1.5)
+    done = [line for line in site.ledger if line.how == 'done']
+    assert len(done) == 3
+
+
+async def test_a_store_that_loses_answers_stores_a_job_once(site):
+    await start_nodes(site, 1)
+    site.store.faults.lose = True
+    submitted = asyncio.ensure_future(
+        site.submit('alpha', JOB, [create_step(2)])
+    )
+    await asyncio.sleep(0.2)
+    site.store.faults.clear()
+    assert await submitted == 200
+    await wait_state(site, 'completed')
+    assert len(site.ledger) == 2
+
+
+async def test_a_refused_job_never_runs(site):
+    (node,) = await start_nodes(site, 1)
+    site.store.faults.busy = True
+    status, _ = await site.call(
+        'POST', 'alpha', JOB, body={'spec': '', 'steps': [create_step(1)]}
+    )
+    assert status == 503
+    site.store.faults.clear()
+    await wait_until(
+        lambda: node.node.configuration.age_s < 1, what='the store is back'
+    )
+    assert await site.get_state('alpha', JOB) == 410
+    assert not site.ledger
+
+
+async def test_work_goes_on_while_the_store_is_down(site):
+    await start_nodes(site, 1)
+    steps = [create_step(2), create_step(2, after=[0])]
+    await site.submit('alpha', JOB, steps, spec='{"ms": 300}')
+    await wait_until(lambda: len(site.ledger) == 2, what='step 0 starts')
+    site.store.faults.silent = True
+    await wait_until(
+        lambda: sum(line.how == 'done' for line in site.ledger) == 4,
+        what='all tasks are done',
+    )
+    site.store.faults.clear()
+    await wait_state(site, 'completed')
+
+
+async def test_history_that_was_dropped_is_read_anew(site):
+    await start_nodes(site, 2)
+    site.store.history_from = 10**9
+    await asyncio.sleep(0.1)
+    await site.submit('alpha', JOB, [create_step(2)])
+    await asyncio.sleep(1.5)
+    site.store.history_from = 0
+    await wait_state(site, 'completed')
+
+
+async def test_a_crashed_worker_has_its_tasks_run_elsewhere(site):
+    await start_nodes(site, 1, longest_lease_s=1.0)
+    await site.submit('alpha', JOB, [create_step(3, cpu=5000)], spec=LONG)
+    await wait_until(lambda: len(site.ledger) == 3, what='all tasks start')
+    await site.crash_worker('m-alpha-0')
+    await wait_state(site, 'completed')
+
+
+async def test_a_planned_stop_hands_the_unit_over(site, monkeypatch):
+    nodes = await start_nodes(site, 2)
+    monkeypatch.setattr(ownership, 'TAKEOVER_S', 1000.0)
+    owner = next(node for node in nodes if node.is_owner)
+    await owner.node.hand_over()
+    await wait_until(
+        lambda: next(n for n in nodes if n is not owner).is_owner,
+        what='the other node owns the unit',
+    )
+
+
+async def test_a_worker_that_registers_after_a_takeover_keeps_its_runs(site):
+    """Its registration had lapsed when the new owner began."""
+    nodes = await start_nodes(site, 2)
+    step = create_step(2, longRunning=True)
+    await site.submit('alpha', JOB, [step], spec=LASTING)
+    await wait_until(lambda: len(site.ledger) == 2, what='both tasks start')
+    vm = next(vm for vm, item in site.workers.items() if item.running)
+    worker = site.workers[vm]
+    owner = next(node for node in nodes if node.is_owner)
+    await wait_until(
+        lambda: owner.node.leader.journal.roster, what='a roster'
+    )
+    tasks, runner = site._tasks[vm]
+    tasks[1].cancel()
+    await site.store.put('servers', worker.worker_id, None)
+    await site.stop_node(owner)
+    await wait_owner(site)
+    address = f'127.0.0.1:{runner.addresses[0][1]}'
+    await site.write_entry(vm, 'alpha', worker, address)
+    leader = site.nodes[0].node.leader
+    await wait_until(
+        lambda: any(
+            item.known and item.runs
+            for item in leader.term.fleet.workers.values()
+        ),
+        what='the worker answers',
+    )
+    await asyncio.sleep(0.5)
+    assert len(site.ledger) == 2
--- /dev/null
+++ b/tests/test_site_vms.py
@@ -0,0 +1,115 @@
+"""Pools, waves and draining workers on the stand-ins of the platform."""
+
+import pytest
+
+from examples.standins.site import Site
+from examples.standins.site.site import create_step
+from tests import site_checks
+from tests.site_checks import JOB
+from tests.site_checks import start_nodes
+from tests.site_checks import wait_owner
+from tests.site_checks import wait_state
+from tests.site_checks import wait_until
+
+LASTING = '{"lasts": 1}'
+
+
+@pytest.fixture
+async def site():
+    """Two pools, one of them idle, and VMs that are off."""
+    stand_in = Site(pools={'alpha': 2, 'beta': 4, 'spare': 2})
+    await stand_in.start()
+    yield stand_in
+    await stand_in.stop()
+    site_checks.check_ledger(stand_in.ledger)
+
+
+def count_pool(site, pool):
+    return sum(1 for vm in site.vms.vms.values() if vm['pool'] == pool)
+
+
+async def test_idle_vms_are_switched_off(site):
+    await start_nodes(site, 1)
+    await wait_until(
+        lambda: count_pool(site, 'beta') == 1, what='one VM is kept'
+    )
+
+
+async def test_a_burst_brings_idle_vms(site):
+    await start_nodes(site, 1)
+    for number in range(12):
+        await site.submit(
+            'alpha',
+            f'{number:016x}',
+            [create_step(6, cpu=4000, estimateMs=1000)],
+            spec='{"ms": 1000}',
+        )
+    await wait_until(
+        lambda: count_pool(site, 'alpha') >= 5, what='VMs come to the burst'
+    )
+    for number in range(12):
+        await wait_state(site, 'completed', f'{number:016x}')
+
+
+async def test_a_wave_keeps_its_bound_over_a_takeover(site):
+    nodes = await start_nodes(site, 2)
+    step = create_step(2, longRunning=True, mayMiss=1, antiAffinity=1)
+    await site.submit('alpha', JOB, [step], spec=LASTING)
+    await wait_until(lambda: len(site.ledger) == 2, what='both tasks start')
+    names = sorted(site.vms.vms)
+    await site.order_wave(1, names, duration_s=30, most=2)
+    await wait_until(
+        lambda: len(site.vms.maintained.get(1, ())) >= 2,
+        what='the wave has begun',
+    )
+    await site.stop_node(next(node for node in nodes if node.is_owner))
+    await wait_owner(site)
+    await wait_until(
+        lambda: site.get_wave_state(1) == 'completed', what='the wave ends'
+    )
+    assert site.vms.maintained[1] == set(names)
+    assert site.vms.most_down <= 2
+    fences = {}
+    for _, vm, holder, fence in site.vms.orders:
+        assert fence >= fences.get(vm, (0, ''))[0]
+        fences[vm] = (fence, holder)
+
+
+async def test_a_serving_step_misses_one_task_at_most_in_a_wave(site):
+    await start_nodes(site, 1)
+    step = create_step(3, longRunning=True, mayMiss=1)
+    await site.submit('beta', JOB, [step], spec=LASTING)
+    await wait_until(lambda: len(site.ledger) == 3, what='all tasks start')
+    names = [name for name in site.vms.vms if 'beta' in name]
+    await site.order_wave(1, names, duration_s=20, most=1)
+    await wait_until(
+        lambda: site.get_wave_state(1) == 'completed', what='the wave ends'
+    )
+    ends = sorted(line.end_s for line in site.ledger if line.end_s)
+    for end_s in ends:
+        at_work = [
+            line
+            for line in site.ledger
+            if line.begin_s < end_s and (not line.end_s or line.end_s > end_s)
+        ]
+        assert len(at_work) >= 2
+
+
+async def test_a_draining_worker_gets_nothing_and_is_emptied(site):
+    await start_nodes(site, 1)
+    step = create_step(2, longRunning=True, mayMiss=1)
+    await site.submit('alpha', JOB, [step], spec=LASTING)
+    await wait_until(lambda: len(site.ledger) == 2, what='both tasks start')
+    vm = next(vm for vm, item in site.workers.items() if item.running)
+    worker = site.workers[vm]
+    tasks, runner = site._tasks[vm]
+    tasks[1].cancel()
+    address = f'127.0.0.1:{runner.addresses[0][1]}'
+    await site.write_entry(
+        vm, 'alpha', worker, address, state='draining', remainingMs=2000
+    )
+    await wait_until(lambda: not worker.running, what='it is emptied')
+    await wait_until(
+        lambda: sum(len(w.running) for w in site.workers.values()) == 2,
+        what='both tasks run again',
+    )
