--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -186,6 +186,8 @@
     tasks, runner = site._tasks[vm]
     tasks[1].cancel()
     await site.store.put('servers', worker.worker_id, None)
+    # Its first answer comes after the next pass over waiting tasks.
+    worker.faults.delay_s = 0.3
     await site.stop_node(owner)
     await wait_owner(site)
     address = f'127.0.0.1:{runner.addresses[0][1]}'
