Pass permits while a write to the silent store is still under way

The idle one's settling write was repeated for 6 s, its lock kept permits from being given, and after a failure demand waited for a fixed 0.5 s. Ruled out: lost permits (10 of 12 stayed known), slots. Change: a settling is given up like an unanswered write after 1.2 s; demand ends the pause after a failure.

--- a/arbutusrock/contracts/permits.py
+++ b/arbutusrock/contracts/permits.py
@@ -31,6 +31,9 @@
 SETTLE_TRIES = 4
 ADOPT_TRIES = 8
 RETRY_S = 0.5
+LEAST_RETRY_S = 0.02
+# A little longer than it takes to call the store silent.
+SETTLE_TIMEOUT_S = 1.2
 REFRESH_S = 5.0
 GIFT_TTL_S = 2.0
 KEPT_GIFTS = 1000
@@ -195,15 +198,31 @@
             for name in due:
                 failed |= not await self._settle_safely(name)
             if failed:
-                await self.sleep(RETRY_S)
+                await self._wait_retry()
+
+    async def _wait_retry(self):
+        """Wait before the next try, but no longer than until new demand.
+
+        While the store is silent, permits pass to the members in need, and
+        their digests ask for that.
+        """
+        try:
+            await asyncio.wait_for(self._wake.wait(), RETRY_S)
+        except TimeoutError:
+            return
+        await self.sleep(LEAST_RETRY_S)
 
     async def _settle_safely(self, name):
+        team = self._get_team(name)
         try:
-            async with self._get_team(name).lock:
+            async with team.lock:
                 if not self.platform.silent:
-                    return await self._settle(name)
-        except errors.StoreUnavailable:
-            self._get_team(name).uncertain = True
+                    # Given up like an unanswered write once the store is
+                    # silent: peers in need are not to wait for it.
+                    async with asyncio.timeout(SETTLE_TIMEOUT_S):
+                        return await self._settle(name)
+        except (errors.StoreUnavailable, TimeoutError):
+            team.uncertain = True
         self._due.add(name)
         self._give_to_peers(name)
         return False
