Act on slow and stalled runs, pace filling tasks, rank excess jobs last

Cause: runs on slow and hanging workers were waited for; an account that sends many times its rate went before others. Change: stragglers are judged against siblings on other VMs as of the last report; SendingRates; Pacer.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -203,6 +203,35 @@
             ticket=self.tickets.get_ticket(task.step, worker.worker_id),
         )
 
+    def _find_place(self, task):
+        """Return a worker for one more run of a task, or None."""
+        term, step = self.term, task.step
+        now_s = clocks.now_s()
+        workers = [
+            worker
+            for worker in term.fleet.find_pool(step.job.submission.pool)
+            if worker.usable
+            and worker.worker_id in self.links
+            and worker.vm not in task.avoided_vms
+            and not term.standing.is_doubtful(worker.vm, now_s)
+        ]
+        allowed = self.tickets.get_allowed(step, workers, now_s)
+        wish = self._create_wish(step, task, frozenset(), allowed)
+        return placement.choose_worker(workers, wish)
+
+    def has_room(self, task):
+        """Return whether a task could run elsewhere at once."""
+        return self._find_place(task) is not None
+
+    def start_copy(self, task):
+        """Start one more run of a task; return whether there was room."""
+        worker = self._find_place(task)
+        if worker is None or not self._fits_limit(task.step, 1):
+            return False
+        number = self.term.create_run_number()
+        self._start(task, worker, number, clocks.now_s())
+        return True
+
     def _rank(self, step, now_s):
         job = step.job
         rank = self._ranks.get(job.job_id)
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -6,10 +6,12 @@
 from arbutusrock.engine import evacuation
 from arbutusrock.engine import feeds
 from arbutusrock.engine import journal as journal_module
+from arbutusrock.engine import pacer
 from arbutusrock.engine import plans
 from arbutusrock.engine import registry
 from arbutusrock.engine import rows
 from arbutusrock.engine import run_keeper
+from arbutusrock.engine import straggler_watch
 from arbutusrock.engine import term as term_module
 from arbutusrock.engine import tickets
 from arbutusrock.engine import vm_keeper
@@ -62,6 +64,10 @@
             term=term, links=self.links, tickets=self.tickets
         )
         self.evacuation = evacuation.Evacuation(term=term, keeper=self.keeper)
+        self.stragglers = straggler_watch.StragglerWatch(
+            term=term, keeper=self.keeper, dispatcher=self.dispatcher
+        )
+        self.pacer = pacer.Pacer(term=term, links=self.links)
         self.vm_keeper = None
         if adapter.vms is not None:
             self.vm_keeper = vm_keeper.VMKeeper(
@@ -109,6 +115,8 @@
                     self._watch_pauses(),
                     self.dispatcher.run(),
                     self.evacuation.run(),
+                    self.stragglers.run(),
+                    self.pacer.run(),
                 ):
                     self.spawn(part)
                 if self.vm_keeper is not None:
@@ -177,12 +185,22 @@
             inherited=inherited,
         )
         job.started = state is not None
+        job.excess = self._is_excess(submission)
         total = sum(
             step.count * step.demand.cpu * step.estimate_ms
             for step in submission.plan.steps
         )
         self.term.estimates.note_work(submission.queue, total / 1e6)
 
+    def _is_excess(self, submission):
+        current = self.term.configuration.current
+        account = current and current.accounts.get(submission.account)
+        if not account:
+            return False
+        return self.term.rates.is_excess(
+            account.name, submission.accepted_ms / 1000, account.weight
+        )
+
     def _cancel(self, job_id):
         job = self.term.book.jobs.get(job_id)
         if job is None or job.ended:
--- /dev/null
+++ b/arbutusrock/engine/pacer.py
@@ -0,0 +1,71 @@
+"""Paces filling tasks by the tail latency of the serving ones."""
+
+import asyncio
+
+from arbutusrock.engine import work
+from arbutusrock import logs
+from arbutusrock.scheduling import pacing
+
+__all__ = ['Pacer']
+
+# Reports of load are about half a second old.
+PASS_S = 0.5
+LOG = logs.get_log('pacer')
+
+
+class Pacer:
+    """One task that sends pace orders.
+
+    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param links: connections by worker id.
+    """
+
+    def __init__(self, *, term, links):
+        self.term = term
+        self.links = links
+        # Share of the filling tasks by worker.
+        self._shares = {}
+
+    async def run(self):
+        """Make passes until the ownership ends."""
+        while True:
+            await asyncio.sleep(PASS_S)
+            workers = self.term.fleet.workers
+            self._shares = {
+                worker_id: share
+                for worker_id, share in self._shares.items()
+                if worker_id in workers
+            }
+            for worker_id, worker in workers.items():
+                link = self.links.get(worker_id)
+                if link is not None and worker.known and not worker.failing:
+                    self._pace_worker(worker_id, worker, link)
+
+    def _pace_worker(self, worker_id, worker, link):
+        filling, tails = [], []
+        for run in worker.runs.values():
+            if run.task is None or run.state is not work.RunState.RUNNING:
+                continue
+            plan = run.task.step.plan
+            if plan.fills:
+                filling.append(run)
+            elif plan.target_ms and run.at_work_s is not None:
+                tails.append((run.load, plan.target_ms))
+        if not filling:
+            self._shares.pop(worker_id, None)
+            return
+        before = self._shares.get(worker_id, pacing.FULL)
+        share = pacing.choose_share(before, tails)
+        self._shares[worker_id] = share
+        if share != before:
+            LOG.info(
+                'filling tasks are paced',
+                worker=worker_id,
+                share=share,
+                before=before,
+                serving=len(tails),
+                filling=len(filling),
+            )
+        for run in filling:
+            if run.pace != share:
+                link.send_pace(run, share)
--- a/arbutusrock/engine/run_keeper.py
+++ b/arbutusrock/engine/run_keeper.py
@@ -217,12 +217,14 @@
     def _note_duration(self, task, run, now_s):
         if run is None or run.confirmed_s is None or task.checkpoint:
             return
+        task.took_s = now_s - run.confirmed_s
+        task.took_vm = run.worker.vm
         job = task.step.job
         self.term.estimates.note_task(
             job.submission.queue,
             job.job_id,
             task.step.plan.estimate_ms / 1000,
-            now_s - run.confirmed_s,
+            task.took_s,
         )
 
     def _fail_task(self, task, run):
--- /dev/null
+++ b/arbutusrock/engine/straggler_watch.py
@@ -0,0 +1,108 @@
+"""Acts on runs that are too slow."""
+
+import asyncio
+
+from arbutusrock.engine import work
+from arbutusrock import logs
+from arbutusrock.scheduling import stragglers
+from arbutusrock.utils import clocks
+
+__all__ = ['StragglerWatch']
+
+PASS_S = 0.25
+LOG = logs.get_log('stragglers')
+
+
+class StragglerWatch:
+    """One task that looks for slow and stalled runs.
+
+    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param keeper: stops runs.
+    :param dispatcher: starts copies.
+    """
+
+    def __init__(self, *, term, keeper, dispatcher):
+        self.term = term
+        self.keeper = keeper
+        self.dispatcher = dispatcher
+
+    async def run(self):
+        """Make passes until the ownership ends."""
+        while True:
+            await asyncio.sleep(PASS_S)
+            if self.term.paused:
+                continue
+            now_s = clocks.now_s()
+            for worker in list(self.term.fleet.workers.values()):
+                if worker.usable:
+                    self._look_at(worker, now_s)
+
+    def _look_at(self, worker, now_s):
+        for run in list(worker.runs.values()):
+            if run.state is not work.RunState.RUNNING or run.task is None:
+                continue
+            plan = run.task.step.plan
+            if plan.long_running or plan.gang:
+                continue
+            view = self._create_view(run, worker)
+            remedy = stragglers.choose_remedy(view)
+            if remedy is not stragglers.Remedy.NONE:
+                self._remedy(run, view, remedy, now_s)
+
+    @staticmethod
+    def _create_view(run, worker):
+        plan = run.task.step.plan
+        return stragglers.RunView(
+            age_s=worker.heard_s - run.confirmed_s,
+            percent=run.percent,
+            still_s=worker.heard_s - run.advanced_s,
+            siblings_s=find_siblings(run),
+            speculative=plan.speculative,
+            keeps_work=plan.checkpointing,
+        )
+
+    def _remedy(self, run, view, remedy, now_s):
+        task = run.task
+        if len(task.runs) > 1:
+            return
+        stalled = stragglers.is_stalled(view)
+        if stalled:
+            self.term.standing.note_stall(run.worker.vm, now_s)
+        task.avoided_vms.add(run.worker.vm)
+        if remedy is stragglers.Remedy.COPY:
+            started = self.dispatcher.start_copy(task)
+        else:
+            started = self.dispatcher.has_room(task)
+            if started:
+                self.keeper.stop_run(run, 'it is too slow')
+        if started:
+            LOG.info(
+                'a run is too slow',
+                task=run.name,
+                run=run.number,
+                worker=run.worker.worker_id,
+                stalled=stalled,
+                remedy=remedy.value,
+                percent=run.percent,
+                age_s=round(view.age_s, 2),
+                siblings=len(view.siblings_s),
+            )
+
+
+def find_siblings(run):
+    """Return durations of the other tasks of a run's step on other VMs."""
+    found = []
+    for task in run.task.step.tasks:
+        if task.took_s is not None and task.took_vm != run.worker.vm:
+            found.append(task.took_s)
+        for other in task.runs:
+            worker = other.worker
+            if (
+                worker.vm == run.worker.vm
+                or other.confirmed_s is None
+                or other.percent <= 0
+            ):
+                continue
+            age_s = worker.heard_s - other.confirmed_s
+            found.append(age_s * 100 / other.percent)
+    return found
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -4,6 +4,7 @@
 
 from arbutusrock.engine import book
 from arbutusrock.engine import fleet
+from arbutusrock.scheduling import admission
 from arbutusrock.scheduling import estimates
 from arbutusrock.scheduling import standing
 from arbutusrock.utils import clocks
@@ -48,6 +49,7 @@
         self.fleet = fleet.Fleet()
         self.standing = standing.Standing()
         self.estimates = estimates.Estimates()
+        self.rates = admission.SendingRates()
         # Set when a pass over waiting tasks is due.
         self.work_due = asyncio.Event()
         # Set when rows must be written.
--- a/arbutusrock/engine/work.py
+++ b/arbutusrock/engine/work.py
@@ -125,7 +125,8 @@
         'avoided_vms',
         'checkpoint',
         'waiting_s',
-        'away_s',
+        'took_s',
+        'took_vm',
     )
 
     def __init__(self, *, step, index):
@@ -144,8 +145,9 @@
         self.avoided_vms = set()
         self.checkpoint = ''
         self.waiting_s = None
-        # Since when a serving task is not at work.
-        self.away_s = None
+        # Duration of the run that was done, and where it ran.
+        self.took_s = None
+        self.took_vm = ''
 
     @property
     def progress_key(self):
--- /dev/null
+++ b/arbutusrock/scheduling/admission.py
@@ -0,0 +1,41 @@
+"""Which jobs of an account go behind those of all others.
+
+Load: one account sends many times what it usually sends. Its contract pays
+for a number of jobs a second; the rest is accepted and done in room that
+nobody else needs.
+"""
+
+from collections import deque
+
+__all__ = ['SendingRates']
+
+# Span over which the jobs of an account are counted.
+SPAN_S = 1.0
+
+
+class SendingRates:
+    """Jobs that accounts sent within their rate."""
+
+    __slots__ = ('_accepted',)
+
+    def __init__(self):
+        self._accepted = {}
+
+    def is_excess(self, account, accepted_s, per_s):
+        """Count a job; return whether it is beyond the account's rate.
+
+        :param accepted_s: when it was accepted; calls come in that order,
+            but for small differences between the clocks of nodes.
+        :param per_s: jobs that the account may send in a second.
+
+        >>> rates = SendingRates()
+        >>> [rates.is_excess('a', s / 10, 2) for s in (0, 1, 2, 11)]
+        [False, False, True, False]
+        """
+        jobs = self._accepted.setdefault(account, deque())
+        while jobs and accepted_s - jobs[0] >= SPAN_S:
+            jobs.popleft()
+        if len(jobs) >= per_s:
+            return True
+        jobs.append(accepted_s)
+        return False
--- /dev/null
+++ b/arbutusrock/scheduling/tests/test_ordering.py
@@ -0,0 +1,87 @@
+"""Replays of an overloaded pool against the order of its jobs."""
+
+import heapq
+import random
+
+from arbutusrock.scheduling import ordering
+
+SEED = 20261204
+CORES = 8
+
+
+def create_view(job, now_s, usual_work):
+    arrived_s, work = job
+    return ordering.JobView(
+        serving=False,
+        excess=False,
+        urgency=0,
+        age_s=now_s - arrived_s,
+        objective_s=0.6 + 1.6 * work,
+        chain_s=work,
+        work=work,
+        work_left=work,
+        usual_work=usual_work,
+    )
+
+
+def replay(choose):
+    """Serve a burst of twice the room; return the worth that was earned."""
+    draw = random.Random(SEED)
+    jobs = []
+    for second in range(12):
+        rate = 24 if 2 <= second < 8 else 2
+        jobs += [
+            (second + draw.random(), draw.uniform(0.2, 1.2))
+            for _ in range(rate)
+        ]
+    jobs.sort()
+    usual = sum(work for _, work in jobs) / len(jobs)
+    free, now_s, waiting, earned = [0.0] * CORES, 0.0, [], 0.0
+    while jobs or waiting:
+        now_s = max(now_s, heapq.heappop(free))
+        while jobs and jobs[0][0] <= now_s:
+            waiting.append(jobs.pop(0))
+        if not waiting:
+            now_s = jobs[0][0]
+            heapq.heappush(free, now_s)
+            continue
+        job = choose(waiting, now_s, usual)
+        waiting.remove(job)
+        end_s = now_s + job[1]
+        heapq.heappush(free, end_s)
+        value = ordering.FIXED_VALUE + 0.7 * job[1] / usual
+        late = end_s - job[0] > 0.6 + 1.6 * job[1]
+        earned += value * (0.07 if late else 1.0)
+    return earned
+
+
+def test_in_time_first_earns_more_than_first_come():
+    def by_rank(waiting, now_s, usual):
+        return min(
+            waiting,
+            key=lambda job: ordering.rank_job(create_view(job, now_s, usual)),
+        )
+
+    first_come = replay(lambda waiting, _now, _usual: waiting[0])
+    assert replay(by_rank) > 1.3 * first_come
+
+
+def test_tiers_in_order():
+    base = {
+        'urgency': 0,
+        'objective_s': 2.0,
+        'chain_s': 1.0,
+        'work': 1.0,
+        'work_left': 1.0,
+        'usual_work': 1.0,
+    }
+    views = [
+        ordering.JobView(serving=True, excess=False, age_s=9, **base),
+        ordering.JobView(serving=False, excess=False, age_s=0, **base),
+        ordering.JobView(serving=False, excess=False, age_s=2, **base),
+        ordering.JobView(serving=False, excess=False, age_s=9, **base),
+        ordering.JobView(serving=False, excess=True, age_s=0, **base),
+    ]
+    ranks = [ordering.rank_job(view) for view in views]
+    assert ranks == sorted(ranks)
+    assert [rank[0] for rank in ranks] == list(ordering.Tier)
--- /dev/null
+++ b/arbutusrock/scheduling/tests/test_placement.py
@@ -0,0 +1,69 @@
+"""Where tasks of a burst and serving tasks are placed."""
+
+from arbutusrock.engine import fleet
+from arbutusrock.engine import reports
+from arbutusrock.scheduling import placement
+from arbutusrock.scheduling import Resources
+
+
+def create_worker(name, *, free=8000, rack='r1', label='a'):
+    entry = reports.WorkerEntry(
+        worker_id=f'i-{name}',
+        pool='p',
+        address='h:1',
+        vm=name,
+        labels=(label, rack),
+        capacity=Resources(cpu=free, memory_mb=8000),
+    )
+    return fleet.WorkerState(entry=entry, now_s=0.0)
+
+
+def create_wish(cpu=1000, **options):
+    return placement.Wish(demand=Resources(cpu=cpu, memory_mb=100), **options)
+
+
+def choose(workers, wish):
+    worker = placement.choose_worker(workers, wish)
+    return worker and worker.vm
+
+
+def test_the_tightest_room_is_taken_and_large_tasks_still_fit():
+    workers = [create_worker('a', free=8000), create_worker('b', free=1500)]
+    assert choose(workers, create_wish(1000)) == 'b'
+    assert choose(workers, create_wish(6000)) == 'a'
+    assert choose(workers, create_wish(9000)) is None
+
+
+def test_wishes_bind():
+    workers = [
+        create_worker('a', rack='r1', label='x'),
+        create_worker('b', rack='r2', label='y'),
+    ]
+    assert choose(workers, create_wish(label='y')) == 'b'
+    assert choose(workers, create_wish(label='z')) is None
+    assert choose(workers, create_wish(data_rack='r2')) == 'b'
+    assert choose(workers, create_wish(allowed={'i-b'})) == 'b'
+    assert choose(workers, create_wish(allowed=set())) is None
+    bound = create_wish(most_per_worker=1, placed={'a': 1})
+    assert choose(workers, bound) == 'b'
+
+
+def test_vms_on_which_a_task_failed_are_the_last_choice():
+    workers = [create_worker('a', free=1500), create_worker('b')]
+    assert choose(workers, create_wish(avoided={'a'})) == 'b'
+    assert choose(workers[:1], create_wish(avoided={'a'})) == 'a'
+    assert choose(workers, create_wish(doubtful={'a'})) == 'b'
+
+
+def test_a_gang_stays_on_one_rack_where_it_fits():
+    workers = [
+        create_worker('a', rack='r1', free=2000),
+        create_worker('b', rack='r2', free=2000),
+        create_worker('c', rack='r2', free=2000),
+    ]
+    chosen = placement.choose_gang(workers, create_wish(), 4, same_rack=True)
+    assert {worker.entry.rack for worker in chosen} == {'r2'}
+    assert (
+        placement.choose_gang(workers, create_wish(), 7, same_rack=True)
+        is None
+    )
--- /dev/null
+++ b/arbutusrock/scheduling/tests/test_pools.py
@@ -0,0 +1,72 @@
+"""Replays of bursts by turns against the sizing of pools."""
+
+from arbutusrock.scheduling import pools
+
+CORE = 1000
+VM_CPU = 32 * CORE
+
+
+def create_vms(prefix, count, *, movable=True, idle_s=0.0):
+    return [
+        pools.VMView(
+            vm=f'{prefix}{number}', cpu=VM_CPU, movable=movable, idle_s=idle_s
+        )
+        for number in range(count)
+    ]
+
+
+def create_pool(name, count, **options):
+    vms = create_vms(name, count, idle_s=options.pop('idle_s', 0.0))
+    return pools.PoolView(name=name, vms=vms, **options)
+
+
+def test_a_burst_takes_idle_vms_of_others_before_those_that_are_off():
+    views = [
+        create_pool('a', 2, needed_cpu=150 * CORE),
+        create_pool('b', 4, idle_s=1.0),
+        pools.PoolView(name='off', spare=True, vms=create_vms('off', 6)),
+    ]
+    moves = pools.plan_moves(views)
+    assert all(move.target == 'a' for move in moves)
+    assert [move.origin for move in moves][:3] == ['b', 'b', 'b']
+    assert len(moves) == pools.measure_target(views[0], VM_CPU) - 2
+
+
+def test_large_jobs_with_much_time_bring_no_vm():
+    """340 core-seconds that may take seven seconds need 60 cores."""
+    need = pools.measure_need(
+        work_left=340 * CORE, chain_left_s=4.2, time_left_s=7.3
+    )
+    assert need < 60 * CORE
+
+
+def test_a_job_that_is_late_brings_no_vm():
+    assert not pools.measure_need(
+        work_left=340 * CORE, chain_left_s=4.2, time_left_s=3.0
+    )
+
+
+def test_vms_that_stood_idle_for_a_moment_stay():
+    off = pools.PoolView(name='off', spare=True)
+    assert not pools.plan_moves([create_pool('a', 4, idle_s=1.0), off])
+    moves = pools.plan_moves([create_pool('a', 4, idle_s=9.0), off])
+    assert {move.target for move in moves} == {'off'}
+    assert len(moves) == 4 - pools.RESERVE
+
+
+def test_vms_with_work_never_move():
+    busy = pools.PoolView(
+        name='a', vms=create_vms('a', 6, movable=False, idle_s=9.0)
+    )
+    hungry = create_pool('b', 1, needed_cpu=300 * CORE)
+    assert not pools.plan_moves([busy, hungry])
+
+
+def test_two_pools_in_need_share_what_is_there():
+    views = [
+        create_pool('a', 1, needed_cpu=120 * CORE),
+        create_pool('b', 1, needed_cpu=120 * CORE),
+        pools.PoolView(name='off', spare=True, vms=create_vms('off', 4)),
+    ]
+    targets = [move.target for move in pools.plan_moves(views)]
+    assert targets.count('a') == targets.count('b') == 2
--- /dev/null
+++ b/arbutusrock/scheduling/tests/test_standing.py
@@ -0,0 +1,57 @@
+"""Replays of a sick worker and of jobs that can never be done."""
+
+from arbutusrock.scheduling import admission
+from arbutusrock.scheduling import estimates
+from arbutusrock.scheduling import pacing
+from arbutusrock.scheduling import standing
+
+
+def test_one_hopeless_job_excludes_no_vm():
+    record = standing.Standing()
+    for number in range(5):
+        record.note_failure('vm', 'hopeless', 0.1 * number)
+    assert not record.is_excluded('vm', 1.0)
+    assert record.is_doubtful('vm', 1.0)
+
+
+def test_failures_of_two_jobs_exclude_a_vm_until_it_is_tried_again():
+    record = standing.Standing()
+    record.note_failure('vm', 'one', 0.0)
+    record.note_failure('vm', 'two', 0.0)
+    assert record.find_excluded(['vm', 'other'], 1.0) == {'vm'}
+    assert not record.is_excluded('vm', standing.PAUSE_S + 1.0)
+    record.note_success('vm')
+    assert not record.is_doubtful('vm', 1.0)
+
+
+def test_a_stalled_vm_is_left_out_for_a_while():
+    record = standing.Standing()
+    record.note_stall('vm', 0.0)
+    assert record.is_excluded('vm', 1.0)
+    assert not record.is_excluded('vm', standing.PAUSE_S + 0.1)
+
+
+def test_a_hot_account_harms_nobody_else():
+    rates = admission.SendingRates()
+    marks = [rates.is_excess('hot', i / 40, 10) for i in range(40)]
+    assert marks.count(False) == 10
+    assert not rates.is_excess('calm', 1.0, 10)
+
+
+def test_durations_are_learned_by_job_and_queue():
+    learned = estimates.Estimates()
+    for _ in range(200):
+        learned.note_task('queue', 'job', 1.0, 1.5)
+    assert abs(learned.get_ratio('queue', 'other') - 1.5) < 0.1
+    learned.note_task('queue', 'odd', 1.0, 4.0)
+    assert learned.get_ratio('queue', 'odd') > 2.0
+
+
+def test_filling_tasks_give_way_within_two_reports():
+    share = 100
+    for _ in range(3):
+        share = pacing.choose_share(share, [(120, 100)])
+    assert share == pacing.LEAST
+    for _ in range(3):
+        share = pacing.choose_share(share, [(20, 100), (30, 100)])
+    assert share == 45
--- /dev/null
+++ b/arbutusrock/scheduling/tests/test_waves.py
@@ -0,0 +1,47 @@
+"""Replays of a wave beside a burst."""
+
+from arbutusrock.scheduling import waves
+
+
+def create_vm(name, *, empty=False, chosen=False, lasting=0, load=0.5):
+    return waves.WaveVM(
+        vm=name,
+        pool='p',
+        empty=empty,
+        chosen=chosen,
+        lasting=lasting,
+        load=load,
+    )
+
+
+def choose(waiting, *, down=0, most=2, time_left_s=100.0, load=0.9):
+    chosen = waves.choose_wave_vms(
+        waiting,
+        down=down,
+        most=most,
+        time_left_s=time_left_s,
+        maintenance_s=2.0,
+        pool_loads={'p': load},
+    )
+    return [vm.vm for vm in chosen]
+
+
+def test_empty_vms_go_first_and_a_busy_pool_keeps_its_room():
+    waiting = [create_vm('a'), create_vm('b', empty=True)]
+    assert choose(waiting) == ['b']
+    assert choose(waiting, load=0.2) == ['b', 'a']
+
+
+def test_no_more_than_allowed_are_down_or_being_emptied():
+    waiting = [create_vm(name, empty=True) for name in 'abcd']
+    assert len(choose(waiting)) == 2
+    assert len(choose(waiting, down=1)) == 1
+    assert not choose(waiting, down=2)
+    waiting[3] = create_vm('d', chosen=True)
+    assert choose(waiting, down=1) == ['d']
+
+
+def test_a_late_wave_takes_busy_vms_too():
+    waiting = [create_vm(name) for name in 'abcd']
+    assert not choose(waiting)
+    assert len(choose(waiting, time_left_s=10.0)) == 2
