--- a/arbutusrock/engine/feeds.py
+++ b/arbutusrock/engine/feeds.py
@@ -11,7 +11,9 @@
 LOG = logs.get_log('feeds')
 
 
-async def follow_table(store, table, *, apply, part, wait_s, version=None):
+async def follow_table(
+    store, table, *, apply, part, wait_s, version=None, gap_s=0.0
+):
     """Pass all changes of a table to ``apply`` until cancelled.
 
     :param apply: called with ``(rows, whole)``; whole when the rows are the
@@ -19,6 +21,7 @@
     :param wait_s: how long the store may wait for a change. It bounds how
         long a connection that went silent goes unnoticed.
     :param version: version to go on from; None reads the table first.
+    :param gap_s: pause after each answer, so that changes collect.
     """
     lost = False
     while True:
@@ -44,3 +47,5 @@
             LOG.info('a feed is regained', table=table, version=version)
         lost = False
         apply(found, whole)
+        if gap_s:
+            await asyncio.sleep(gap_s)
