Spread jobs over eight parts of the store

Change: JOB_PARTS, a lane a part in each node; the owner's rows alone in theirs. Stand-in store with a time a transaction; a test that failed before.

--- a/arbutusrock/engine/configuration_watch.py
+++ b/arbutusrock/engine/configuration_watch.py
@@ -46,7 +46,7 @@
             self.store,
             rows.TABLE_OPERATOR,
             apply=self._apply_all,
-            part='',
+            parts=('',),
             wait_s=WATCH_S,
         )
 
--- a/arbutusrock/engine/feeds.py
+++ b/arbutusrock/engine/feeds.py
@@ -5,14 +5,28 @@
 from arbutusrock.engine import rows
 from arbutusrock import logs
 
-__all__ = ['follow_table']
+__all__ = ['follow_table', 'read_parts']
 
 RETRY_S = 0.2
 LOG = logs.get_log('feeds')
 
 
+async def read_parts(store, table, parts):
+    """Read all rows of several parts.
+
+    :returns: ``(rows, version)``; changes after the version may be in the
+        rows already.
+    """
+    found, oldest = [], None
+    for part in parts:
+        listed, version = await store.read_range(table, part=part)
+        found += listed
+        oldest = version if oldest is None else min(oldest, version)
+    return found, oldest
+
+
 async def follow_table(
-    store, table, *, apply, part, wait_s, version=None, gap_s=0.0
+    store, table, *, apply, parts, wait_s, version=None, gap_s=0.0
 ):
     """Pass all changes of a table to ``apply`` until cancelled.
 
@@ -28,7 +42,7 @@
         try:
             whole = version is None
             if whole:
-                found, version = await store.read_range(table, part=part)
+                found, version = await read_parts(store, table, parts)
             else:
                 found, version = await store.watch(
                     table, after=version, wait_s=wait_s
--- a/arbutusrock/engine/gateway.py
+++ b/arbutusrock/engine/gateway.py
@@ -123,7 +123,7 @@
         known = self._remembered.get(job_id)
         if known is not None:
             return known
-        row = await self._read_row(rows.TABLE_PROGRESS, job_id)
+        row = await self._read_row(rows.TABLE_PROGRESS, job_id, rows.PART)
         if row is not None:
             status = plans.decode_progress(row.value).status
             if status in plans.JobStatus.ENDED:
@@ -136,16 +136,18 @@
     async def _exists(self, job_id):
         if job_id in self._remembered:
             return True
-        row = await self._read_row(rows.TABLE_JOBS, job_id)
+        row = await self._read_row(
+            rows.TABLE_JOBS, job_id, rows.get_job_part(job_id)
+        )
         if row is None:
             return False
         self._remember(job_id, None)
         return True
 
-    async def _read_row(self, table, key):
+    async def _read_row(self, table, key, part):
         try:
             found, _ = await self.store.read_range(
-                table, first=key, last=f'{key}\0', limit=1, part=rows.PART
+                table, first=key, last=f'{key}\0', limit=1, part=part
             )
         except (rows.StoreRefused, rows.StoreSilent) as exc:
             raise errors.StoreUnavailable(
@@ -164,6 +166,7 @@
             return False
         put = rows.Row(
             table=rows.TABLE_JOBS,
+            part=rows.get_job_part(job_id),
             key=job_id + leader.CANCEL_SUFFIX,
             value=b'1',
         )
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -108,7 +108,7 @@
                         self.store,
                         rows.TABLE_JOBS,
                         apply=self._apply_jobs,
-                        part=rows.PART,
+                        parts=rows.JOB_PARTS,
                         wait_s=WATCH_S,
                         version=jobs_version,
                     ),
@@ -149,8 +149,8 @@
         """Read all jobs and how far they have come."""
         while True:
             try:
-                listed, version = await self.store.read_range(
-                    rows.TABLE_JOBS, part=rows.PART
+                listed, version = await feeds.read_parts(
+                    self.store, rows.TABLE_JOBS, rows.JOB_PARTS
                 )
                 progress, _ = await self.store.read_range(
                     rows.TABLE_PROGRESS, part=rows.PART
--- a/arbutusrock/engine/registry.py
+++ b/arbutusrock/engine/registry.py
@@ -110,7 +110,7 @@
             self.store,
             rows.TABLE_WORKERS,
             apply=self._apply_all,
-            part='',
+            parts=('',),
             wait_s=WATCH_S,
             version=version,
             gap_s=GAP_S,
--- a/arbutusrock/engine/rows.py
+++ b/arbutusrock/engine/rows.py
@@ -1,9 +1,14 @@
 """Rows of the platform's store, as the engine sees them.
 
-All rows of the engine share one part, so that one transaction can span them.
+The rows of the owner share one part, so that one transaction can span them.
+Jobs and cancellations are spread over several: a part takes one transaction
+after the other, and all nodes write jobs.
 """
 
+import zlib
+
 __all__ = [
+    'JOB_PARTS',
     'PART',
     'Conflicted',
     'HistoryLost',
@@ -17,9 +22,13 @@
     'TABLE_REPORTS',
     'TABLE_WAVES',
     'TABLE_WORKERS',
+    'get_job_part',
 ]
 
 PART = 'unit-1'
+# A slow store takes about five transactions a second on a part; the nodes of
+# today ask for up to 30.
+JOB_PARTS = tuple(f'jobs-{number}' for number in range(8))
 TABLE_JOBS = 'arbutusrock-jobs'
 TABLE_PROGRESS = 'arbutusrock-progress'
 TABLE_OWNER = 'arbutusrock-owner'
@@ -30,6 +39,15 @@
 TABLE_REPORTS = 'reports'
 
 
+def get_job_part(job_id):
+    """Return the part of a job's row.
+
+    >>> get_job_part('5c0e7a21d94b36f8') in JOB_PARTS
+    True
+    """
+    return JOB_PARTS[zlib.crc32(job_id.encode()) % len(JOB_PARTS)]
+
+
 class Row:
     """One row, or a condition on it.
 
--- a/arbutusrock/engine/submitter.py
+++ b/arbutusrock/engine/submitter.py
@@ -1,4 +1,9 @@
-"""Stores new jobs, many in one transaction, each exactly once."""
+"""Stores new jobs, many in one transaction, each exactly once.
+
+Load: the store is slow and takes one transaction after the other on a part.
+Jobs of each part are written by a task of their own, which collects what
+comes while a transaction is under way.
+"""
 
 import asyncio
 import enum
@@ -49,15 +54,15 @@
 
 
 class Submitter:
-    """One task that writes the jobs of all callers of this node.
+    """Writes the jobs of all callers of this node.
 
     :param store: client of the store.
     """
 
     def __init__(self, *, store):
-        self.store = store
-        self._entries = {}
-        self._due = asyncio.Event()
+        self._lanes = {
+            part: _Lane(store=store, part=part) for part in rows.JOB_PARTS
+        }
 
     async def submit(self, job_id, submission, *, until_s):
         """Store a job, unless one of that id is stored already.
@@ -65,6 +70,26 @@
         :param until_s: when the caller gives up.
         :returns: :class:`Stored`.
         """
+        lane = self._lanes[rows.get_job_part(job_id)]
+        return await lane.submit(job_id, submission, until_s=until_s)
+
+    async def run(self):
+        """Write until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for lane in self._lanes.values():
+                group.create_task(lane.run())
+
+
+class _Lane:
+    """One task that writes the jobs of one part."""
+
+    def __init__(self, *, store, part):
+        self.store = store
+        self.part = part
+        self._entries = {}
+        self._due = asyncio.Event()
+
+    async def submit(self, job_id, submission, *, until_s):
         entry = self._entries.get(job_id)
         if entry is None:
             entry = _Entry(
@@ -78,7 +103,6 @@
         return await asyncio.shield(entry.result)
 
     async def run(self):
-        """Write until cancelled."""
         while True:
             await self._due.wait()
             await asyncio.sleep(COLLECT_S)
@@ -98,12 +122,15 @@
 
     async def _write(self, batch):
         expected = [
-            rows.Row(table=rows.TABLE_JOBS, key=entry.job_id)
+            rows.Row(table=rows.TABLE_JOBS, part=self.part, key=entry.job_id)
             for entry in batch
         ]
         puts = [
             rows.Row(
-                table=rows.TABLE_JOBS, key=entry.job_id, value=entry.value
+                table=rows.TABLE_JOBS,
+                part=self.part,
+                key=entry.job_id,
+                value=entry.value,
             )
             for entry in batch
         ]
--- a/examples/standins/site/store.py
+++ b/examples/standins/site/store.py
@@ -21,6 +21,10 @@
         # Feeds older than this version are answered 410.
         self.history_from = 0
         self.calls = {}
+        # Time of a transaction; those on one part run one after the other,
+        # and more than a second of waiting ones are refused with 429.
+        self.transaction_s = 0.0
+        self._queues = {}
         self._changed = asyncio.Condition()
 
     def create_app(self):
@@ -58,6 +62,8 @@
         """Apply all entries or none."""
         self._count('tx')
         body = await request.json()
+        if self.transaction_s and not await self._wait_turn(body):
+            return web.Response(status=429)
         names = [_get_name(item) for item in body['expected']]
         for name, item in zip(names, body['expected'], strict=True):
             value, version = self.rows.get(name, (None, 0))
@@ -78,6 +84,18 @@
             self._changed.notify_all()
         return self._answer()
 
+    async def _wait_turn(self, body):
+        entries = [*body['expected'], *body['puts'], *body['remove']]
+        part = entries[0].get('part', '')
+        lock = self._queues.setdefault(part, [asyncio.Lock(), 0])
+        if lock[1] * self.transaction_s > 1.0:
+            return False
+        lock[1] += 1
+        async with lock[0]:
+            await asyncio.sleep(self.transaction_s)
+        lock[1] -= 1
+        return True
+
     async def read(self, request):
         """Return a range of rows."""
         self._count('get')
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -200,3 +200,22 @@
     )
     await asyncio.sleep(0.5)
     assert len(site.ledger) == 2
+
+
+async def test_a_slow_store_takes_jobs_of_many_callers(site):
+    """A part takes one transaction after the other, 0.2 s each."""
+    nodes = await start_nodes(site, 8)
+    site.store.transaction_s = 0.25
+    calls = [
+        site.submit(
+            'alpha',
+            f'{number:016x}',
+            [create_step(1)],
+            node=nodes[number % 8],
+        )
+        for number in range(32)
+    ]
+    assert set(await asyncio.gather(*calls)) == {200}
+    site.store.transaction_s = 0.0
+    for number in range(32):
+        await wait_state(site, 'completed', f'{number:016x}')
