Empty VMs of a pool that has too many while another lacks them

Change: scheduling/consolidation.py; tasks that keep their work are stopped and go on on fewer VMs; VMs without work so far are idle at once. What binds now is the start of a burst (a move takes 1.5 s) and the recovery after a loss of all nodes.

--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -105,18 +105,22 @@
         return self.entry.capacity.accelerators - self.used_accelerators
 
     @property
-    def usable(self):
-        """Whether new runs may be sent there."""
+    def answers(self):
+        """Whether it is in service, for runs or for moves."""
         return (
             self.known
             and self.rostered
             and not self.failing
             and not self.ended
-            and not self.cordon
             and not self.entry.draining
             and self.missing_since_s is None
         )
 
+    @property
+    def usable(self):
+        """Whether new runs may be sent there."""
+        return self.answers and not self.cordon
+
     def estimate_clock_ms(self, now_s):
         """Return what the worker's clock shows now, or None."""
         if self.clock_ms is None:
--- a/arbutusrock/engine/vm_board.py
+++ b/arbutusrock/engine/vm_board.py
@@ -32,6 +32,7 @@
         'refused_until_s',
         'cordoned_wave',
         'cordoned_s',
+        'worked',
     )
 
     def __init__(self, *, entry):
@@ -42,6 +43,8 @@
         # Wave for which it is being emptied.
         self.cordoned_wave = None
         self.cordoned_s = 0.0
+        # Whether it had work, or was moved, under this owner.
+        self.worked = False
 
 
 class VMBoard:
--- a/arbutusrock/engine/vm_keeper.py
+++ b/arbutusrock/engine/vm_keeper.py
@@ -10,6 +10,7 @@
 from arbutusrock.engine import vm_board
 from arbutusrock.engine import vm_views
 from arbutusrock import logs
+from arbutusrock.scheduling import consolidation
 from arbutusrock.scheduling import pools as pools_module
 from arbutusrock.scheduling import waves as waves_module
 from arbutusrock.utils import clocks
@@ -24,6 +25,8 @@
 # less than what other nodes wait before they take over.
 CONFIRMED_S = 1.4
 RETRY_S = 0.15
+# VMs that one pool empties in one pass.
+MOST_EMPTIED = 3
 # A VM that could not be taken is left alone for this time.
 REFUSED_S = 3.0
 # Time beyond the announced one after which a VM is looked at again.
@@ -121,6 +124,7 @@
                     self._finish_order(state, order)
             if worker is None or worker.runs:
                 state.empty_since_s = None
+                state.worked = state.worked or worker is not None
             elif state.empty_since_s is None:
                 state.empty_since_s = now_s
 
@@ -246,11 +250,11 @@
 
     def _resize_pools(self, now_s):
         views = vm_views.view_pools(self.term, self.board, now_s)
-        moves = pools_module.plan_moves(views)
-        if moves:
+        plan = pools_module.plan_moves(views)
+        if plan.moves:
             LOG.info('pools are resized', **_describe_pools(views))
         workers = vm_views.find_workers(self.term.fleet)
-        for move in moves:
+        for move in plan.moves:
             state = self.board.vms[move.vm]
             LOG.info(
                 'a VM is moved',
@@ -260,6 +264,33 @@
             )
             self._give_order(state, workers.get(move.vm), target=move.target)
 
+        for pool in self.term.configuration.current.pools:
+            surplus = plan.busy.get(pool, 0) if plan.unmet else 0
+            self._empty_vms(pool, surplus)
+
+    def _empty_vms(self, pool, surplus):
+        """Empty VMs of a pool that another one lacks."""
+        chosen = set(
+            consolidation.choose_vms_to_empty(
+                vm_views.view_loaded_vms(self.term.fleet, pool),
+                min(surplus, MOST_EMPTIED),
+            )
+        )
+        for worker in self.term.fleet.find_pool(pool):
+            if worker.vm in chosen:
+                LOG.info(
+                    'a VM is emptied for another pool',
+                    vm=worker.vm,
+                    pool=pool,
+                    runs=len(worker.runs),
+                )
+                worker.cordon = vm_views.SHRINK
+                for run in list(worker.runs.values()):
+                    self.keeper.stop_run(run, 'its VM is given away')
+            elif worker.cordon == vm_views.SHRINK and not surplus:
+                worker.cordon = ''
+                self.term.request_dispatch()
+
     # Orders.
 
     def _give_order(
@@ -271,6 +302,7 @@
             wave=wave.number if wave else None,
         )
         state.order = order
+        state.worked = True
         if worker is not None:
             worker.cordon = 'order'
         self.spawn(self._execute(state, worker, order, wave, record))
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -1,12 +1,26 @@
 """Plain views of pools and VMs for the decisions on them."""
 
+import math
+
 from arbutusrock.engine import outlooks
 from arbutusrock.engine import reports
+from arbutusrock.engine import work
+from arbutusrock.scheduling import consolidation
 from arbutusrock.scheduling import pools
 from arbutusrock.scheduling import waves
 from arbutusrock.utils import clocks
 
-__all__ = ['find_workers', 'measure_loads', 'view_pools', 'view_wave_vm']
+__all__ = [
+    'SHRINK',
+    'find_workers',
+    'measure_loads',
+    'view_loaded_vms',
+    'view_pools',
+    'view_wave_vm',
+]
+
+# Cordon of VMs that their pool empties to give them away.
+SHRINK = 'shrink'
 
 
 def find_workers(fleet):
@@ -46,6 +60,28 @@
     )
 
 
+def view_loaded_vms(fleet, pool):
+    """Return a :class:`consolidation.LoadedVM` for each VM in service."""
+    return [
+        consolidation.LoadedVM(
+            vm=worker.vm,
+            used_cpu=worker.used_cpu,
+            free_cpu=worker.free_cpu,
+            runs=len(worker.runs),
+            keeps_work=all(
+                run.task is not None
+                and run.task.step.plan.checkpointing
+                and not run.task.step.plan.gang
+                and not run.task.step.plan.most_per_worker
+                and run.state is work.RunState.RUNNING
+                for run in worker.runs.values()
+            ),
+        )
+        for worker in fleet.find_pool(pool)
+        if worker.usable
+    ]
+
+
 def _is_lasting(run):
     return run.task is not None and run.task.step.plan.long_running
 
@@ -86,6 +122,8 @@
     up = state.entry.state is reports.VMState.UP
     free = up and state.cordoned_wave is None
     free = free and now_s >= state.refused_until_s
+    if worker is not None and worker.cordon not in {'', SHRINK}:
+        free = False
     if spare:
         return pools.VMView(
             vm=name, cpu=state.entry.capacity.cpu, movable=free
@@ -93,12 +131,14 @@
     if worker is None or worker.entry.draining:
         return None
     idle_s = 0.0
-    if state.empty_since_s is not None:
+    if not state.worked or worker.cordon == SHRINK:
+        idle_s = math.inf
+    elif state.empty_since_s is not None:
         idle_s = now_s - state.empty_since_s
     return pools.VMView(
         vm=name,
         cpu=worker.entry.capacity.cpu,
-        movable=free and worker.usable and not worker.runs,
+        movable=free and worker.answers and not worker.runs,
         idle_s=idle_s,
     )
 
--- /dev/null
+++ b/arbutusrock/scheduling/consolidation.py
@@ -0,0 +1,62 @@
+"""Which VMs a pool empties to give them away.
+
+Load: after a burst of large jobs each VM of a pool still holds one or two
+long tasks, while the next pool in turn waits for VMs. Tasks that keep their
+work when they are stopped go on on fewer VMs; the others run to their end
+without company.
+"""
+
+__all__ = ['LoadedVM', 'choose_vms_to_empty']
+
+# Part of the other VMs' free room that moved tasks may take: tasks of uneven
+# size do not fit everywhere.
+FIT = 0.6
+# Runs that are moved off one VM at most: each one costs a stop and a start.
+MOST_RUNS = 6
+
+
+class LoadedVM:
+    """A VM of a pool.
+
+    :param used_cpu: thousandths of a core in use.
+    :param free_cpu: thousandths of a core that are free.
+    :param runs: tasks that run there.
+    :param keeps_work: all of them keep their work when stopped.
+    """
+
+    __slots__ = ('vm', 'used_cpu', 'free_cpu', 'runs', 'keeps_work')
+
+    def __init__(self, *, vm, used_cpu, free_cpu, runs, keeps_work):
+        self.vm = vm
+        self.used_cpu = used_cpu
+        self.free_cpu = free_cpu
+        self.runs = runs
+        self.keeps_work = keeps_work
+
+
+def choose_vms_to_empty(vms, surplus):
+    """Return the names of VMs to empty, at most ``surplus``.
+
+    :param vms: all usable :class:`LoadedVM` of the pool, empty ones too.
+
+    >>> def vm(name, used):
+    ...     return LoadedVM(vm=name, used_cpu=used, free_cpu=32000 - used,
+    ...                     runs=1, keeps_work=True)
+    >>> choose_vms_to_empty([vm('a', 9000), vm('b', 4000)], 2)
+    ['b']
+    """
+    candidates = sorted(
+        (vm for vm in vms if vm.runs and vm.keeps_work),
+        key=lambda vm: (vm.used_cpu, vm.vm),
+    )
+    chosen, moved = [], 0
+    room = sum(vm.free_cpu for vm in vms if vm.runs)
+    for vm in candidates:
+        if len(chosen) >= surplus or vm.runs > MOST_RUNS:
+            break
+        room -= vm.free_cpu
+        if moved + vm.used_cpu > room * FIT:
+            break
+        moved += vm.used_cpu
+        chosen.append(vm.vm)
+    return chosen
--- a/arbutusrock/scheduling/pools.py
+++ b/arbutusrock/scheduling/pools.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     'Move',
+    'PoolPlan',
     'PoolView',
     'VMView',
     'measure_need',
@@ -101,6 +102,22 @@
         self.target = target
 
 
+class PoolPlan:
+    """What the sizing decides.
+
+    :param moves: :class:`Move` to start now.
+    :param unmet: VMs that pools lack beyond these moves.
+    :param busy: by pool, surplus VMs that are not empty.
+    """
+
+    __slots__ = ('moves', 'unmet', 'busy')
+
+    def __init__(self, *, moves=(), unmet=0, busy=None):
+        self.moves = list(moves)
+        self.unmet = unmet
+        self.busy = busy or {}
+
+
 def measure_need(*, work_left, chain_left_s, time_left_s):
     """Return the room that a job needs to end in time.
 
@@ -141,7 +158,7 @@
 
 
 def plan_moves(pools):
-    """Return the moves that bring pools towards their targets.
+    """Return the :class:`PoolPlan` that brings pools towards their targets.
 
     :param pools: all :class:`PoolView`, spare ones included.
     """
@@ -149,8 +166,8 @@
     spare = [pool for pool in pools if pool.spare]
     vm_cpu = _get_usual_cpu(pools)
     if not vm_cpu:
-        return []
-    missing, surplus = {}, []
+        return PoolPlan()
+    missing, surplus, busy = {}, [], {}
     for pool in sized:
         excess = len(pool.vms) - measure_target(pool, vm_cpu)
         if excess < 0:
@@ -161,6 +178,8 @@
             key=lambda vm: (-vm.idle_s, vm.vm),
         )
         surplus += [(vm, pool.name) for vm in idle[:excess]]
+        if excess > len(idle):
+            busy[pool.name] = excess - len(idle)
     off = [(vm, pool.name) for pool in spare for vm in pool.vms if vm.movable]
     moves = _fill_missing(missing, off, surplus)
     if spare and len(moves) < MOST_MOVES:
@@ -170,7 +189,9 @@
             for vm, name in surplus
             if vm.vm not in taken and vm.idle_s > IDLE_S
         ]
-    return moves[:MOST_MOVES]
+    return PoolPlan(
+        moves=moves[:MOST_MOVES], unmet=sum(missing.values()), busy=busy
+    )
 
 
 def _get_usual_cpu(pools):
--- a/tests/test_site_vms.py
+++ b/tests/test_site_vms.py
@@ -113,3 +113,42 @@
         lambda: sum(len(w.running) for w in site.workers.values()) == 2,
         what='both tasks run again',
     )
+
+
+def beta_lines(site):
+    return [line for line in site.ledger if line.task.startswith(JOB)]
+
+
+async def test_tasks_that_keep_their_work_leave_vms_for_a_burst(site):
+    """Beta's VMs each hold a long task while alpha is short of VMs."""
+    await start_nodes(site, 1)
+    # Leaves one core free on each VM, so that the long tasks are spread.
+    await site.submit(
+        'beta',
+        'f' * 16,
+        [create_step(4, cpu=7000, estimateMs=600)],
+        spec='{"ms": 600}',
+    )
+    await site.submit(
+        'beta',
+        JOB,
+        [create_step(4, estimateMs=30000, checkpointing=True)],
+        spec='{"ms": 30000}',
+    )
+    await wait_until(lambda: len(site.ledger) == 8, what='beta is at work')
+    await wait_state(site, 'completed', 'f' * 16, 'beta')
+    for number in range(24):
+        await site.submit(
+            'alpha',
+            f'{number:016x}',
+            [create_step(6, cpu=4000, estimateMs=2000)],
+            spec='{"ms": 2000}',
+        )
+    await wait_until(
+        lambda: count_pool(site, 'beta') <= 2, what='VMs leave beta'
+    )
+    assert {line.how for line in beta_lines(site)} <= {'stopped', None}
+    await wait_until(
+        lambda: sum(line.how is None for line in beta_lines(site)) == 4,
+        what='all four tasks go on',
+    )
