--- a/Makefile
+++ b/Makefile
@@ -1,3 +1,5 @@
+# Test processes side by side; each test has its own folders and ports.
+WORKERS ?= 4
 # Every target uses the pinned environment in .venv.
 VENV ?= .venv
 PYTHON ?= python3.11
@@ -14,10 +16,11 @@
 	touch $(READY)
 
 run: $(READY)
+	$(VENV)/bin/python -m examples.run_site
 	$(VENV)/bin/python -m examples.run_deployments
 
 test: $(READY)
-	$(VENV)/bin/python -m pytest $(PYTEST_FLAGS)
+	$(VENV)/bin/python -m pytest -n $(WORKERS) $(PYTEST_FLAGS)
 
 lint: $(READY)
 	$(VENV)/bin/ruff format --check .
--- a/arbutusrock/commands/main.py
+++ b/arbutusrock/commands/main.py
@@ -10,6 +10,7 @@
 from arbutusrock.commands import job
 from arbutusrock.commands import key
 from arbutusrock.commands import machine
+from arbutusrock.commands import node
 from arbutusrock.commands import story
 
 __all__ = ['COMMANDS', 'main']
@@ -52,6 +53,7 @@
         'wait': job.wait_for_job,
     },
     'member': {'gone': story.declare_gone},
+    'node': {'show': node.show_node},
     'status': story.show_status,
     'audit': story.show_audit,
     'explain': story.explain,
--- /dev/null
+++ b/arbutusrock/commands/node.py
@@ -0,0 +1,36 @@
+"""Commands that ask one node on the platform."""
+
+from arbutusrock.commands import client as client_module
+from arbutusrock.commands import output
+
+__all__ = ['show_node']
+
+POOL_COLUMNS = (
+    'pool',
+    'workers',
+    'usable',
+    'cores',
+    'cores_used',
+    'runs',
+    'waiting_tasks',
+)
+
+
+def show_node(address: str, *, json: bool = False):
+    """Show a node, and the unit when it is the owner.
+
+    :param address: host:port of the node's metrics address
+    :param json: print JSON
+    """
+    client = client_module.Client(server=f'http://{address}', token='')
+    view = client.call('GET', '/status')
+    if json:
+        output.print_answer(view, json=True)
+        return
+    pools, accounts = view.pop('pools'), view.pop('accounts')
+    output.print_answer(view, json=False)
+    if view['epoch']:
+        print()
+        output.print_table(pools, POOL_COLUMNS)
+        print()
+        output.print_table(accounts)
--- a/arbutusrock/engine/book.py
+++ b/arbutusrock/engine/book.py
@@ -15,6 +15,8 @@
     def __init__(self, *, early_s):
         self.early_s = early_s
         self.jobs = {}
+        # Those that have not ended.
+        self.open_jobs = {}
         # Steps with waiting tasks, by pool.
         self.waiting_steps = {}
         # Jobs whose progress row must be written.
@@ -36,6 +38,7 @@
         self.jobs[job_id] = job
         if not job.ended:
             self._scheduled[job_id] = job
+            self.open_jobs[job_id] = job
         return job
 
     def open_due(self, wall_s, now_s):
@@ -217,6 +220,7 @@
         job.progress.ended_ms = wall_s * 1000
         self.dirty[job.job_id] = job
         self._scheduled.pop(job.job_id, None)
+        self.open_jobs.pop(job.job_id, None)
         for task in job.iterate_tasks():
             self._drop_waiting(task)
 
@@ -235,8 +239,8 @@
     def count_waiting(self):
         """Return the number of jobs without a started task, by queue."""
         counts = {}
-        for job in self.jobs.values():
-            if not job.ended and not job.started and not job.plan.times:
+        for job in self.open_jobs.values():
+            if not job.started and not job.plan.times:
                 queue = job.submission.queue
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
--- a/arbutusrock/engine/journal.py
+++ b/arbutusrock/engine/journal.py
@@ -154,12 +154,16 @@
             )
         return puts, roster
 
-    async def _commit(self, progress, others, *, with_beat):
-        claim = rows.Row(
+    def create_claim_condition(self):
+        """Return the condition that this node still owns the unit."""
+        return rows.Row(
             table=rows.TABLE_OWNER,
             key=KEY_CLAIM,
             version=self.term.claim_version,
         )
+
+    async def _commit(self, progress, others, *, with_beat):
+        claim = self.create_claim_condition()
         puts, roster = [*progress, *others], None
         # Between heartbeats a flush carries only progress.
         if with_beat and (
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -9,6 +9,7 @@
 from arbutusrock.engine import pacer
 from arbutusrock.engine import plans
 from arbutusrock.engine import registry
+from arbutusrock.engine import retention
 from arbutusrock.engine import rows
 from arbutusrock.engine import run_keeper
 from arbutusrock.engine import straggler_watch
@@ -64,6 +65,12 @@
             term=term, links=self.links, tickets=self.tickets
         )
         self.evacuation = evacuation.Evacuation(term=term, keeper=self.keeper)
+        self.retention = retention.Retention(
+            term=term,
+            store=store,
+            journal=self.journal,
+            cancel_suffix=CANCEL_SUFFIX,
+        )
         self.stragglers = straggler_watch.StragglerWatch(
             term=term, keeper=self.keeper, dispatcher=self.dispatcher
         )
@@ -115,6 +122,7 @@
                     self._watch_pauses(),
                     self.dispatcher.run(),
                     self.evacuation.run(),
+                    self.retention.run(),
                     self.stragglers.run(),
                     self.pacer.run(),
                 ):
--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -39,7 +39,7 @@
             store=adapter.store, decode=adapter.decode_operator_row
         )
         self.ownership = ownership_module.Ownership(
-            store=adapter.store, node=settings.name
+            store=adapter.store, node=settings.name, cores=settings.cores
         )
         self.gateway = gateway_module.Gateway(
             store=adapter.store,
--- a/arbutusrock/engine/node_settings.py
+++ b/arbutusrock/engine/node_settings.py
@@ -8,6 +8,7 @@
 class NodeSettings(msgspec.Struct, kw_only=True, frozen=True):
     """Who this node is, what it reaches, and the bounds it must keep.
 
+    :param cores: processor time that this process may use (cores).
     :param callers: ``host:port`` where callers connect.
     :param readiness: ``host:port`` where the balancer asks.
     :param store: ``host:port`` of the store.
@@ -32,6 +33,7 @@
     callers: str
     readiness: str
     peer_port: int
+    cores: float = 1.0
     store: str
     vm_service: str = ''
     advice_service: str = ''
--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -16,6 +16,10 @@
 TAKEOVER_S = 1.6
 # Nodes that see the same silence claim one after another.
 SPREAD_S = 0.3
+# An owner uses up to a fifth of a core today; a node with this much and more
+# has no handicap, one with next to nothing waits this long.
+ENOUGH_CORES = 1.0
+HANDICAP_S = 0.4
 # How long the store may wait for a heartbeat before it answers.
 WATCH_S = 0.8
 RETRY_S = 0.2
@@ -48,11 +52,14 @@
 
     :param store: client of the store.
     :param node: name of this node.
+    :param cores: processor time that it may use.
     """
 
-    def __init__(self, *, store, node):
+    def __init__(self, *, store, node, cores=1.0):
         self.store = store
         self.node = node
+        # Nodes with little processor time let the others claim first.
+        self.handicap_s = HANDICAP_S * max(0.0, 1 - cores / ENOUGH_CORES)
         # Newest heartbeat seen, and when.
         self.beat = None
         self.beat_s = 0.0
@@ -72,13 +79,14 @@
         :returns: ``(epoch, claim_version, roster)``.
         """
         version = await self._read()
-        threshold_s = TAKEOVER_S + random.uniform(0, SPREAD_S)  # noqa: S311
+        threshold_s = self.handicap_s + random.uniform(  # noqa: S311
+            TAKEOVER_S, TAKEOVER_S + SPREAD_S
+        )
         silent_s = 0.0
         while True:
             if self._claim is None or self._claim.released:
-                await asyncio.sleep(
-                    random.uniform(0, START_SPREAD_S)  # noqa: S311
-                )
+                spread_s = random.uniform(0, START_SPREAD_S)  # noqa: S311
+                await asyncio.sleep(self.handicap_s + spread_s)
                 due = 'nobody owns the unit'
             elif self._claim.node == self.node:
                 due = 'an earlier process of this node owned the unit'
--- /dev/null
+++ b/arbutusrock/engine/status.py
@@ -0,0 +1,132 @@
+"""What a node tells operators of itself and, as the owner, of the unit."""
+
+import msgspec
+
+from arbutusrock.engine import vm_views
+from arbutusrock.utils import clocks
+
+__all__ = [
+    'AccountStatus',
+    'NodeStatus',
+    'PoolStatus',
+    'collect_gauges',
+    'describe_node',
+]
+
+
+class PoolStatus(msgspec.Struct, kw_only=True):
+    """One pool as the owner sees it.
+
+    :param cores_used: cores in use by running tasks.
+    :param waiting_tasks: tasks that wait for a worker.
+    """
+
+    pool: str
+    workers: int
+    usable: int
+    cores: float
+    cores_used: float
+    runs: int
+    waiting_tasks: int
+
+
+class AccountStatus(msgspec.Struct, kw_only=True):
+    """What one client account has running, over all pools."""
+
+    account: str
+    cores_used: float
+    cores_limit: float
+
+
+class NodeStatus(msgspec.Struct, kw_only=True):
+    """One node.
+
+    :param configuration_age_s: since the store confirmed the version.
+    :param owner: node whose heartbeat was seen last.
+    :param epoch: of this node's ownership; 0 when it is not the owner.
+    :param open_jobs: jobs that have not ended; only the owner knows.
+    """
+
+    node: str
+    ready: bool
+    stopping: bool
+    configuration: int
+    configuration_age_s: float
+    owner: str
+    owner_age_s: float
+    epoch: int = 0
+    open_jobs: int = 0
+    pools: list[PoolStatus] = []
+    accounts: list[AccountStatus] = []
+
+
+def describe_node(node, *, ready):
+    """Return the :class:`NodeStatus` of a node.
+
+    :param node: :class:`arbutusrock.engine.node.Node`.
+    """
+    configuration, ownership = node.configuration, node.ownership
+    current = configuration.current
+    status = NodeStatus(
+        node=node.settings.name,
+        ready=ready,
+        stopping=node.stopping,
+        configuration=current.version if current else 0,
+        configuration_age_s=round(configuration.age_s, 2) if current else -1,
+        owner=ownership.beat.node if ownership.beat else '',
+        owner_age_s=round(clocks.now_s() - ownership.beat_s, 2),
+    )
+    if node.leader is None or current is None:
+        return status
+    term = node.leader.term
+    status.epoch = term.epoch
+    status.open_jobs = len(term.book.open_jobs)
+    status.pools = [
+        _describe_pool(term, name) for name in sorted(current.pools)
+    ]
+    status.accounts = [
+        AccountStatus(
+            account=name,
+            cores_used=term.fleet.get_usage(name).cpu / 1000,
+            cores_limit=account.upper_limit.cpu / 1000,
+        )
+        for name, account in sorted(current.accounts.items())
+    ]
+    return status
+
+
+def _describe_pool(term, name):
+    workers = [
+        worker for worker in term.fleet.find_pool(name) if not worker.ended
+    ]
+    waiting = term.book.waiting_steps.get(name, {})
+    return PoolStatus(
+        pool=name,
+        workers=len(workers),
+        usable=sum(worker.usable for worker in workers),
+        cores=sum(item.entry.capacity.cpu for item in workers) / 1000,
+        cores_used=sum(item.used_cpu for item in workers) / 1000,
+        runs=sum(len(item.runs) for item in workers),
+        waiting_tasks=sum(len(step.waiting) for step in waiting.values()),
+    )
+
+
+def collect_gauges(node, metrics):
+    """Copy the present state into gauges.
+
+    :param metrics: :class:`arbutusrock.metrics.Metrics`.
+    """
+    metrics.clear_gauges()
+    metrics.record('configuration_age_seconds', node.configuration.age_s)
+    metrics.record('owner', int(node.leader is not None))
+    if node.leader is None:
+        return
+    term = node.leader.term
+    metrics.record('open_jobs', len(term.book.open_jobs))
+    for pool, load in vm_views.measure_loads(term.fleet).items():
+        metrics.record('pool_load', load, (('pool', pool),))
+    for worker in term.fleet.workers.values():
+        pool = (('pool', worker.entry.pool),)
+        name = 'workers_failing' if worker.failing else 'workers_in_touch'
+        value = metrics.get_gauge(name, pool)
+        metrics.record(name, value + 1, pool)
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -171,9 +171,9 @@
 
 def _add_needs(views, term):
     wall_s = clocks.wall_time_s()
-    for job in term.book.jobs.values():
+    for job in term.book.open_jobs.values():
         view = views.get(job.submission.pool)
-        if view is None or job.ended or job.excess:
+        if view is None or job.excess:
             continue
         for occurrence in job.occurrences.values():
             outlook = outlooks.estimate(term.estimates, occurrence)
--- a/arbutusrock/logs.py
+++ b/arbutusrock/logs.py
@@ -1,11 +1,18 @@
 """Structured logs: short sentences with a fixed prefix for each part."""
 
 import logging
+import os
 import sys
 
 import structlog
 
-__all__ = ['configure_logs', 'get_log']
+from arbutusrock.utils import clocks
+
+__all__ = ['BoundedOutput', 'configure_logs', 'get_log']
+
+# Most lines a second that are written; a burst of four seconds may go over.
+LINES_PER_S = 250
+BURST_LINES = 1000
 
 HIDDEN = '(hidden)'
 SECRET_FIELDS = frozenset({'authorization', 'token', 'secret', 'key'})
@@ -30,6 +37,58 @@
     return f'{line}\n{failure}' if failure else line
 
 
+class BoundedOutput:
+    """Writes lines to a file descriptor without ever waiting for it.
+
+    Lines beyond the rate, and those that the reader of a full pipe does not
+    take, are counted and left out; the count is written when there is room.
+
+    :param descriptor: number of an open file.
+    """
+
+    def __init__(self, *, descriptor):
+        self.descriptor = descriptor
+        self.dropped = 0
+        self._credit = float(BURST_LINES)
+        self._credit_s = clocks.now_s()
+        self._rest = b''
+        os.set_blocking(descriptor, False)
+
+    def write(self, text):
+        """Write a line, or count it as left out."""
+        now_s = clocks.now_s()
+        self._credit = min(
+            BURST_LINES,
+            self._credit + (now_s - self._credit_s) * LINES_PER_S,
+        )
+        self._credit_s = now_s
+        if self._credit < 1 or not self._write_bytes(self._rest):
+            self.dropped += 1
+            return
+        self._credit -= 1
+        if self.dropped:
+            text = (
+                f'{{"event": "lines left out", "n": {self.dropped}}}\n{text}'
+            )
+        if self._write_bytes(text.encode()):
+            self.dropped = 0
+
+    def _write_bytes(self, data):
+        """Write what fits; the rest of a line that was begun comes first."""
+        if not data:
+            return True
+        try:
+            count = os.write(self.descriptor, data)
+        except BlockingIOError:
+            self.dropped += data is not self._rest
+            return False
+        self._rest = data[count:]
+        return not self._rest
+
+    def flush(self):
+        """Do nothing: lines are written at once."""
+
+
 class _MalformedRequests(logging.Handler):
     """Tells of malformed requests in one line, without what they held.
 
@@ -66,7 +125,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(number),
-        logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
     logging.basicConfig(level=logging.WARNING, stream=stream or sys.stderr)
--- a/arbutusrock/metrics.py
+++ b/arbutusrock/metrics.py
@@ -58,6 +58,10 @@
         """Return the present value of a counter."""
         return self._counts.get((name, labels), 0)
 
+    def get_gauge(self, name, labels=()):
+        """Return the present value of a gauge."""
+        return self._values.get((name, labels), 0)
+
     def clear_gauges(self):
         """Forget gauge values, so that gone label sets disappear."""
         for name, labels in self._values:
--- a/arbutusrock/platform/__main__.py
+++ b/arbutusrock/platform/__main__.py
@@ -6,9 +6,11 @@
 import sys
 
 from aiohttp import web
+import msgspec
 import uvloop
 
 from arbutusrock.engine import node as node_module
+from arbutusrock.engine import status
 from arbutusrock import errors
 from arbutusrock import logs
 from arbutusrock import metrics as metrics_module
@@ -53,7 +55,14 @@
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _note_reload)
 
-    async def show_metrics(_request):
+    async def show_metrics(request):
+        if request.path == '/status':
+            view = status.describe_node(node, ready=ingress.is_ready())
+            return web.Response(
+                body=msgspec.json.encode(view),
+                content_type='application/json',
+            )
+        status.collect_gauges(node, metrics)
         body, headers = metrics.render()
         return web.Response(body=body, headers=headers)
 
@@ -108,7 +117,8 @@
 
     :returns: exit status.
     """
-    logs.configure_logs(log_format='json', level='info', stream=sys.stdout)
+    output = logs.BoundedOutput(descriptor=sys.stdout.fileno())
+    logs.configure_logs(log_format='json', level='info', stream=output)
     try:
         settings = boot.load_node_settings()
     except errors.InvalidSettings as exc:
--- a/arbutusrock/platform/boot.py
+++ b/arbutusrock/platform/boot.py
@@ -76,6 +76,7 @@
         callers=fields.get_address('listen.frontend'),
         readiness=fields.get_address('listen.readiness'),
         peer_port=int(first_port),
+        cores=number('limits.cpuShare', 1.0) * number('limits.cores', 1),
         store=fields.get_address('platform.address'),
         vm_service=fields.values.get('cloudApi.address', ''),
         advice_service=fields.values.get('advice', ''),
--- a/arbutusrock/platform/ingress.py
+++ b/arbutusrock/platform/ingress.py
@@ -152,13 +152,17 @@
 
     async def handle_readiness(self, _request):
         """Answer the balancer."""
+        return web.Response(status=200 if self.is_ready() else 503)
+
+    def is_ready(self):
+        """Return whether the balancer should send callers here."""
         if self.node.stopping:
-            return web.Response(status=503)
+            return False
         try:
             self.node.check_ready()
         except errors.ArbutusrockError:
-            return web.Response(status=503)
-        return web.Response(status=200)
+            return False
+        return True
 
 
 def _reply(body):
--- /dev/null
+++ b/arbutusrock/tests/test_logs.py
@@ -0,0 +1,39 @@
+"""Log lines are bounded and never wait for their reader."""
+
+import os
+
+from arbutusrock import logs
+
+
+def read_all(descriptor):
+    data = os.read(descriptor, 1 << 20)
+    return data.decode().splitlines()
+
+
+def test_lines_beyond_the_rate_are_counted(monkeypatch):
+    monkeypatch.setattr(logs, 'BURST_LINES', 3)
+    now = [0.0]
+    monkeypatch.setattr(logs.clocks, 'now_s', lambda: now[0])
+    reader, writer = os.pipe()
+    output = logs.BoundedOutput(descriptor=writer)
+    for number in range(10):
+        output.write(f'line {number}\n')
+    assert read_all(reader) == ['line 0', 'line 1', 'line 2']
+    now[0] = 1.0
+    output.write('later\n')
+    assert read_all(reader) == ['{"event": "lines left out", "n": 7}', 'later']
+
+
+def test_a_reader_that_does_not_read_blocks_nothing(monkeypatch):
+    monkeypatch.setattr(logs, 'BURST_LINES', 10_000)
+    reader, writer = os.pipe()
+    output = logs.BoundedOutput(descriptor=writer)
+    line = 'x' * 999 + '\n'
+    for _ in range(200):
+        output.write(line)
+    assert output.dropped > 0
+    first = read_all(reader)
+    output.write('after\n')
+    lines = first + read_all(reader)
+    assert lines[-1] == 'after'
+    assert {len(item) for item in lines[:60]} == {999}
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -5,6 +5,7 @@
 import pytest
 
 from arbutusrock.engine import ownership
+from arbutusrock.engine import retention
 from examples.standins.site import Site
 from examples.standins.site.site import create_step
 from tests import site_checks
@@ -219,3 +220,21 @@
     site.store.transaction_s = 0.0
     for number in range(32):
         await wait_state(site, 'completed', f'{number:016x}')
+
+
+async def test_ended_jobs_are_forgotten_in_time(site, monkeypatch):
+    monkeypatch.setattr(retention, 'PASS_S', 0.1)
+    await start_nodes(site, 1, status_s=0.5)
+    await site.submit('alpha', JOB, [create_step(2)])
+    await wait_state(site, 'completed')
+    await wait_until(
+        lambda: (
+            not [
+                key
+                for key, (value, _) in site.store.rows.items()
+                if value is not None and key[2].startswith(JOB)
+            ]
+        ),
+        what='its rows are removed',
+    )
+    assert JOB not in site.nodes[0].node.leader.term.book.jobs
