Let a failed task wait for a worker on which it has not failed

Ruled out: a hopeless job (other tasks of its queue failed there only). Change: placement.find_fresh: for 3 s a task does not go back to a VM on which it failed or stood still, while others are in service.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -117,7 +117,13 @@
             if not self._fits_limit(step, 1):
                 return True
             wish = self._create_wish(step, task, doubtful, allowed)
-            worker = placement.choose_worker(workers, wish)
+            fresh = placement.find_fresh(
+                workers, task.avoided_vms, now_s - task.waiting_s
+            )
+            worker = placement.choose_worker(fresh, wish)
+            if worker is None and len(fresh) < len(workers):
+                # It waits; others of the step may still find room.
+                continue
             if worker is None:
                 bound = step.plan.most_per_worker or step.plan.label
                 return bool(bound or allowed is not None)
--- a/arbutusrock/scheduling/placement.py
+++ b/arbutusrock/scheduling/placement.py
@@ -6,7 +6,11 @@
 they can; away from VMs on which they failed.
 """
 
-__all__ = ['Wish', 'choose_gang', 'choose_worker']
+__all__ = ['Wish', 'choose_gang', 'choose_worker', 'find_fresh']
+
+# A task waits this long for a worker on which it has not failed: a second
+# failure on a sick worker costs one of its few attempts.
+PATIENCE_S = 3.0
 
 
 class Wish:
@@ -82,6 +86,18 @@
     )
 
 
+def find_fresh(workers, avoided, waited_s):
+    """Return the workers that a task may use now.
+
+    :param avoided: VMs on which it failed or stood still.
+    :param waited_s: how long it has waited.
+    """
+    if not avoided or waited_s > PATIENCE_S:
+        return workers
+    fresh = [worker for worker in workers if worker.vm not in avoided]
+    return fresh or workers
+
+
 def choose_worker(workers, wish):
     """Return the best worker with room, or None.
 
--- a/examples/run_site.py
+++ b/examples/run_site.py
@@ -65,13 +65,18 @@
     return left
 
 
+async def _wait_for(condition):
+    async with asyncio.timeout(PATIENCE_S):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+
+
 async def _play():
     site = Site(pools={'alpha': 2, 'beta': 3, 'spare': 3})
     await site.start()
     for number in range(3):
         await site.start_node(f'n{number}')
-    while not any(node.is_owner for node in site.nodes):
-        await asyncio.sleep(0.05)
+    await _wait_for(lambda: any(node.is_owner for node in site.nodes))
     serving = create_step(3, longRunning=True, mayMiss=1)
     await site.submit('beta', SERVING, [serving], spec='{"lasts": 1}')
     names = [name for name in site.vms.vms if 'beta' in name]
@@ -82,8 +87,7 @@
     print(f'{owner.node.settings.name} owned the unit and is killed')
     await site.stop_node(owner)
     left = await _wait_completed(site, await burst)
-    while site.get_wave_state(1) != 'completed':
-        await asyncio.sleep(0.1)
+    await _wait_for(lambda: site.get_wave_state(1) == 'completed')
     broken = list(find_broken(site.ledger))
     broken += [f'job {name} is not completed' for name in sorted(left)]
     if site.vms.most_down > 1:
--- a/examples/standins/site/workers.py
+++ b/examples/standins/site/workers.py
@@ -60,6 +60,8 @@
         self.ends = 0
         self.closed_runs = {}
         self.paces = {}
+        # It fails all that it starts.
+        self.sick = False
         self._timers = {}
         self._changed = asyncio.Condition()
 
@@ -129,7 +131,8 @@
         if wish.get('lasts'):
             return
         await asyncio.sleep(wish.get('ms', DEFAULT_MS) / 1000)
-        await self._end(line, 'failed' if wish.get('fail') else 'done')
+        failed = self.sick or wish.get('fail')
+        await self._end(line, 'failed' if failed else 'done')
 
     async def _end(self, line, how):
         if self.running.get(line.task) is not line:
