Keep the owner's work in bounds under an overload of a large site

Ruled out: the store, workers (both answered in time), pool sizes (3,300 cores stood ready). Change: steps that fit nowhere are left out before ranking; a long pass is followed by a pause; renewals are bounded over all workers; ended jobs stay rows until needed; nodes with more processor time claim first; a job has started when a worker confirms it.

--- a/arbutusrock/engine/book.py
+++ b/arbutusrock/engine/book.py
@@ -17,6 +17,8 @@
         self.jobs = {}
         # Those that have not ended.
         self.open_jobs = {}
+        # Jobs that had ended before this owner began: rows, not decoded.
+        self.archive = {}
         # Steps with waiting tasks, by pool.
         self.waiting_steps = {}
         # Jobs whose progress row must be written.
@@ -126,7 +128,6 @@
         if task.status is work.TaskStatus.WAITING:
             self._drop_waiting(task)
         task.status = work.TaskStatus.ACTIVE
-        task.step.job.started = True
 
     def requeue(self, task, now_s):
         """Let a task without runs wait for the next one."""
@@ -224,6 +225,19 @@
         for task in job.iterate_tasks():
             self._drop_waiting(task)
 
+    def find_job(self, job_id):
+        """Return a job, also one from the archive, or None."""
+        row = self.archive.pop(job_id, None)
+        if row is not None:
+            submission, progress = row
+            self.add(
+                job_id,
+                plans.decode_submission(submission),
+                progress=plans.decode_progress(progress),
+                inherited=True,
+            )
+        return self.jobs.get(job_id)
+
     def find_task(self, name):
         """Return the task of that name, or None."""
         parts = work.split_task_name(name)
@@ -248,4 +262,5 @@
     def forget(self, job_id):
         """Drop a job whose rows were removed."""
         self.jobs.pop(job_id, None)
+        self.archive.pop(job_id, None)
         self.dirty.pop(job_id, None)
--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -15,10 +15,14 @@
 
 # Events of this span share one pass.
 COLLECT_S = 0.004
+# A long pass is followed by a pause of so many times its length, so that
+# reports and orders are not held up; up to a bound.
+PAUSES = 3
+MOST_PAUSE_S = 0.1
 # Passes without an event, for what depends on time.
 TICK_S = 0.2
 # Ranks are computed anew after this time.
-RANK_S = 0.1
+RANK_S = 0.2
 LOG = logs.get_log('dispatch')
 
 
@@ -39,16 +43,19 @@
 
     async def run(self):
         """Make passes until the ownership ends."""
+        pause_s = 0.0
         while True:
             try:
                 async with asyncio.timeout(TICK_S):
                     await self.term.work_due.wait()
-                await asyncio.sleep(COLLECT_S)
+                await asyncio.sleep(max(COLLECT_S, pause_s))
             except TimeoutError:
                 # Time has passed; occurrences may be due.
                 pass
             self.term.work_due.clear()
+            began_s = clocks.now_s()
             self.dispatch()
+            pause_s = min(MOST_PAUSE_S, (clocks.now_s() - began_s) * PAUSES)
 
     def dispatch(self):
         """Make one pass."""
@@ -60,45 +67,48 @@
         if now_s - self._ranks_s > RANK_S:
             self._ranks.clear()
             self._ranks_s = now_s
-        for pool, steps in list(term.book.waiting_steps.items()):
-            if steps:
-                self._dispatch_pool(pool, list(steps.values()), now_s)
+        waiting = {
+            pool: steps
+            for pool, steps in term.book.waiting_steps.items()
+            if steps
+        }
+        workers = {pool: [] for pool in waiting}
+        for worker in term.fleet.workers.values():
+            pool = worker.entry.pool
+            if pool in waiting and worker.usable:
+                workers[pool].append(worker)
+        for pool, steps in waiting.items():
+            if workers[pool]:
+                self._dispatch_pool(
+                    pool, list(steps.values()), workers[pool], now_s
+                )
 
-    def _dispatch_pool(self, pool, steps, now_s):
+    def _dispatch_pool(self, pool, steps, workers, now_s):
         term = self.term
-        workers = [
-            worker
-            for worker in term.fleet.find_pool(pool)
-            if worker.usable and worker.worker_id in self.links
-        ]
-        if not workers:
-            return
         vms = [worker.vm for worker in workers]
         excluded = term.standing.find_excluded(vms, now_s)
         doubtful = {vm for vm in vms if term.standing.is_doubtful(vm, now_s)}
         sound = [item for item in workers if item.vm not in excluded]
         uncertain = term.fleet.is_uncertain(pool, now_s)
+        largest = _find_largest_room(sound)
+        # In an overload few steps can find room at all.
+        steps = [step for step in steps if _may_fit(step, largest)]
         steps.sort(key=lambda step: self._rank(step, now_s))
         # Demands that found no room in this pass.
         refused = []
         for step in steps:
             if uncertain and step.job.inherited and not step.plan.speculative:
                 continue
-            demand = self._get_room_demand(step)
+            if not _may_fit(step, largest):
+                continue
+            demand = _get_room_demand(step)
             if any(_exceeds(demand, other) for other in refused):
                 continue
+            before = len(step.waiting)
             if not self._start_step(step, sound, doubtful, now_s):
                 refused.append(demand)
-
-    @staticmethod
-    def _get_room_demand(step):
-        """Return what a task takes of a worker's room."""
-        demand = step.plan.demand
-        if not step.plan.fills:
-            return demand
-        return Resources(
-            memory_mb=demand.memory_mb, accelerators=demand.accelerators
-        )
+            if len(step.waiting) < before:
+                largest = _find_largest_room(sound)
 
     def _start_step(self, step, workers, doubtful, now_s):
         """Start tasks of a step while they fit.
@@ -153,7 +163,7 @@
 
     def _create_wish(self, step, task, doubtful, allowed):
         return placement.Wish(
-            demand=self._get_room_demand(step),
+            demand=_get_room_demand(step),
             label=step.plan.label,
             data_rack=step.plan.data_rack,
             most_per_worker=step.plan.most_per_worker,
@@ -190,7 +200,8 @@
             demand=task.step.plan.demand,
             now_s=now_s,
         )
-        if not job.started:
+        if not job.ordered:
+            job.ordered = True
             LOG.info(
                 'a job starts',
                 job=job.job_id,
@@ -263,6 +274,36 @@
         )
 
 
+def _get_room_demand(step):
+    """Return what a task takes of a worker's room."""
+    demand = step.plan.demand
+    if not step.plan.fills:
+        return demand
+    return Resources(
+        memory_mb=demand.memory_mb, accelerators=demand.accelerators
+    )
+
+
+def _find_largest_room(workers):
+    """Return the largest free amount of each resource on any worker."""
+    return Resources(
+        cpu=max((item.free_cpu for item in workers), default=0),
+        memory_mb=max((item.free_memory_mb for item in workers), default=0),
+        accelerators=max(
+            (item.free_accelerators for item in workers), default=0
+        ),
+    )
+
+
+def _may_fit(step, largest):
+    demand = step.plan.demand
+    return (
+        (step.plan.fills or demand.cpu <= largest.cpu)
+        and demand.memory_mb <= largest.memory_mb
+        and demand.accelerators <= largest.accelerators
+    )
+
+
 def _exceeds(demand, other):
     return (
         demand.cpu >= other.cpu
--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -150,7 +150,7 @@
 class Fleet:
     """All workers, and the resources in use by account."""
 
-    __slots__ = ('workers', 'usage', 'strays')
+    __slots__ = ('workers', 'usage', 'strays', '_busy')
 
     def __init__(self):
         self.workers = {}
@@ -158,6 +158,12 @@
         # Names of tasks with runs that are not wanted and may still be at
         # work, and how many.
         self.strays = {}
+        # Workers with runs.
+        self._busy = 0
+
+    def count_busy(self):
+        """Return the number of workers with runs."""
+        return self._busy
 
     def find_pool(self, pool):
         """Return the workers of a pool."""
@@ -179,6 +185,7 @@
     def add_run(self, run):
         """Count a run on its worker and for its account."""
         worker = run.worker
+        self._busy += not worker.runs
         worker.runs[(run.name, run.number)] = run
         self._count(run, 1)
         if run.task is None:
@@ -193,6 +200,7 @@
         worker = run.worker
         if worker.runs.pop((run.name, run.number), None) is None:
             return
+        self._busy -= not worker.runs
         self._count(run, -1)
         if run.task is None:
             self.strays[run.name] -= 1
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -103,7 +103,8 @@
                 LOG.info(
                     'this node owns the unit',
                     epoch=self.term.epoch,
-                    jobs=len(self.term.book.jobs),
+                    jobs=len(self.term.book.open_jobs),
+                    ended_jobs=len(self.term.book.archive),
                     workers=len(self.term.fleet.workers),
                     took_s=round(clocks.now_s() - self.term.began_s, 3),
                 )
@@ -180,12 +181,15 @@
         if row.key.endswith(CANCEL_SUFFIX):
             self._cancel(row.key.removesuffix(CANCEL_SUFFIX))
             return
-        submission = plans.decode_submission(row.value)
+        if row.key in self.term.book.jobs or row.key in self.term.book.archive:
+            return
         state = progress.get(row.key)
         if state is not None:
             self.journal.set_version(row.key, state.version)
-        if row.key in self.term.book.jobs:
-            return
+            if plans.has_ended(state.value):
+                self.term.book.archive[row.key] = (row.value, state.value)
+                return
+        submission = plans.decode_submission(row.value)
         job = self.term.book.add(
             row.key,
             submission,
--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -16,10 +16,10 @@
 TAKEOVER_S = 1.6
 # Nodes that see the same silence claim one after another.
 SPREAD_S = 0.3
-# An owner uses up to a fifth of a core today; a node with this much and more
-# has no handicap, one with next to nothing waits this long.
-ENOUGH_CORES = 1.0
-HANDICAP_S = 0.4
+# A node with this much processor time and more has no handicap, one with
+# next to nothing waits this long: the owner's work grows with the workers.
+ENOUGH_CORES = 2.0
+HANDICAP_S = 0.3
 # How long the store may wait for a heartbeat before it answers.
 WATCH_S = 0.8
 RETRY_S = 0.2
--- a/arbutusrock/engine/plans.py
+++ b/arbutusrock/engine/plans.py
@@ -13,6 +13,8 @@
     'decode_progress',
     'decode_submission',
     'encode_row',
+    'get_ended_ms',
+    'has_ended',
 ]
 
 
@@ -102,6 +104,24 @@
     ended_ms: float = 0.0
 
 
+class _Status(msgspec.Struct):
+    status: str = JobStatus.RUNNING
+    ended_ms: float = 0.0
+
+
+_decode_status = msgspec.msgpack.Decoder(_Status).decode
+
+
+def has_ended(data):
+    """Return whether a progress row shows a job that has ended."""
+    return _decode_status(data).status in JobStatus.ENDED
+
+
+def get_ended_ms(data):
+    """Return the Unix time at which the job of a progress row ended."""
+    return _decode_status(data).ended_ms
+
+
 encode_row = msgspec.msgpack.Encoder().encode
 decode_submission = msgspec.msgpack.Decoder(Submission).decode
 decode_progress = msgspec.msgpack.Decoder(JobProgress).decode
--- a/arbutusrock/engine/registry.py
+++ b/arbutusrock/engine/registry.py
@@ -94,13 +94,14 @@
             uncertain_until_s=uncertain_until_s,
         )
         self.term.fleet.workers[entry.worker_id] = worker
-        LOG.info(
-            'a worker is registered',
-            worker=entry.worker_id,
-            pool=entry.pool,
-            vm=entry.vm,
-            draining=entry.draining,
-        )
+        if not uncertain_until_s:
+            LOG.info(
+                'a worker is registered',
+                worker=entry.worker_id,
+                pool=entry.pool,
+                vm=entry.vm,
+                draining=entry.draining,
+            )
         self.term.request_flush()
         self.connect(worker)
 
--- a/arbutusrock/engine/retention.py
+++ b/arbutusrock/engine/retention.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from arbutusrock.engine import plans
 from arbutusrock.engine import rows
 from arbutusrock import logs
 from arbutusrock.utils import clocks
@@ -59,6 +60,11 @@
                 job.occurrences.clear()
             if age_ms > kept_ms and len(old) < MOST_JOBS:
                 old.append(job.job_id)
+        for job_id, (_, progress) in self.term.book.archive.items():
+            if len(old) == MOST_JOBS:
+                break
+            if now_ms - plans.get_ended_ms(progress) > kept_ms:
+                old.append(job_id)
         if not old:
             return
         await self._remove_jobs(old)
--- a/arbutusrock/engine/run_keeper.py
+++ b/arbutusrock/engine/run_keeper.py
@@ -62,6 +62,8 @@
                 if run.state is not work.RunState.STOPPING:
                     run.state = work.RunState.RUNNING
                 run.confirmed_s = now_s
+                if run.task is not None:
+                    run.task.step.job.started = True
                 return
             case reports.OrderOutcome.UNKNOWN:
                 worker.failing = True
@@ -273,6 +275,8 @@
         if run.state in {work.RunState.ORDERED, work.RunState.IN_DOUBT}:
             run.state = work.RunState.RUNNING
             run.confirmed_s = now_s
+        if run.task is not None:
+            run.task.step.job.started = True
         if item.percent > run.percent:
             run.advanced_s = now_s
         run.percent = item.percent
@@ -291,7 +295,7 @@
             and self._is_wanted(task, item.run)
         )
         parts = work.split_task_name(item.task)
-        job = self.term.book.jobs.get(parts[0]) if parts else None
+        job = self.term.book.find_job(parts[0]) if parts else None
         run = work.Run(
             number=item.run,
             name=item.task,
--- a/arbutusrock/engine/work.py
+++ b/arbutusrock/engine/work.py
@@ -235,6 +235,7 @@
         'occurrences',
         'next_occurrence',
         'started',
+        'ordered',
         'excess',
         'accepted_s',
     )
@@ -248,7 +249,10 @@
         # Open occurrences by number.
         self.occurrences = {}
         self.next_occurrence = 0
+        # Whether a worker has confirmed a run of it.
         self.started = False
+        # Whether a run of it was ever ordered.
+        self.ordered = False
         # Sent beyond what the account may send in a second.
         self.excess = False
         self.accepted_s = submission.accepted_ms / 1000
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -12,8 +12,11 @@
 # How long an answer waits for an end, and which part of the lease at most.
 WAIT_S = 1.0
 WAIT_PART = 0.2
-# Least time between two renewals that bring ends, so that they collect.
+# Least time between two renewals that bring ends, so that they collect; and
+# the same for each worker with runs, which bounds the renewals of all
+# workers together to 1,000 a second.
 LEAST_GAP_S = 0.02
+GAP_EACH_S = 0.001
 # Pause before a worker that does not answer is asked again.
 RETRY_S = 0.25
 # While the store takes no ends, they are read again at this pace.
@@ -58,7 +61,9 @@
         """Let ends become durable: a worker repeats unacknowledged ones."""
         worker = self.worker
         if not worker.unacknowledged:
-            await asyncio.sleep(LEAST_GAP_S if worker.runs else 0)
+            if worker.runs:
+                busy = self.term.fleet.count_busy()
+                await asyncio.sleep(max(LEAST_GAP_S, busy * GAP_EACH_S))
             return
         worker.acknowledged.clear()
         try:
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -234,6 +234,26 @@
     assert [line.how for line in lines] == ['failed', 'done']
 
 
+async def test_a_job_whose_orders_were_lost_still_waits(site):
+    """An order without an answer is no start."""
+    await start_nodes(site, 1)
+    for worker in site.workers.values():
+        worker.faults.only = START
+        worker.faults.silent = True
+    await site.submit('alpha', JOB, [create_step(1)])
+
+    async def is_counted():
+        status, body = await site.call('GET', 'alpha', '')
+        return status == 200 and body == {'waiting': 1}
+
+    await wait_until(is_counted, what='the job is counted')
+    await asyncio.sleep(1.5)
+    assert await is_counted()
+    for worker in site.workers.values():
+        worker.faults.clear()
+    await wait_state(site, 'completed')
+
+
 async def test_ended_jobs_are_forgotten_in_time(site, monkeypatch):
     monkeypatch.setattr(retention, 'PASS_S', 0.1)
     await start_nodes(site, 1, status_s=0.5)
