Count tasks of leaving workers as away in the same pass

Ruled out: a takeover (one owner all the while). Change: draining workers are emptied first, so that the bound of the others sees it. The test fails before and passes after.

--- a/arbutusrock/engine/evacuation.py
+++ b/arbutusrock/engine/evacuation.py
@@ -35,20 +35,26 @@
         """Make passes until the ownership ends."""
         while True:
             await asyncio.sleep(PASS_S)
-            now_s = clocks.now_s()
-            leaving = [
-                worker
-                for worker in self.term.fleet.workers.values()
-                if (worker.entry.draining or worker.cordon)
-                and worker.known
-                and not worker.ended
-            ]
-            self._since = {
-                worker.worker_id: self._since.get(worker.worker_id, now_s)
-                for worker in leaving
-            }
-            for worker in leaving:
-                self._empty(worker, now_s)
+            self.make_pass(clocks.now_s())
+
+    def make_pass(self, now_s):
+        """Stop what has to leave its worker now."""
+        leaving = [
+            worker
+            for worker in self.term.fleet.workers.values()
+            if (worker.entry.draining or worker.cordon)
+            and worker.known
+            and not worker.ended
+        ]
+        self._since = {
+            worker.worker_id: self._since.get(worker.worker_id, now_s)
+            for worker in leaving
+        }
+        # Those that leave by themselves first: what they lose counts as away
+        # for the others in the same moment.
+        leaving.sort(key=lambda worker: not worker.entry.draining)
+        for worker in leaving:
+            self._empty(worker, now_s)
 
     def _empty(self, worker, now_s):
         waited_s = now_s - self._since[worker.worker_id]
--- /dev/null
+++ b/arbutusrock/engine/tests/test_evacuation.py
@@ -0,0 +1,99 @@
+"""Which serving tasks leave their workers in one pass."""
+
+import types
+
+from arbutusrock.engine import evacuation
+from arbutusrock.engine import fleet
+from arbutusrock.engine import plans
+from arbutusrock.engine import reports
+from arbutusrock.engine import work
+from arbutusrock.scheduling import Resources
+
+DEMAND = Resources(cpu=1000, memory_mb=100)
+
+
+def create_worker(name, **fields):
+    entry = reports.WorkerEntry(
+        worker_id=f'i-{name}',
+        pool='p',
+        address='h:1',
+        vm=name,
+        capacity=Resources(cpu=8000, memory_mb=8000),
+        **fields,
+    )
+    worker = fleet.WorkerState(entry=entry, now_s=0.0)
+    worker.known = worker.rostered = True
+    return worker
+
+
+def create_step(count, may_miss):
+    step = plans.StepPlan(
+        count=count, demand=DEMAND, long_running=True, may_miss=may_miss
+    )
+    submission = plans.Submission(
+        queue='q',
+        pool='p',
+        account='a',
+        accepted_ms=0.0,
+        plan=plans.JobPlan(spec='', steps=(step,)),
+    )
+    job = work.Job(
+        job_id='0' * 16,
+        submission=submission,
+        progress=plans.JobProgress(),
+        inherited=False,
+    )
+    return work.Occurrence(job=job, number=0, due_s=0.0).steps[0]
+
+
+def run_pass(placement, may_miss):
+    """Place tasks on workers and return the tasks that one pass stops.
+
+    :param placement: list of (worker, number of tasks).
+    """
+    known = fleet.Fleet()
+    step = create_step(sum(count for _, count in placement), may_miss)
+    tasks = iter(step.tasks)
+    for worker, count in placement:
+        known.workers[worker.worker_id] = worker
+        for _ in range(count):
+            task = next(tasks)
+            run = work.Run(
+                number=1,
+                name=task.name,
+                task=task,
+                account='a',
+                worker=worker,
+                demand=DEMAND,
+                now_s=0.0,
+            )
+            run.state, run.percent = work.RunState.RUNNING, 100
+            known.add_run(run)
+    stopped = []
+
+    def stop_run(run, _reason):
+        run.state = work.RunState.STOPPING
+        stopped.append((run.worker.vm, run.task.index))
+
+    evacuator = evacuation.Evacuation(
+        term=types.SimpleNamespace(fleet=known),
+        keeper=types.SimpleNamespace(stop_run=stop_run),
+    )
+    evacuator.make_pass(1.0)
+    return stopped
+
+
+def test_tasks_leave_a_cordoned_worker_within_what_may_be_missed():
+    cordoned, free = create_worker('a'), create_worker('b')
+    cordoned.cordon = 'wave'
+    assert len(run_pass([(cordoned, 5), (free, 0)], 2)) == 2
+
+
+def test_tasks_of_a_leaving_worker_count_as_away_for_all_others():
+    """Both ends arrive in the same moment, whichever is sent first."""
+    cordoned, free = create_worker('a'), create_worker('b')
+    cordoned.cordon = 'wave'
+    leaving = create_worker('c', draining=True, leaves_in_ms=800.0)
+    stopped = run_pass([(cordoned, 1), (free, 0), (leaving, 3)], 2)
+    assert {vm for vm, _ in stopped} == {'c'}
+    assert len(stopped) == 3
