Do not trust the list of VMs before it can show an order

A new owner read the list once, right after its claim. Ruled out: an earlier owner's late order (it was dead for a second), two orders for one VM. Change: a list ends an order only after the time that the order takes; waves go on a second after a takeover, with a list from then. Stand-in with a lagging list; the test fails before and passes after.

--- a/arbutusrock/engine/vm_board.py
+++ b/arbutusrock/engine/vm_board.py
@@ -55,11 +55,13 @@
     def __init__(self):
         self.vms = {}
 
-    def update(self, entries, sent_s, settle_s):
+    def update(self, entries, sent_s, get_duration_s):
         """Take over a list of VMs that was asked for at ``sent_s``.
 
-        :param settle_s: an order is over when the VM is up this long after
-            it was confirmed.
+        The list lags: a VM that it shows as up may have gone down since.
+
+        :param get_duration_s: tells for an order how long after its
+            confirmation the list cannot show the state before it.
         """
         names = set()
         for entry in entries:
@@ -72,7 +74,7 @@
             if (
                 order is not None
                 and order.answered_s is not None
-                and order.answered_s + settle_s < sent_s
+                and order.answered_s + get_duration_s(order) < sent_s
                 and entry.state is reports.VMState.UP
             ):
                 state.order = None
--- a/arbutusrock/engine/vm_keeper.py
+++ b/arbutusrock/engine/vm_keeper.py
@@ -21,6 +21,8 @@
 # VMs are listed this often when nothing is under way, and when something is.
 LIST_S = 5.0
 LIST_BUSY_S = 0.7
+# The list may be this old.
+LIST_LAG_S = 1.0
 # Orders are given only when the store confirmed the ownership this recently:
 # less than what other nodes wait before they take over.
 CONFIRMED_S = 1.4
@@ -80,7 +82,9 @@
             now_s = clocks.now_s()
             self._settle_orders(now_s)
             if self._may_order(now_s):
-                await self._work_on_waves(now_s)
+                # What an earlier owner sent to maintenance must show first.
+                if self._listed_s > self.term.began_s + LIST_LAG_S:
+                    await self._work_on_waves(now_s)
                 self._resize_pools(now_s)
 
     def _may_order(self, now_s):
@@ -93,7 +97,8 @@
     async def _list_vms(self):
         now_s = clocks.now_s()
         busy = any(state.order for state in self.board.vms.values())
-        every_s = LIST_BUSY_S if busy else LIST_S
+        early = now_s < self.term.began_s + 2 * LIST_LAG_S
+        every_s = LIST_BUSY_S if busy or early else LIST_S
         if self._listed_s is not None and now_s - self._listed_s < every_s:
             return
         entries = await self.client.list_vms()
@@ -102,7 +107,13 @@
         if self._listed_s is None:
             LOG.info('VMs are listed', vms=len(entries))
         self._listed_s = now_s
-        self.board.update(entries, now_s, SETTLE_S)
+        self.board.update(entries, now_s, self._get_duration_s)
+
+    def _get_duration_s(self, order):
+        settings = self.term.settings
+        if order.wave is None:
+            return settings.move_s + SETTLE_S
+        return settings.maintenance_s + SETTLE_S
 
     def _settle_orders(self, now_s):
         """Note which orders are over, and since when VMs are empty."""
--- a/examples/standins/site/machines.py
+++ b/examples/standins/site/machines.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's VM service, and of the policy service."""
 
 import asyncio
+import time
 
 from aiohttp import web
 
@@ -30,6 +31,9 @@
         self.orders = []
         self.most_down = 0
         self.maintained = {}
+        # The list shows what was so long ago.
+        self.list_lag_s = 0.0
+        self._history = []
         self._tasks = set()
 
     def create_app(self):
@@ -41,14 +45,24 @@
         return app
 
     async def list_vms(self, _request):
-        """Return all VMs."""
+        """Return all VMs as they were some time ago."""
+        shown = self.vms
+        if self.list_lag_s:
+            then_s = time.monotonic() - self.list_lag_s
+            older = [vms for at_s, vms in self._history if at_s <= then_s]
+            shown = older[-1] if older else self._history[0][1]
         return web.json_response(
             {
-                'machines': list(self.vms.values()),
+                'machines': list(shown.values()),
                 'nextToken': None,
             }
         )
 
+    def note_change(self):
+        """Keep the present state for the lagging list."""
+        copy = {name: dict(vm) for name, vm in self.vms.items()}
+        self._history.append((time.monotonic(), copy))
+
     def _refuse(self, reason):
         return web.json_response({'reason': reason}, status=409)
 
@@ -99,6 +113,7 @@
         vm['state'] = state
         vm['id'] = None
         self.orders.append((what, vm['machine'], *who))
+        self.note_change()
         down = sum(
             1 for item in self.vms.values() if item['state'] == 'upkeep'
         )
@@ -111,6 +126,7 @@
     async def _bring_back(self, vm):
         await asyncio.sleep(self.move_s)
         vm['state'] = 'up'
+        self.note_change()
         if vm['pool'] != self.spare_pool:
             await self.start_life(vm['machine'], vm['pool'])
 
--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -125,6 +125,7 @@
                     await self._start_life(vm, pool)
             if pool != SPARE_POOL:
                 self.queues[pool] = {}
+        self.vms.note_change()
         await self.configure()
 
     def _get_capacity(self):
--- a/tests/test_site_vms.py
+++ b/tests/test_site_vms.py
@@ -75,6 +75,21 @@
         fences[vm] = (fence, holder)
 
 
+async def test_a_wave_keeps_its_bound_with_a_lagging_list(site):
+    """The list shows VMs as up for a while after they went down."""
+    site.vms.move_s = 1.5
+    site.vms.list_lag_s = 0.9
+    await start_nodes(site, 1, maintenance_s=1.5)
+    names = sorted(site.vms.vms)
+    await site.order_wave(1, names, duration_s=20, most=2)
+    await wait_until(
+        lambda: site.get_wave_state(1) == 'completed',
+        what='the wave ends',
+        timeout_s=40,
+    )
+    assert site.vms.most_down <= 2
+
+
 async def test_a_serving_step_misses_one_task_at_most_in_a_wave(site):
     await start_nodes(site, 1)
     step = create_step(3, longRunning=True, mayMiss=1)
