Complete a wave only when each of its VMs has begun; write the roster at once

Ruled out: a VM that had left (it was listed), a late order. Change 1: completed means that all of its VMs are in the record. Cause 2: in a burst a new worker waited up to 0.25 s for its place in the roster, and 0.2 s for its registration to be read. Change 2: a changed roster goes with the next flush; registrations are read each 0.1 s; VMs are looked at each 0.1 s.

--- a/arbutusrock/engine/journal.py
+++ b/arbutusrock/engine/journal.py
@@ -165,9 +165,12 @@
     async def _commit(self, progress, others, *, with_beat):
         claim = self.create_claim_condition()
         puts, roster = [*progress, *others], None
-        # Between heartbeats a flush carries only progress.
+        # Between heartbeats a flush carries only progress, unless workers
+        # wait for their place in the roster.
         if with_beat and (
-            not progress or clocks.now_s() - self._beat_s > BEAT_S / 2
+            not progress
+            or clocks.now_s() - self._beat_s > BEAT_S / 2
+            or describe_roster(self.term.fleet) != self.roster
         ):
             owner_rows, roster = self._create_owner_rows()
             puts += owner_rows
--- a/arbutusrock/engine/registry.py
+++ b/arbutusrock/engine/registry.py
@@ -14,7 +14,7 @@
 # How long the store may wait for a change before it answers.
 WATCH_S = 2.0
 # Each worker writes about each second: changes of this span share a call.
-GAP_S = 0.2
+GAP_S = 0.1
 # An entry that lapsed while the store was away is back within about two
 # seconds; one that is missing longer is gone.
 MISSING_S = 2.5
--- /dev/null
+++ b/arbutusrock/engine/tests/test_journal.py
@@ -0,0 +1,121 @@
+"""What one flush of the owner writes."""
+
+import types
+
+from arbutusrock.engine import fleet
+from arbutusrock.engine import journal
+from arbutusrock.engine import node_settings
+from arbutusrock.engine import plans
+from arbutusrock.engine import reports
+from arbutusrock.engine import rows
+from arbutusrock.engine import term
+from arbutusrock import metrics
+from arbutusrock.scheduling import Resources
+
+SETTINGS = node_settings.NodeSettings(
+    name='n1',
+    address='127.0.0.1',
+    data_centre='z1',
+    callers='h:1',
+    readiness='h:2',
+    peer_port=0,
+    store='h:3',
+)
+
+
+class RecordingStore:
+    """Keeps the keys that were written by each transaction."""
+
+    def __init__(self):
+        self.written = []
+        self.conflict = None
+
+    async def transact(self, *, expected, puts):
+        """Write, or report the conflict that was planted."""
+        if self.conflict is not None:
+            raise rows.Conflicted(self.conflict)
+        self.written.append([row.key for row in puts])
+        return len(self.written)
+
+
+def create_journal():
+    own = term.Term(
+        epoch=1,
+        claim_version=7,
+        settings=SETTINGS,
+        configuration=types.SimpleNamespace(current=None),
+        metrics=metrics.Metrics(),
+    )
+    store = RecordingStore()
+    return (
+        own,
+        store,
+        journal.Journal(term=own, store=store, on_beat=lambda _beat: None),
+    )
+
+
+def add_worker(own, worker_id):
+    entry = reports.WorkerEntry(
+        worker_id=worker_id,
+        pool='p',
+        address='h:1',
+        capacity=Resources(cpu=1000),
+    )
+    own.fleet.workers[worker_id] = fleet.WorkerState(entry=entry, now_s=0.0)
+
+
+def add_dirty_job(own, job_id):
+    submission = plans.Submission(
+        queue='q',
+        pool='p',
+        account='a',
+        accepted_ms=0.0,
+        plan=plans.JobPlan(spec='', steps=(plans.StepPlan(count=1),)),
+    )
+    own.book.dirty[job_id] = own.book.add(job_id, submission)
+
+
+async def test_a_new_worker_is_written_with_the_next_flush_of_progress():
+    """Until then it gets no runs, and a burst waits for it."""
+    own, store, written = create_journal()
+    add_worker(own, 'i-1')
+    await written.flush()
+    add_worker(own, 'i-2')
+    add_dirty_job(own, '0' * 16)
+    await written.flush()
+    assert journal.KEY_ROSTER in store.written[-1]
+    assert own.fleet.workers['i-2'].rostered
+
+
+async def test_a_flush_of_progress_alone_carries_no_heartbeat():
+    own, store, written = create_journal()
+    await written.flush()
+    add_dirty_job(own, '0' * 16)
+    await written.flush()
+    assert store.written[-1] == ['0' * 16]
+
+
+async def test_another_claim_deposes_the_owner():
+    _, store, written = create_journal()
+    store.conflict = [
+        rows.Row(table=rows.TABLE_OWNER, key=journal.KEY_CLAIM, version=8)
+    ]
+    try:
+        await written.flush()
+    except term.Deposed:
+        return
+    raise AssertionError('the owner was not deposed')
+
+
+async def test_a_repeat_finds_what_an_unanswered_write_has_written():
+    own, store, written = create_journal()
+    add_dirty_job(own, '0' * 16)
+    value = plans.encode_row(own.book.jobs['0' * 16].progress)
+    store.conflict = [
+        rows.Row(table=rows.TABLE_OWNER, key=journal.KEY_CLAIM, version=7),
+        rows.Row(
+            table=rows.TABLE_PROGRESS, key='0' * 16, value=value, version=42
+        ),
+    ]
+    await written.flush()
+    assert written.finished == written.begun == 1
--- a/arbutusrock/engine/vm_keeper.py
+++ b/arbutusrock/engine/vm_keeper.py
@@ -17,7 +17,7 @@
 
 __all__ = ['VMKeeper', 'WaveRecord']
 
-PASS_S = 0.2
+PASS_S = 0.1
 # VMs are listed this often when nothing is under way, and when something is.
 LIST_S = 5.0
 LIST_BUSY_S = 0.7
@@ -177,7 +177,7 @@
 
     def _work_on_wave(self, wave, record, now_s):
         waiting = self._find_waiting(wave, record)
-        if not waiting and not self.board.count_down(wave.number):
+        if set(wave.vms) <= set(record.done):
             record.completed = True
             LOG.info('a wave is completed', wave=wave.number)
             self._write_record(wave.number, record)
