--- a/arbutusrock/engine/node_settings.py
+++ b/arbutusrock/engine/node_settings.py
@@ -11,6 +11,7 @@
     :param cores: processor time that this process may use (cores).
     :param callers: ``host:port`` where callers connect.
     :param readiness: ``host:port`` where the balancer asks.
+    :param metrics: ``host:port`` of metrics and state.
     :param store: ``host:port`` of the store.
     :param vm_service: ``host:port``, or empty where there is none.
     :param advice_service: ``host:port``, or empty where there is none.
@@ -32,6 +33,7 @@
     data_centre: str
     callers: str
     readiness: str
+    metrics: str
     peer_port: int
     cores: float = 1.0
     store: str
--- a/arbutusrock/engine/tests/test_journal.py
+++ b/arbutusrock/engine/tests/test_journal.py
@@ -18,6 +18,7 @@
     data_centre='z1',
     callers='h:1',
     readiness='h:2',
+    metrics='h:4',
     peer_port=0,
     store='h:3',
 )
--- a/arbutusrock/platform/__main__.py
+++ b/arbutusrock/platform/__main__.py
@@ -1,4 +1,7 @@
-"""Runs one node on the platform: ``python -m arbutusrock.platform``."""
+"""Runs one node on the platform: ``python -m arbutusrock.platform``.
+
+With ``--check`` it only reads the settings file.
+"""
 
 import asyncio
 import gc
@@ -21,8 +24,6 @@
 
 __all__ = ['main']
 
-# The last of the ports that are free on every machine.
-METRICS_PORT = 7015
 BACKLOG = 512
 # The balancer needs two misses of a probe each second to stop sending.
 NOTICE_S = 2.5
@@ -39,6 +40,7 @@
     site = web.TCPSite(runner, address, port, backlog=BACKLOG)
     await site.start()
     runners.append(runner)
+    return f'{address}:{runner.addresses[0][1]}'
 
 
 async def _serve(settings):
@@ -67,14 +69,15 @@
         return web.Response(body=body, headers=headers)
 
     await node.start()
-    for handler, where in (
-        (ingress.handle, settings.callers),
-        (ingress.handle_readiness, settings.readiness),
-        (show_metrics, f'{settings.address}:{METRICS_PORT}'),
+    addresses = {}
+    for name, handler, where in (
+        ('callers', ingress.handle, settings.callers),
+        ('readiness', ingress.handle_readiness, settings.readiness),
+        ('metrics', show_metrics, settings.metrics),
     ):
         address, _, port = where.rpartition(':')
-        await _listen(handler, address, int(port), runners)
-    LOG.info('serving', node=settings.name, callers=settings.callers)
+        addresses[name] = await _listen(handler, address, int(port), runners)
+    LOG.info('serving', node=settings.name, **addresses)
     waiters = {
         asyncio.ensure_future(stop.wait()),
         asyncio.ensure_future(node.wait_until_stopped()),
@@ -112,8 +115,8 @@
         LOG.warning('requests are open', requests=ingress.open_requests)
 
 
-def main():
-    """Run until a signal.
+def main(arguments=()):
+    """Run until a signal; with ``--check`` only read the settings.
 
     :returns: exit status.
     """
@@ -124,10 +127,13 @@
     except errors.InvalidSettings as exc:
         LOG.error('the settings are not valid', error=str(exc))
         return exc.code.exit_status
+    if '--check' in arguments:
+        print(f'the settings of {settings.name} are valid')
+        return 0
     gc.freeze()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         return runner.run(_serve(settings))
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- a/arbutusrock/platform/boot.py
+++ b/arbutusrock/platform/boot.py
@@ -44,6 +44,16 @@
             )
         return value
 
+    def get_ports(self, name, default):
+        text = self.get_text(name, default)
+        first, separator, last = text.partition(',')
+        if not (separator and first.isdigit() and last.isdigit()):
+            raise errors.InvalidSettings(
+                f'{self.source}: {name} must be two ports, like 7000,7015; '
+                f'got {text!r}'
+            )
+        return int(first), int(last)
+
     def get_address(self, name, default=None):
         text = self.get_text(name, default)
         host, separator, port = text.rpartition(':')
@@ -67,15 +77,17 @@
     except (OSError, UnicodeDecodeError) as exc:
         raise errors.InvalidSettings(f'{path}: {exc}') from exc
     fields = _Fields(text=text, source=str(path))
-    first_port, _, _ = fields.get_text('portRange', '7000,7015').partition(',')
+    first_port, last_port = fields.get_ports('portRange', '7000,7015')
+    address = fields.get_text('ip')
     number = fields.get_number
     return node_settings.NodeSettings(
         name=fields.get_text('nodeName'),
-        address=fields.get_text('ip'),
+        address=address,
         data_centre=fields.get_text('zone', ''),
         callers=fields.get_address('listen.frontend'),
         readiness=fields.get_address('listen.readiness'),
-        peer_port=int(first_port),
+        peer_port=first_port,
+        metrics=f'{address}:{last_port}',
         cores=number('limits.cpuShare', 1.0) * number('limits.cores', 1),
         store=fields.get_address('platform.address'),
         vm_service=fields.values.get('cloudApi.address', ''),
--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -266,6 +266,7 @@
             data_centre='z1',
             callers=f'{HOST}:0',
             readiness=f'{HOST}:0',
+            metrics=f'{HOST}:0',
             peer_port=0,
             store=self._addresses['store'],
             vm_service=self._addresses['vms'],
@@ -301,6 +302,23 @@
         self.nodes.append(site_node)
         return site_node
 
+    def create_boot_text(self, name='n1'):
+        """Return a settings file for a real process on this site."""
+        fields = {
+            'nodeName': name,
+            'ip': HOST,
+            'zone': 'z1',
+            'listen.frontend': f'{HOST}:0',
+            'listen.readiness': f'{HOST}:0',
+            'portRange': '0,0',
+            'platform.address': self._addresses['store'],
+            'cloudApi.address': self._addresses['vms'],
+            'advice': self._addresses['policy'],
+            'bounds.graceS': '5',
+            'aFieldOfLaterDays': 'x',
+        }
+        return ''.join(f'{key}={value}\n' for key, value in fields.items())
+
     async def stop_node(self, site_node):
         """Kill a node."""
         self.nodes.remove(site_node)
--- /dev/null
+++ b/tests/test_site_process.py
@@ -0,0 +1,127 @@
+"""The real program as a process of its own, on the stand-ins."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+
+import pytest
+
+from arbutusrock import errors
+from arbutusrock.platform import boot
+from examples.standins.site import Site
+from examples.standins.site.site import create_step
+from tests import site_checks
+
+JOB = site_checks.JOB
+
+
+@pytest.fixture
+async def site():
+    stand_in = Site(pools={'alpha': 2})
+    await stand_in.start()
+    yield stand_in
+    await stand_in.stop()
+    site_checks.check_ledger(stand_in.ledger)
+
+
+class Process:
+    """One running node and the lines that it has logged."""
+
+    def __init__(self, *, process):
+        self.process = process
+        self.lines = []
+        self.reader = asyncio.ensure_future(self._read())
+
+    async def _read(self):
+        async for line in self.process.stdout:
+            self.lines.append(json.loads(line))
+
+    def find(self, event):
+        return next(
+            (line for line in self.lines if line['event'] == event), None
+        )
+
+    async def wait_for(self, event):
+        return await site_checks.wait_until(
+            lambda: self.find(event), what=f'the log says {event!r}'
+        )
+
+
+async def start_process(tmp_path, text, *arguments):
+    path = tmp_path / 'boot.conf'
+    path.write_text(text)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'arbutusrock.platform',
+        *arguments,
+        env={**os.environ, boot.PATH_VARIABLE: str(path)},
+        stdout=asyncio.subprocess.PIPE,
+    )
+    return Process(process=process)
+
+
+async def fetch(site, address, path):
+    async with site.session.get(f'http://{address}{path}') as reply:
+        return reply.status, await reply.text()
+
+
+async def test_a_process_serves_shows_its_state_and_stops(site, tmp_path):
+    node = await start_process(tmp_path, site.create_boot_text())
+    try:
+        serving = await node.wait_for('serving')
+        await node.wait_for('this node owns the unit')
+        node.address = serving['callers']
+        status = await site.submit('alpha', JOB, [create_step(2)], node=node)
+        assert status == 200
+
+        async def is_completed():
+            return await site.get_state('alpha', JOB, node) == 'completed'
+
+        await site_checks.wait_until(is_completed, what='the job is done')
+        assert (await fetch(site, serving['readiness'], '/api/ready'))[
+            0
+        ] == 200
+        _, text = await fetch(site, serving['metrics'], '/status')
+        view = json.loads(text)
+        assert (view['node'], view['owner'], view['epoch']) == ('n1', 'n1', 1)
+        assert {pool['pool'] for pool in view['pools']} == {'alpha', 'spare'}
+        _, text = await fetch(site, serving['metrics'], '/metrics')
+        assert 'arbutusrock_calls{' in text
+        assert 'arbutusrock_call_seconds_bucket{' in text
+        node.process.send_signal(signal.SIGTERM)
+        await node.wait_for('graceful shutdown begins')
+        status, _ = await fetch(site, serving['readiness'], '/api/ready')
+        assert status == 503
+        assert await node.process.wait() == 0
+        await node.reader
+        assert node.find('the unit is released')
+        assert node.lines[-1]['event'] == 'stopped'
+    finally:
+        if node.process.returncode is None:
+            node.process.kill()
+
+
+async def test_wrong_settings_are_named(site, tmp_path):
+    text = site.create_boot_text().replace('portRange=0,0', 'portRange=x')
+    node = await start_process(tmp_path, text, '--check')
+    assert await node.process.wait() == 2
+    await node.reader
+    assert 'portRange must be two ports' in node.lines[0]['error']
+
+
+@pytest.mark.parametrize(
+    ('line', 'message'),
+    [
+        ('bounds.graceS=soon', 'bounds.graceS must be a number'),
+        ('bounds.maxHoldMs=-1', 'bounds.maxHoldMs must be a number'),
+        ('platform.address=nowhere', 'platform.address must be host:port'),
+    ],
+)
+async def test_each_wrong_field_is_named(site, tmp_path, line, message):
+    path = tmp_path / 'boot.conf'
+    path.write_text(f'{site.create_boot_text()}{line}\n')
+    with pytest.raises(errors.InvalidSettings, match=message):
+        boot.load_node_settings(path)
