Wait for what a new owner cannot know yet: unread jobs, unanswered workers

Ruled out: late orders, leases that had ended. Change: a worker that names an unread job is not in service until the job is read, for 2 s at most; runs of unknown demand fill their worker; a VM is empty only when its worker has said so, or when all leases are over. Four tests that fail before and pass after.

--- a/arbutusrock/engine/run_keeper.py
+++ b/arbutusrock/engine/run_keeper.py
@@ -5,13 +5,14 @@
 from arbutusrock.engine import term as term_module
 from arbutusrock.engine import work
 from arbutusrock import logs
-from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
 
 __all__ = ['RunKeeper']
 
 # A list of ends holds at most this many; more may follow.
 ENDS_PER_PAGE = 500
+# A new owner waits this long for the rows of jobs that workers name.
+UNREAD_S = 2.0
 LOG = logs.get_log('runs')
 
 
@@ -163,6 +164,8 @@
             return
         worker.note_clock(report.clock_ms, now_s)
         worker.heard_s = now_s
+        if not worker.known and self._has_unread_job(report, now_s):
+            return
         if not worker.known or worker.failing:
             self.term.request_dispatch()
         worker.known = True
@@ -177,6 +180,19 @@
         if len(report.ended) < ENDS_PER_PAGE:
             self._find_vanished(worker, listed, sent_s)
 
+    def _has_unread_job(self, report, now_s):
+        """Return whether a run belongs to a job that may be read yet.
+
+        An earlier owner may have started it after this one read the jobs.
+        """
+        if now_s > self.term.began_s + UNREAD_S:
+            return False
+        for item in report.running:
+            parts = work.split_task_name(item.task)
+            if parts and self.term.book.find_job(parts[0]) is None:
+                return True
+        return False
+
     def _apply_end(self, worker, end, now_s):
         worker.seen_end = end.number
         run = worker.runs.get((end.task, end.run))
@@ -302,7 +318,7 @@
             task=task if wanted else None,
             account=job.submission.account if job else '',
             worker=worker,
-            demand=_find_demand(job, parts),
+            demand=_find_demand(job, parts, worker),
             now_s=now_s,
         )
         self.term.fleet.add_run(run)
@@ -357,9 +373,10 @@
                     self._drop_run(run)
 
 
-def _find_demand(job, parts):
+def _find_demand(job, parts, worker):
+    """Return what a run takes; all of the worker when that is not known."""
     if job is None:
-        return Resources()
+        return worker.entry.capacity
     steps = job.plan.steps
     step = (
         steps[parts[2]] if parts[2] < len(steps) else plans.StepPlan(count=1)
--- /dev/null
+++ b/arbutusrock/engine/tests/test_run_keeper.py
@@ -0,0 +1,90 @@
+"""What a new owner makes of runs that it does not know."""
+
+import types
+
+from arbutusrock.engine import fleet
+from arbutusrock.engine import node_settings
+from arbutusrock.engine import plans
+from arbutusrock.engine import reports
+from arbutusrock.engine import run_keeper
+from arbutusrock.engine import term as term_module
+from arbutusrock import metrics
+from arbutusrock.scheduling import Resources
+from arbutusrock.utils import clocks
+
+JOB = '0' * 16
+SETTINGS = node_settings.NodeSettings(
+    name='n1',
+    address='127.0.0.1',
+    data_centre='z1',
+    callers='h:1',
+    readiness='h:2',
+    metrics='h:4',
+    peer_port=0,
+    store='h:3',
+)
+
+
+def create_keeper():
+    term = term_module.Term(
+        epoch=2,
+        claim_version=7,
+        settings=SETTINGS,
+        configuration=types.SimpleNamespace(current=None),
+        metrics=metrics.Metrics(),
+    )
+    journal = types.SimpleNamespace(finished=0, get_next_flush=lambda: 1)
+    entry = reports.WorkerEntry(
+        worker_id='i-1',
+        pool='p',
+        address='h:1',
+        vm='m',
+        capacity=Resources(cpu=8000, memory_mb=8000),
+    )
+    worker = fleet.WorkerState(entry=entry, now_s=0.0)
+    term.fleet.workers['i-1'] = worker
+    keeper = run_keeper.RunKeeper(term=term, journal=journal)
+    return term, keeper, worker
+
+
+def report(keeper, worker):
+    item = reports.RunReport(
+        task=f'{JOB}.0.0.0', run=1_000_001, checkpoint='', percent=10
+    )
+    answer = reports.HoldReport(
+        clock_ms=1000.0, born_ms=0, running=(item,), ended=()
+    )
+    keeper.apply_hold(worker, answer, clocks.now_s())
+
+
+def add_job(term):
+    step = plans.StepPlan(count=1, demand=Resources(cpu=5000))
+    submission = plans.Submission(
+        queue='q',
+        pool='p',
+        account='a',
+        accepted_ms=0.0,
+        plan=plans.JobPlan(spec='', steps=(step,)),
+    )
+    term.book.add(JOB, submission)
+    term.book.open_due(clocks.wall_time_s(), clocks.now_s())
+
+
+def test_a_run_of_a_job_that_is_not_read_yet_is_waited_for():
+    """The earlier owner started it after the new one had read all jobs."""
+    term, keeper, worker = create_keeper()
+    report(keeper, worker)
+    assert not worker.known
+    assert not worker.runs
+    add_job(term)
+    report(keeper, worker)
+    assert worker.known
+    assert worker.used_cpu == 5000
+
+
+def test_a_run_of_a_job_that_stays_unknown_fills_its_worker():
+    term, keeper, worker = create_keeper()
+    term.began_s -= run_keeper.UNREAD_S + 1
+    report(keeper, worker)
+    assert worker.known
+    assert worker.free_cpu == 0
--- a/arbutusrock/engine/tests/test_vm_keeper.py
+++ b/arbutusrock/engine/tests/test_vm_keeper.py
@@ -6,6 +6,8 @@
 from arbutusrock.engine import reports
 from arbutusrock.engine import vm_board
 from arbutusrock.engine import vm_keeper
+from arbutusrock.engine import vm_views
+from arbutusrock.scheduling import Resources
 
 
 def create_keeper(board):
@@ -41,3 +43,39 @@
     record.done.append('m-2')
     keeper._work_on_wave(wave, record, 3.0)
     assert record.completed
+
+
+def create_worker(name):
+    entry = reports.WorkerEntry(
+        worker_id=f'i-{name}',
+        pool='p',
+        address='h:1',
+        vm=name,
+        capacity=Resources(cpu=8000),
+    )
+    return fleet.WorkerState(entry=entry, now_s=0.0)
+
+
+def test_a_vm_whose_worker_has_not_answered_is_not_empty():
+    """Seen once: a new owner sent a VM with serving tasks to maintenance."""
+    entry = reports.VMEntry(
+        vm='m', pool='p', state=reports.VMState.UP, worker_id='i-m'
+    )
+    state = vm_board.VMState(entry=entry)
+    worker = create_worker('m')
+    assert not vm_views.is_empty(state, worker, uncertain=False)
+    worker.known = True
+    assert vm_views.is_empty(state, worker, uncertain=False)
+
+
+def test_a_vm_without_a_registration_may_have_work_after_a_takeover():
+    entry = reports.VMEntry(
+        vm='m', pool='p', state=reports.VMState.UP, worker_id='i-m'
+    )
+    state = vm_board.VMState(entry=entry)
+    assert not vm_views.is_empty(state, None, uncertain=True)
+    assert vm_views.is_empty(state, None, uncertain=False)
+    off = vm_board.VMState(
+        entry=reports.VMEntry(vm='m', pool='s', state=reports.VMState.UP)
+    )
+    assert vm_views.is_empty(off, None, uncertain=True)
--- a/arbutusrock/engine/vm_keeper.py
+++ b/arbutusrock/engine/vm_keeper.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from arbutusrock.engine import fleet
 from arbutusrock.engine import reports
 from arbutusrock.engine import rows
 from arbutusrock.engine import term as term_module
@@ -206,9 +207,10 @@
             state.cordoned_wave = wave.number
             if worker is not None and not worker.cordon:
                 worker.cordon = 'wave'
-            if (worker is None or not worker.runs) and (
-                now_s >= state.refused_until_s
-            ):
+            empty = vm_views.is_empty(
+                state, worker, uncertain=self._is_uncertain(now_s)
+            )
+            if empty and now_s >= state.refused_until_s:
                 self._give_order(state, worker, wave=wave, record=record)
 
     def _find_waiting(self, wave, record):
@@ -225,10 +227,20 @@
                 record.done.append(name)
                 continue
             found.append(
-                vm_views.view_wave_vm(state, workers.get(name), wave.number)
+                vm_views.view_wave_vm(
+                    state,
+                    workers.get(name),
+                    wave.number,
+                    uncertain=self._is_uncertain(clocks.now_s()),
+                )
             )
         return found
 
+    def _is_uncertain(self, now_s):
+        """Return whether an earlier owner's leases may not be over yet."""
+        lease_s = self.term.lease_s / fleet.CLOCK_RATE_LEAST
+        return now_s < self.term.began_s + lease_s + fleet.LEASE_MARGIN_S
+
     def _write_record(self, number, record):
         self.journal.put(
             rows.Row(
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -13,6 +13,7 @@
 __all__ = [
     'SHRINK',
     'find_workers',
+    'is_empty',
     'measure_loads',
     'view_loaded_vms',
     'view_pools',
@@ -43,13 +44,25 @@
     return {pool: used[pool] / room[pool] for pool in room}
 
 
-def view_wave_vm(state, worker, wave):
+def is_empty(state, worker, *, uncertain):
+    """Return whether nothing can be running on a VM.
+
+    :param state: :class:`arbutusrock.engine.vm_board.VMState`.
+    :param worker: its living worker, or None.
+    :param uncertain: leases of an earlier owner may not be over yet.
+    """
+    if worker is not None:
+        return worker.known and not worker.runs
+    return not state.entry.worker_id or not uncertain
+
+
+def view_wave_vm(state, worker, wave, *, uncertain):
     """Return the :class:`waves.WaveVM` of a VM that waits."""
     runs = worker.runs.values() if worker else ()
     return waves.WaveVM(
         vm=state.entry.vm,
         pool=state.entry.pool,
-        empty=not runs,
+        empty=is_empty(state, worker, uncertain=uncertain),
         chosen=state.cordoned_wave == wave,
         lasting=sum(1 for run in runs if _is_lasting(run)),
         load=(
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -40,6 +40,7 @@
         self.worker = worker
         self.client = client
         self.spawn = spawn
+        self._began_s = clocks.now_s()
         self._wait_s = min(WAIT_S, term.lease_s * WAIT_PART)
 
     async def run(self):
@@ -61,7 +62,7 @@
         """Let ends become durable: a worker repeats unacknowledged ones."""
         worker = self.worker
         if not worker.unacknowledged:
-            if worker.runs:
+            if worker.runs or worker.heard_s > self._began_s:
                 busy = self.term.fleet.count_busy()
                 await asyncio.sleep(max(LEAST_GAP_S, busy * GAP_EACH_S))
             return
