--- a/arbutusrock/engine/tests/test_journal.py
+++ b/arbutusrock/engine/tests/test_journal.py
@@ -1,28 +1,14 @@
 """What one flush of the owner writes."""
 
-import types
-
 from arbutusrock.engine import fleet
 from arbutusrock.engine import journal
-from arbutusrock.engine import node_settings
 from arbutusrock.engine import plans
 from arbutusrock.engine import reports
 from arbutusrock.engine import rows
 from arbutusrock.engine import term
-from arbutusrock import metrics
+from arbutusrock.engine.tests import samples
 from arbutusrock.scheduling import Resources
 
-SETTINGS = node_settings.NodeSettings(
-    name='n1',
-    address='127.0.0.1',
-    data_centre='z1',
-    callers='h:1',
-    readiness='h:2',
-    metrics='h:4',
-    peer_port=0,
-    store='h:3',
-)
-
 
 class RecordingStore:
     """Keeps the keys that were written by each transaction."""
@@ -40,13 +26,7 @@
 
 
 def create_journal():
-    own = term.Term(
-        epoch=1,
-        claim_version=7,
-        settings=SETTINGS,
-        configuration=types.SimpleNamespace(current=None),
-        metrics=metrics.Metrics(),
-    )
+    own = samples.create_term(epoch=1)
     store = RecordingStore()
     return (
         own,
--- a/arbutusrock/engine/tests/test_run_keeper.py
+++ b/arbutusrock/engine/tests/test_run_keeper.py
@@ -3,36 +3,18 @@
 import types
 
 from arbutusrock.engine import fleet
-from arbutusrock.engine import node_settings
 from arbutusrock.engine import plans
 from arbutusrock.engine import reports
 from arbutusrock.engine import run_keeper
-from arbutusrock.engine import term as term_module
-from arbutusrock import metrics
+from arbutusrock.engine.tests import samples
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
 
 JOB = '0' * 16
-SETTINGS = node_settings.NodeSettings(
-    name='n1',
-    address='127.0.0.1',
-    data_centre='z1',
-    callers='h:1',
-    readiness='h:2',
-    metrics='h:4',
-    peer_port=0,
-    store='h:3',
-)
 
 
 def create_keeper():
-    term = term_module.Term(
-        epoch=2,
-        claim_version=7,
-        settings=SETTINGS,
-        configuration=types.SimpleNamespace(current=None),
-        metrics=metrics.Metrics(),
-    )
+    term = samples.create_term(epoch=2)
     journal = types.SimpleNamespace(finished=0, get_next_flush=lambda: 1)
     entry = reports.WorkerEntry(
         worker_id='i-1',
