Replace a silent owner when it is due, not at the next whole wait

Ruled out: the store's answers (25 ms) and the reading of jobs (0.12 s). Change: the last wait ends when this node's threshold is reached.

--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -22,6 +22,9 @@
 HANDICAP_S = 0.3
 # How long the store may wait for a heartbeat before it answers.
 WATCH_S = 0.8
+# The last of these waits ends when the owner is due to be replaced; the
+# store takes whole milliseconds.
+LEAST_WATCH_S = 0.01
 RETRY_S = 0.2
 # At the first start all nodes claim at once; one of them wins.
 START_SPREAD_S = 0.05
@@ -100,7 +103,8 @@
                 version = await self._read()
                 silent_s = 0.0
             began_s = clocks.now_s()
-            version, heard = await self._watch(version)
+            wait_s = min(WATCH_S, max(LEAST_WATCH_S, threshold_s - silent_s))
+            version, heard = await self._watch(version, wait_s)
             # Time in which the store did not answer says nothing.
             silent_s = silent_s + clocks.now_s() - began_s if heard else 0.0
 
@@ -149,15 +153,15 @@
             case _:
                 return False
 
-    async def _watch(self, version):
-        """Wait for rows.
+    async def _watch(self, version, wait_s):
+        """Wait for rows, at most for ``wait_s``.
 
         :returns: ``(version, heard)``; heard when the store answered
             and no owner has shown itself.
         """
         try:
             changed, version = await self.store.watch(
-                rows.TABLE_OWNER, after=version, wait_s=WATCH_S
+                rows.TABLE_OWNER, after=version, wait_s=wait_s
             )
         except rows.HistoryLost:
             return await self._read(), False
