Size pools by a forecast of arrivals; let VMs stand by for the next turn

Cause: pools were sized by what waits. Ruled out: the start of tasks (40 ms median), the room in the middle of a burst (67 VMs for a need of 3,100 of 4,300 cores, 95% in time). Change: the need when an ordered VM has come is foreseen from the jobs that will not have ended and from the rate of arrivals, with a rise only as far as it exceeds chance; while a burst fades, a third of the usual peak stands by in the pools without a burst yet, or in the one whose burst is longest ago. A following owner takes over what was learned with the heartbeat.

--- a/arbutusrock/engine/journal.py
+++ b/arbutusrock/engine/journal.py
@@ -30,11 +30,13 @@
     """Heartbeat of the owner, with what callers may ask for.
 
     :param waiting: jobs without a started task, by queue.
+    :param bursts: what was learned of the pools' bursts.
     """
 
     node: str
     number: int
     waiting: dict[str, int] = {}
+    bursts: dict[str, tuple[float, float]] = {}
 
 
 class Journal:
@@ -134,6 +136,7 @@
             node=self.term.settings.name,
             number=self._beats,
             waiting=self.term.book.count_waiting(),
+            bursts=self.term.forecast.describe(clocks.now_s()),
         )
         self.on_beat(beat)
         puts = [
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -6,6 +6,7 @@
 from arbutusrock.engine import evacuation
 from arbutusrock.engine import feeds
 from arbutusrock.engine import journal as journal_module
+from arbutusrock.engine import outlooks
 from arbutusrock.engine import pacer
 from arbutusrock.engine import plans
 from arbutusrock.engine import registry
@@ -18,6 +19,7 @@
 from arbutusrock.engine import vm_keeper
 from arbutusrock.engine import worker_link
 from arbutusrock import logs
+from arbutusrock.scheduling import pools
 from arbutusrock.utils import clocks
 
 __all__ = ['CANCEL_SUFFIX', 'Leader']
@@ -106,6 +108,7 @@
                     jobs=len(self.term.book.open_jobs),
                     ended_jobs=len(self.term.book.archive),
                     workers=len(self.term.fleet.workers),
+                    bursts=self.term.forecast.describe(clocks.now_s()),
                     took_s=round(clocks.now_s() - self.term.began_s, 3),
                 )
                 for part in (
@@ -198,11 +201,30 @@
         )
         job.started = state is not None
         job.excess = self._is_excess(submission)
+        self._note_arrival(job)
+
+    def _note_arrival(self, job):
+        submission, term = job.submission, self.term
         total = sum(
             step.count * step.demand.cpu * step.estimate_ms
             for step in submission.plan.steps
         )
-        self.term.estimates.note_work(submission.queue, total / 1e6)
+        term.estimates.note_work(submission.queue, total / 1e6)
+        lasting = any(step.long_running for step in submission.plan.steps)
+        if job.excess or lasting or submission.plan.times:
+            return
+        ratio = term.estimates.get_ratio(submission.queue, job.job_id)
+        span_s = pools.plan_span(
+            chain_left_s=ratio * outlooks.measure_chain(submission.plan),
+            time_left_s=outlooks.measure_objective(submission, ratio),
+        )
+        age_s = max(0.0, clocks.wall_time_s() - job.accepted_s)
+        term.forecast.note_job(
+            submission.pool,
+            total / 1e3 * ratio,
+            clocks.now_s() - age_s,
+            span_s,
+        )
 
     def _is_excess(self, submission):
         current = self.term.configuration.current
--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -85,6 +85,10 @@
             configuration=self.configuration,
             metrics=self.metrics,
         )
+        if self.ownership.beat is not None:
+            term.forecast.restore(
+                self.ownership.beat.bursts, self.ownership.beat_s
+            )
         self.configuration.on_changed = [term.request_dispatch]
         self.leader = leader_module.Leader(
             term=term,
--- a/arbutusrock/engine/outlooks.py
+++ b/arbutusrock/engine/outlooks.py
@@ -1,6 +1,6 @@
 """What is left of an occurrence, by declared and learned durations."""
 
-__all__ = ['Outlook', 'estimate', 'measure_chain']
+__all__ = ['Outlook', 'estimate', 'measure_chain', 'measure_objective']
 
 
 class Outlook:
@@ -37,7 +37,6 @@
     job = occurrence.job
     submission = job.submission
     ratio = estimates.get_ratio(submission.queue, job.job_id)
-    whole_s = measure_chain(occurrence, whole=True) * ratio
     work, work_left = 0.0, 0.0
     for step in occurrence.steps:
         plan = step.plan
@@ -48,24 +47,35 @@
         lasting=any(step.plan.long_running for step in occurrence.steps),
         work=work,
         work_left=work_left,
-        chain_left_s=measure_chain(occurrence, whole=False) * ratio,
-        objective_s=(
-            submission.stretch * whole_s + submission.objective_ms / 1000
+        chain_left_s=ratio
+        * measure_chain(
+            job.plan,
+            done={step.number for step in occurrence.steps if step.done},
         ),
+        objective_s=measure_objective(submission, ratio),
     )
 
 
-def measure_chain(occurrence, *, whole):
-    """Return the longest chain of declared work of an occurrence.
+def measure_chain(plan, *, done=frozenset()):
+    """Return the longest chain of declared work.
 
-    :param whole: also count steps that are done.
+    :param plan: :class:`arbutusrock.engine.plans.JobPlan`.
+    :param done: numbers of steps that do not count.
     :returns: seconds.
     """
     ends = []
-    for step in occurrence.steps:
-        begin_s = max((ends[number] for number in step.plan.after), default=0)
-        length_s = step.plan.estimate_ms / 1000
-        if step.done and not whole:
-            length_s = 0.0
+    for number, step in enumerate(plan.steps):
+        begin_s = max((ends[earlier] for earlier in step.after), default=0)
+        length_s = 0.0 if number in done else step.estimate_ms / 1000
         ends.append(begin_s + length_s)
     return max(ends)
+
+
+def measure_objective(submission, ratio):
+    """Return the time in which a job should be completed.
+
+    :param ratio: observed over declared duration.
+    :returns: seconds from its acceptance.
+    """
+    whole_s = measure_chain(submission.plan) * ratio
+    return submission.stretch * whole_s + submission.objective_ms / 1000
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -6,6 +6,7 @@
 from arbutusrock.engine import fleet
 from arbutusrock.scheduling import admission
 from arbutusrock.scheduling import estimates
+from arbutusrock.scheduling import forecast
 from arbutusrock.scheduling import standing
 from arbutusrock.utils import clocks
 
@@ -50,6 +51,7 @@
         self.standing = standing.Standing()
         self.estimates = estimates.Estimates()
         self.rates = admission.SendingRates()
+        self.forecast = forecast.Forecast()
         # Set when a pass over waiting tasks is due.
         self.work_due = asyncio.Event()
         # Set when rows must be written.
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -22,6 +22,8 @@
 
 # Cordon of VMs that their pool empties to give them away.
 SHRINK = 'shrink'
+# From the end of a VM's move until its worker has answered the owner.
+REGISTERED_S = 0.3
 
 
 def find_workers(fleet):
@@ -117,6 +119,7 @@
     _add_running(views, term)
     _add_waiting(views, term)
     _add_needs(views, term)
+    _add_forecast(list(views.values()), term, now_s)
     return list(views.values())
 
 
@@ -182,6 +185,19 @@
                 view.lasting_cpu += step.plan.demand.cpu * len(step.waiting)
 
 
+def _add_forecast(views, term, now_s):
+    forecast = term.forecast
+    names = [view.name for view in views if not view.spare]
+    forecast.vm_cpu = pools.get_usual_cpu(views)
+    forecast.update(names, now_s)
+    standby = forecast.count_standby(names, now_s)
+    lead_s = term.settings.move_s + REGISTERED_S
+    for view in views:
+        if not view.spare:
+            view.expected_cpu = forecast.predict_cpu(view.name, now_s, lead_s)
+            view.standby_vms = standby.get(view.name, 0)
+
+
 def _add_needs(views, term):
     wall_s = clocks.wall_time_s()
     for job in term.book.open_jobs.values():
--- /dev/null
+++ b/arbutusrock/scheduling/forecast.py
@@ -0,0 +1,267 @@
+"""What pools will be asked for when a VM that is ordered now has come.
+
+Load: the queues burst in turn. A burst doubles within two seconds, and a VM
+takes about as long to change its pool, so a pool that is sized by the work
+that waits lags behind the whole rise. Two things are learned from arrivals:
+how fast demand rises now, and which pools had their burst longest ago. While
+one burst fades, VMs stand by in the pools whose turn may be next.
+"""
+
+from collections import deque
+import math
+
+__all__ = ['Forecast']
+
+# Span of one measurement of the rate of arrivals.
+SPAN_S = 1.0
+# A rise is trusted up to this factor: bursts double within two seconds, and a
+# sudden start is no trend.
+MOST_GROWTH = 2.0
+# Part of a pool's highest rate from which on it is in a burst; between bursts
+# queues ask for about a twentieth of their mean.
+BURST_PART = 0.25
+# Part of a burst's highest rate below which it fades.
+FADING_PART = 0.7
+# Part of the usual peak that stands by: what arrives until VMs that are
+# ordered at the first sign of a burst have come.
+STANDBY_PART = 0.35
+# VMs stand by for this long after the last burst began to fade: then the
+# next one is late enough to be met like the first.
+STANDBY_S = 6.0
+# Less than the room of so many VMs is no burst.
+LEAST_BURST_VMS = 2
+# A pool that is busy again after less than this time is still in the same
+# burst; more than the takeover by another owner.
+LULL_S = 3.0
+
+
+class _PoolHistory:
+    __slots__ = (
+        'jobs',
+        'peak_cpu',
+        'burst_peak_cpu',
+        'active',
+        'began_s',
+        'ended_s',
+    )
+
+    def __init__(self):
+        # (arrival, planned end, thousandths of a core until then).
+        self.jobs = deque()
+        # Highest rate of the last whole burst, and of the one under way.
+        self.peak_cpu = 0.0
+        self.burst_peak_cpu = 0.0
+        self.active = False
+        # When its last burst began; None when it had none.
+        self.began_s = None
+        self.ended_s = 0.0
+
+    def forget(self, now_s):
+        """Drop jobs that are old and should have ended."""
+        while (
+            self.jobs
+            and max(self.jobs[0][0] + 2 * SPAN_S, self.jobs[0][1]) < now_s
+        ):
+            self.jobs.popleft()
+
+    def begin_burst(self, now_s):
+        """Note the begin of a burst, or the end of a lull."""
+        self.active = True
+        if self.began_s is not None and now_s - self.ended_s < LULL_S:
+            self.burst_peak_cpu = self.peak_cpu
+            return
+        self.began_s = now_s
+        self.burst_peak_cpu = 0.0
+
+    def measure(self, now_s):
+        """Return the rates of arriving work in the last two spans.
+
+        :returns: ``(newest, before)`` in thousandths of a core.
+        """
+        newest = before = 0.0
+        for at_s, until_s, cpu in reversed(self.jobs):
+            age_s = now_s - at_s
+            if age_s < SPAN_S:
+                newest += cpu * (until_s - at_s)
+            elif age_s < 2 * SPAN_S:
+                before += cpu * (until_s - at_s)
+            else:
+                break
+        return newest / SPAN_S, before / SPAN_S
+
+    def measure_growth(self, now_s, lead_s):
+        """Return how the rate will grow until the middle of ``lead_s``.
+
+        It is a factor of the rate of the last span. Only what a rise has
+        beyond chance counts: arrivals of a steady queue differ by the root
+        of their number.
+        """
+        newest = before = 0
+        for at_s, _, _ in reversed(self.jobs):
+            age_s = now_s - at_s
+            if age_s >= 2 * SPAN_S:
+                break
+            newest += age_s < SPAN_S
+            before += age_s >= SPAN_S
+        risen = newest - before - math.sqrt(newest + before)
+        if risen <= 0:
+            return 1.0
+        growth = 1 + risen / newest * (SPAN_S + lead_s) / 2 / SPAN_S
+        return min(growth, MOST_GROWTH)
+
+    def measure_need(self, now_s):
+        """Return what the jobs of the last span need.
+
+        :returns: ``(sum of their needs, mean time that they take)``.
+        """
+        recent = [item for item in self.jobs if now_s - item[0] < SPAN_S]
+        if not recent:
+            return 0.0, 0.0
+        spans = sum(until_s - at_s for at_s, until_s, _ in recent)
+        return sum(cpu for _, _, cpu in recent), spans / len(recent)
+
+
+class Forecast:
+    """Arrivals and bursts by pool.
+
+    :param vm_cpu: thousandths of a core of a usual VM.
+    """
+
+    __slots__ = ('vm_cpu', '_pools', '_fading_s')
+
+    def __init__(self, *, vm_cpu=0):
+        self.vm_cpu = vm_cpu
+        self._pools = {}
+        # Since when the last burst has been fading; None while one is not.
+        self._fading_s = None
+
+    def _get(self, pool):
+        return self._pools.setdefault(pool, _PoolHistory())
+
+    def note_job(self, pool, work, at_s, span_s):
+        """Count an arrival.
+
+        :param work: expected work (thousandths of core-seconds).
+        :param span_s: time over which it is to be done.
+        """
+        cpu = work / span_s
+        self._get(pool).jobs.append((at_s, at_s + span_s, cpu))
+
+    def predict_cpu(self, pool, now_s, lead_s):
+        """Return what the jobs of a pool will need in ``lead_s``.
+
+        Those that have arrived and will not have ended, and those that will
+        arrive. A rise of the rate is taken to go on, a fall is not.
+
+        >>> forecast = Forecast()
+        >>> for at_s in (0.5, 1.5):
+        ...     forecast.note_job('a', 4000, at_s, 2.0)
+        >>> forecast.predict_cpu('a', 2.0, 1.0)
+        4000.0
+        """
+        history = self._get(pool)
+        history.forget(now_s)
+        present = sum(
+            cpu for _, until_s, cpu in history.jobs if until_s > now_s + lead_s
+        )
+        need, span_s = history.measure_need(now_s)
+        coming = need / SPAN_S * min(lead_s, span_s)
+        return present + coming * history.measure_growth(now_s, lead_s)
+
+    def update(self, pools, now_s):
+        """Note which pools are in a burst.
+
+        :param pools: names of the pools that take jobs.
+        """
+        highest = max((self._get(name).peak_cpu for name in pools), default=0)
+        for name in pools:
+            self._update_pool(self._get(name), highest, now_s)
+        active = [self._get(name) for name in pools if self._get(name).active]
+        if any(not self._is_fading(history, now_s) for history in active):
+            self._fading_s = None
+        elif active and self._fading_s is None:
+            self._fading_s = now_s
+
+    def _update_pool(self, history, highest, now_s):
+        history.forget(now_s)
+        rate, before = history.measure(now_s)
+        least = max(
+            BURST_PART * (history.peak_cpu or highest),
+            BURST_PART * history.burst_peak_cpu,
+            LEAST_BURST_VMS * self.vm_cpu,
+        )
+        if rate >= least and rate > 0:
+            if not history.active:
+                history.begin_burst(now_s)
+            history.burst_peak_cpu = max(
+                history.burst_peak_cpu, (rate + before) / 2
+            )
+        elif history.active:
+            history.active = False
+            history.ended_s = now_s
+            history.peak_cpu = history.burst_peak_cpu
+
+    @staticmethod
+    def _is_fading(history, now_s):
+        return sum(history.measure(now_s)) < (
+            2 * history.burst_peak_cpu * FADING_PART
+        )
+
+    def find_next(self, pools):
+        """Return the pools whose turn may be next.
+
+        Those that had no burst yet; when all had one, the pool whose burst
+        is longest ago.
+        """
+        resting = [name for name in pools if not self._get(name).active]
+        fresh = [name for name in resting if self._get(name).began_s is None]
+        if fresh or not resting:
+            return fresh
+        return [min(resting, key=lambda name: self._get(name).began_s)]
+
+    def count_standby(self, pools, now_s):
+        """Return how many empty VMs are to stand by, by pool."""
+        if self._fading_s is None or not self.vm_cpu:
+            return {}
+        if now_s - self._fading_s > STANDBY_S:
+            return {}
+        names = self.find_next(pools)
+        if not names:
+            return {}
+        peaks = [
+            max(history.peak_cpu, history.burst_peak_cpu)
+            for history in self._pools.values()
+            if history.began_s is not None
+        ]
+        usual = sum(peaks) / len(peaks) if peaks else 0.0
+        return {
+            name: math.ceil(
+                (self._get(name).peak_cpu or usual)
+                * STANDBY_PART
+                / self.vm_cpu
+                / len(names)
+            )
+            for name in names
+        }
+
+    def describe(self, now_s):
+        """Return what a following owner needs: pool to (age, peak).
+
+        The age is the time since the pool's last burst began.
+        """
+        return {
+            name: (
+                round(now_s - history.began_s, 1),
+                round(max(history.peak_cpu, history.burst_peak_cpu)),
+            )
+            for name, history in self._pools.items()
+            if history.began_s is not None
+        }
+
+    def restore(self, described, now_s):
+        """Take over what an earlier owner has learned."""
+        for name, (age_s, peak_cpu) in described.items():
+            history = self._get(name)
+            history.began_s = now_s - age_s
+            history.ended_s = now_s
+            history.peak_cpu = peak_cpu
--- a/arbutusrock/scheduling/pools.py
+++ b/arbutusrock/scheduling/pools.py
@@ -14,9 +14,11 @@
     'PoolPlan',
     'PoolView',
     'VMView',
+    'get_usual_cpu',
     'measure_need',
     'measure_target',
     'plan_moves',
+    'plan_span',
 ]
 
 # Part of a VM that tasks of uneven size fill.
@@ -61,7 +63,10 @@
     :param spare: its VMs are switched off.
     :param lasting_cpu: tasks that run until they are cancelled.
     :param needed_cpu: what its jobs need to end in time.
+    :param expected_cpu: what arriving jobs will need when a VM that is
+        ordered now has come.
     :param lasting_vms: least VMs that hold the lasting tasks.
+    :param standby_vms: empty VMs that wait for a burst.
     """
 
     __slots__ = (
@@ -70,7 +75,9 @@
         'vms',
         'lasting_cpu',
         'needed_cpu',
+        'expected_cpu',
         'lasting_vms',
+        'standby_vms',
     )
 
     def __init__(
@@ -81,14 +88,18 @@
         vms=(),
         lasting_cpu=0,
         needed_cpu=0.0,
+        expected_cpu=0.0,
         lasting_vms=0,
+        standby_vms=0,
     ):
         self.name = name
         self.spare = spare
         self.vms = list(vms)
         self.lasting_cpu = lasting_cpu
         self.needed_cpu = needed_cpu
+        self.expected_cpu = expected_cpu
         self.lasting_vms = lasting_vms
+        self.standby_vms = standby_vms
 
 
 class Move:
@@ -136,8 +147,14 @@
     """
     if chain_left_s > time_left_s:
         return 0.0
-    span_s = max(chain_left_s, time_left_s * PLANNED, LEAST_S)
-    return work_left / span_s
+    return work_left / plan_span(
+        chain_left_s=chain_left_s, time_left_s=time_left_s
+    )
+
+
+def plan_span(*, chain_left_s, time_left_s):
+    """Return the time over which the work of a job is spread."""
+    return max(chain_left_s, time_left_s * PLANNED, LEAST_S)
 
 
 def measure_target(pool, vm_cpu):
@@ -150,10 +167,12 @@
     ...     name='a', lasting_cpu=15000, needed_cpu=200000, lasting_vms=1)
     >>> measure_target(busy, 32000)
     10
+    >>> measure_target(PoolView(name='a', standby_vms=5), 32000)
+    5
     """
-    wanted = pool.lasting_cpu + pool.needed_cpu * GROWTH
-    needed = math.ceil(wanted / (vm_cpu * FILL))
-    least = pool.lasting_vms + RESERVE
+    working = max(pool.needed_cpu * GROWTH, pool.expected_cpu)
+    needed = math.ceil((pool.lasting_cpu + working) / (vm_cpu * FILL))
+    least = pool.lasting_vms + max(RESERVE, pool.standby_vms)
     return max(needed, least)
 
 
@@ -164,7 +183,7 @@
     """
     sized = [pool for pool in pools if not pool.spare]
     spare = [pool for pool in pools if pool.spare]
-    vm_cpu = _get_usual_cpu(pools)
+    vm_cpu = get_usual_cpu(pools)
     if not vm_cpu:
         return PoolPlan()
     missing, surplus, busy = {}, [], {}
@@ -194,7 +213,8 @@
     )
 
 
-def _get_usual_cpu(pools):
+def get_usual_cpu(pools):
+    """Return the size of the middle VM (thousandths of a core), or 0."""
     sizes = sorted(vm.cpu for pool in pools for vm in pool.vms)
     return sizes[len(sizes) // 2] if sizes else 0
 
--- /dev/null
+++ b/arbutusrock/scheduling/tests/test_forecast.py
@@ -0,0 +1,105 @@
+"""Replays of bursts by turns against the forecast of what pools need."""
+
+import math
+
+from arbutusrock.scheduling import forecast
+from arbutusrock.scheduling import pools
+
+CORE = 1000
+VM_CPU = 64 * CORE
+TURN_S = 8.0
+PEAK_PER_S = 50
+JOB_WORK = 66 * CORE
+JOB_SPAN_S = 1.8
+LEAD_S = 1.8
+NAMES = ('a', 'b', 'c', 'd')
+
+
+def get_rate(time_s, turn):
+    """Jobs a second of the queue whose burst is the given turn."""
+    phase = (time_s - turn * TURN_S) / TURN_S
+    if not 0 <= phase <= 1:
+        return 0.02 * PEAK_PER_S
+    return PEAK_PER_S * max(0.02, math.sin(math.pi * phase))
+
+
+def replay(until_s, *, order=NAMES, seen=None, begin_s=-3.0):
+    """Feed a forecast with bursts in turn; yield it each tenth second."""
+    seen = seen or forecast.Forecast(vm_cpu=VM_CPU)
+    due = dict.fromkeys(order, 0.0)
+    for tick in range(round(begin_s * 10), round(until_s * 10)):
+        now_s = tick / 10
+        for turn, name in enumerate(order):
+            due[name] += get_rate(now_s, turn) / 10
+            while due[name] >= 1:
+                due[name] -= 1
+                seen.note_job(name, JOB_WORK, now_s, JOB_SPAN_S)
+        seen.update(NAMES, now_s)
+        yield now_s, seen
+
+
+def measure_true_need(time_s, turn):
+    """Cores that the jobs of a turn need at a time."""
+    steps = 20
+    times = [time_s - JOB_SPAN_S * n / steps for n in range(steps)]
+    rate = sum(get_rate(each_s, turn) for each_s in times) / steps
+    return rate * JOB_WORK
+
+
+def test_the_rise_of_a_burst_is_foreseen():
+    """Sized by what waits, VMs came when the need had doubled."""
+    foreseen, waiting = [], []
+    for now_s, seen in replay(TURN_S / 2):
+        if now_s >= 1.5:
+            need = measure_true_need(now_s + LEAD_S, 0)
+            foreseen.append(seen.predict_cpu('a', now_s, LEAD_S) / need)
+            waiting.append(measure_true_need(now_s, 0) * pools.GROWTH / need)
+    assert min(foreseen) > 0.8
+    assert max(foreseen) < 1.5
+    assert min(waiting) < 0.5
+
+
+def test_a_sudden_start_is_no_trend():
+    seen = forecast.Forecast(vm_cpu=VM_CPU)
+    for number in range(25):
+        seen.note_job('a', JOB_WORK, number / 25, JOB_SPAN_S)
+    need = 25 * JOB_WORK
+    assert seen.predict_cpu('a', 1.0, LEAD_S) < need * forecast.MOST_GROWTH
+
+
+def test_nothing_stands_by_while_a_burst_rises():
+    for now_s, seen in replay(TURN_S / 2):
+        assert not seen.count_standby(NAMES, now_s), now_s
+
+
+def test_pools_without_a_burst_yet_stand_by_in_equal_parts():
+    for now_s, seen in replay(TURN_S - 0.5):
+        standby = seen.count_standby(NAMES, now_s)
+    assert set(standby) == {'b', 'c', 'd'}
+    assert len(set(standby.values())) == 1
+    peak_vms = PEAK_PER_S * JOB_WORK / VM_CPU
+    whole = sum(standby.values())
+    assert peak_vms * 0.3 < whole < peak_vms * 0.45
+
+
+def test_the_pool_whose_burst_is_longest_ago_is_next():
+    for now_s, seen in replay(4 * TURN_S - 0.5, order=('c', 'a', 'd', 'b')):
+        standby = seen.count_standby(NAMES, now_s)
+    assert set(standby) == {'c'}
+
+
+def test_standby_ends_when_no_burst_follows():
+    for now_s, seen in replay(TURN_S + forecast.STANDBY_S + 4, order=('a',)):
+        standby = seen.count_standby(NAMES, now_s)
+    assert not standby
+
+
+def test_a_following_owner_knows_whose_turn_is_next():
+    for now_s, before in replay(4 * TURN_S - 2):
+        described = before.describe(now_s)
+    seen = forecast.Forecast(vm_cpu=VM_CPU)
+    seen.restore(described, now_s)
+    again = replay(4 * TURN_S - 0.5, seen=seen, begin_s=now_s)
+    for later_s, _ in again:
+        standby = seen.count_standby(NAMES, later_s)
+    assert set(standby) == {'a'}
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -35,6 +35,9 @@
     assert {reply.status for reply in replies} == {200}
     # Then all work arrives at one node.
     replies = await flood(load, daemons[3:], 4 * limit, run_s=0.1)
+    # A refusal's text names the cause.
+    refused = {str(reply.problem) for reply in replies if reply.problem}
+    assert not refused
     assert {reply.status for reply in replies} == {200}
     await invariants.check_all(fleet, load.replies, limits={TEAM: limit})
 
