Estimate work without bias; count only real bursts; foresee the next by time

The work of jobs was overestimated by 28%: declared durations are off both ways, and a queue's ratio was the mean of the ratios. Change: the ratio of a queue is that of the means; a burst below a quarter of the highest peak does not take a turn; the next burst is due half a turn after the last began.

--- a/arbutusrock/scheduling/estimates.py
+++ b/arbutusrock/scheduling/estimates.py
@@ -22,6 +22,7 @@
     __slots__ = ('_by_queue', '_by_job', '_work')
 
     def __init__(self):
+        # Running means of (declared, observed) durations.
         self._by_queue = {}
         self._by_job = {}
         self._work = {}
@@ -32,14 +33,25 @@
             return
         ratio = observed_s / declared_s
         ratio = min(GREATEST_RATIO, max(LEAST_RATIO, ratio))
-        before = self._by_queue.get(queue, ratio)
-        self._by_queue[queue] = before + NEWEST_WEIGHT * (ratio - before)
+        observed_s = ratio * declared_s
+        declared, observed = self._by_queue.get(
+            queue, (declared_s, observed_s)
+        )
+        self._by_queue[queue] = (
+            declared + NEWEST_WEIGHT * (declared_s - declared),
+            observed + NEWEST_WEIGHT * (observed_s - observed),
+        )
         count, total = self._by_job.get(job_id, (0, 0.0))
         self._by_job[job_id] = (count + 1, total + ratio)
 
     def get_ratio(self, queue, job_id):
-        """Return observed over declared duration."""
-        usual = self._by_queue.get(queue, 1.0)
+        """Return observed over declared duration.
+
+        That of a queue is the ratio of the means: the mean of the ratios is
+        above it when declared durations are off both ways.
+        """
+        declared, observed = self._by_queue.get(queue, (1.0, 1.0))
+        usual = observed / declared
         count, total = self._by_job.get(job_id, (0, 0.0))
         # One prior observation of the queue's usual ratio.
         return (total + usual) / (count + 1)
--- a/arbutusrock/scheduling/forecast.py
+++ b/arbutusrock/scheduling/forecast.py
@@ -22,11 +22,16 @@
 BURST_PART = 0.25
 # Part of a burst's highest rate below which it fades.
 FADING_PART = 0.7
+# The next burst is due in this part of the time between the begins of the
+# last two: a burst has its peak in the middle, and bursts overlap. Shorter
+# turns count as so long.
+DUE_PART = 0.5
+LEAST_TURN_S = 4.0
 # Part of the usual peak that stands by: what arrives until VMs that are
 # ordered at the first sign of a burst have come.
 STANDBY_PART = 0.35
-# VMs stand by for this long after the last burst began to fade: then the
-# next one is late enough to be met like the first.
+# VMs stand by for this long after the next burst was due: then it is met
+# like the first one.
 STANDBY_S = 6.0
 # Less than the room of so many VMs is no burst.
 LEAST_BURST_VMS = 2
@@ -42,6 +47,7 @@
         'burst_peak_cpu',
         'active',
         'began_s',
+        'earlier_s',
         'ended_s',
     )
 
@@ -52,8 +58,9 @@
         self.peak_cpu = 0.0
         self.burst_peak_cpu = 0.0
         self.active = False
-        # When its last burst began; None when it had none.
+        # When its last burst began, and the one before; None for none.
         self.began_s = None
+        self.earlier_s = None
         self.ended_s = 0.0
 
     def forget(self, now_s):
@@ -70,9 +77,19 @@
         if self.began_s is not None and now_s - self.ended_s < LULL_S:
             self.burst_peak_cpu = self.peak_cpu
             return
+        self.earlier_s = self.began_s
         self.began_s = now_s
         self.burst_peak_cpu = 0.0
 
+    def end_burst(self, now_s, highest):
+        """Note the end of a burst; a small one does not count."""
+        self.active = False
+        if self.burst_peak_cpu < BURST_PART * highest:
+            self.began_s = self.earlier_s
+            return
+        self.ended_s = now_s
+        self.peak_cpu = self.burst_peak_cpu
+
     def measure(self, now_s):
         """Return the rates of arriving work in the last two spans.
 
@@ -127,13 +144,13 @@
     :param vm_cpu: thousandths of a core of a usual VM.
     """
 
-    __slots__ = ('vm_cpu', '_pools', '_fading_s')
+    __slots__ = ('vm_cpu', '_pools', '_due_s')
 
     def __init__(self, *, vm_cpu=0):
         self.vm_cpu = vm_cpu
         self._pools = {}
-        # Since when the last burst has been fading; None while one is not.
-        self._fading_s = None
+        # Since when the next burst is due; None while it is not.
+        self._due_s = None
 
     def _get(self, pool):
         return self._pools.setdefault(pool, _PoolHistory())
@@ -173,14 +190,35 @@
 
         :param pools: names of the pools that take jobs.
         """
-        highest = max((self._get(name).peak_cpu for name in pools), default=0)
+        highest = max(
+            (
+                max(self._get(name).peak_cpu, self._get(name).burst_peak_cpu)
+                for name in pools
+            ),
+            default=0.0,
+        )
         for name in pools:
             self._update_pool(self._get(name), highest, now_s)
         active = [self._get(name) for name in pools if self._get(name).active]
-        if any(not self._is_fading(history, now_s) for history in active):
-            self._fading_s = None
-        elif active and self._fading_s is None:
-            self._fading_s = now_s
+        if not active:
+            return
+        fading = all(self._is_fading(history, now_s) for history in active)
+        if not fading and not self._is_turn_over(now_s):
+            self._due_s = None
+        elif self._due_s is None:
+            self._due_s = now_s
+
+    def _is_turn_over(self, now_s):
+        """Return whether the last burst began nearly a turn ago."""
+        begins = sorted(
+            history.began_s
+            for history in self._pools.values()
+            if history.began_s is not None
+        )
+        if len(begins) < 2:
+            return False
+        turn_s = max(LEAST_TURN_S, begins[-1] - begins[-2])
+        return now_s - begins[-1] > turn_s * DUE_PART
 
     def _update_pool(self, history, highest, now_s):
         history.forget(now_s)
@@ -197,9 +235,7 @@
                 history.burst_peak_cpu, (rate + before) / 2
             )
         elif history.active:
-            history.active = False
-            history.ended_s = now_s
-            history.peak_cpu = history.burst_peak_cpu
+            history.end_burst(now_s, highest)
 
     @staticmethod
     def _is_fading(history, now_s):
@@ -221,9 +257,9 @@
 
     def count_standby(self, pools, now_s):
         """Return how many empty VMs are to stand by, by pool."""
-        if self._fading_s is None or not self.vm_cpu:
+        if self._due_s is None or not self.vm_cpu:
             return {}
-        if now_s - self._fading_s > STANDBY_S:
+        if now_s - self._due_s > STANDBY_S:
             return {}
         names = self.find_next(pools)
         if not names:
--- a/arbutusrock/scheduling/tests/test_forecast.py
+++ b/arbutusrock/scheduling/tests/test_forecast.py
@@ -88,6 +88,15 @@
     assert set(standby) == {'c'}
 
 
+def test_vms_stand_by_before_an_overlapping_burst():
+    """The next burst begins while the last one is near its peak."""
+    for now_s, seen in replay(TURN_S * 1.75):
+        standby = seen.count_standby(NAMES, now_s)
+    assert set(standby) == {'c', 'd'}
+    rate, before = seen._get('b').measure(now_s)
+    assert rate + before > 2 * forecast.FADING_PART * PEAK_PER_S * JOB_WORK
+
+
 def test_standby_ends_when_no_burst_follows():
     for now_s, seen in replay(TURN_S + forecast.STANDBY_S + 4, order=('a',)):
         standby = seen.count_standby(NAMES, now_s)
@@ -103,3 +112,13 @@
     for later_s, _ in again:
         standby = seen.count_standby(NAMES, later_s)
     assert set(standby) == {'a'}
+
+
+def test_a_single_large_job_is_no_burst():
+    """Seen once: pools with one large job counted as served in turn."""
+    history = list(replay(TURN_S / 2))
+    now_s, seen = history[-1]
+    seen.note_job('c', 10 * VM_CPU, now_s, 5.0)
+    for tick in range(1, 36):
+        seen.update(NAMES, now_s + tick / 10)
+    assert seen.find_next(NAMES) == ['b', 'c', 'd']
