Reach the store through a peer when it turns a node away

A turned-away owner was replaced. Ruled out: readiness (false after 3 s, but open connections stay). Change: each node writes its address; a node whose call is refused, or whose reading call is not answered, sends it to a peer that has a direct way; an unanswered transaction is not sent twice. Calls over the store's rate (429) are not relayed. A probe each second ends the detour. aiohttp carries it, not pynng: a waiting feed would hold a reply socket each, and nodes of 200 MB have no second set of threads. Tests: tests/test_site_relay.py (503 before).

--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -8,6 +8,8 @@
 from arbutusrock.engine import gateway as gateway_module
 from arbutusrock.engine import leader as leader_module
 from arbutusrock.engine import ownership as ownership_module
+from arbutusrock.engine import peers as peers_module
+from arbutusrock.engine import relay
 from arbutusrock.engine import term as term_module
 from arbutusrock import logs
 
@@ -35,14 +37,20 @@
         self.settings = settings
         self.adapter = adapter
         self.metrics = metrics
+        self.peers = peers_module.Peers(
+            store=adapter.store, node=settings.name
+        )
+        self.store = relay.StorePath(
+            direct=adapter.store, peers=self.peers, meter=metrics
+        )
         self.configuration = configuration_watch.ConfigurationWatch(
-            store=adapter.store, decode=adapter.decode_operator_row
+            store=self.store, decode=adapter.decode_operator_row
         )
         self.ownership = ownership_module.Ownership(
-            store=adapter.store, node=settings.name, cores=settings.cores
+            store=self.store, node=settings.name, cores=settings.cores
         )
         self.gateway = gateway_module.Gateway(
-            store=adapter.store,
+            store=self.store,
             configuration=self.configuration,
             ownership=self.ownership,
         )
@@ -53,6 +61,10 @@
     async def _follow_configuration(self):
         await self.configuration.run()
 
+    @mode.Service.task
+    async def _follow_peers(self):
+        await self.peers.run()
+
     @mode.Service.task
     async def _store_submissions(self):
         await self.gateway.submitter.run()
@@ -93,12 +105,16 @@
         self.configuration.on_changed = [term.request_dispatch]
         self.leader = leader_module.Leader(
             term=term,
-            store=self.adapter.store,
+            store=self.store,
             adapter=self.adapter,
             on_beat=self.ownership.note_beat,
         )
         await self.leader.run(roster)
 
+    async def on_stop(self):
+        """Close the connections to other nodes."""
+        await self.store.close()
+
     def check_ready(self):
         """Raise unless the balancer should send callers here."""
         self.gateway.check_ready()
--- /dev/null
+++ b/arbutusrock/engine/peers.py
@@ -0,0 +1,100 @@
+"""Which other nodes there are, and calls to them."""
+
+import asyncio
+import random
+
+from arbutusrock.engine import feeds
+from arbutusrock.engine import rows
+from arbutusrock import logs
+from arbutusrock.utils import http
+
+__all__ = ['RELAY_PATH', 'Peers']
+
+# Where nodes take calls of each other, on the address of their metrics.
+RELAY_PATH = '/relay'
+# How often the list of nodes is read: nodes are added within seconds.
+REFRESH_S = 5.0
+RETRY_S = 0.5
+# Connections to one peer: three feeds and the calls beside them.
+MOST_CONNECTIONS = 8
+LOG = logs.get_log('peers')
+
+
+class Peers:
+    """Addresses of the other nodes, from rows that each node writes.
+
+    :param store: client of the store.
+    :param node: name of this node.
+    """
+
+    def __init__(self, *, store, node):
+        self.store = store
+        self.node = node
+        self.addresses = {}
+        self._own = ''
+        self._announced = asyncio.Event()
+        self._clients = {}
+
+    def announce(self, address):
+        """Let the others know where this node takes their calls."""
+        self._own = address
+        self._announced.set()
+
+    async def run(self):
+        """Write this node's row, then follow those of the others."""
+        await self._announced.wait()
+        row = rows.Row(
+            table=rows.TABLE_NODES, key=self.node, value=self._own.encode()
+        )
+        written = False
+        while True:
+            try:
+                if not written:
+                    await self.store.transact(puts=[row])
+                    written = True
+                found, _ = await feeds.read_parts(
+                    self.store, rows.TABLE_NODES, (rows.PART,)
+                )
+            except (rows.StoreRefused, rows.StoreSilent):
+                # The present list stays; whoever needs the store says so.
+                await asyncio.sleep(RETRY_S)
+                continue
+            self.addresses = {
+                item.key: item.value.decode()
+                for item in found
+                if item.key != self.node
+            }
+            await asyncio.sleep(REFRESH_S)
+
+    def choose(self, avoided):
+        """Return the name of some other node, or None.
+
+        :param avoided: names that are not asked again.
+        """
+        names = sorted(self.addresses.keys() - avoided)
+        return random.choice(names) if names else None  # noqa: S311
+
+    async def call(self, name, body, *, timeout_s):
+        """Send a relayed call to a node.
+
+        :returns: body of the answer, or None when it takes none.
+        :raises http.NotSent: it was not reached.
+        :raises http.NoAnswer: what it did is not known.
+        """
+        address = self.addresses.get(name)
+        if address is None:
+            raise http.NotSent(f'{name} is not known any more')
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = http.HTTPClient(
+                base=f'http://{address}', limit=MOST_CONNECTIONS
+            )
+        answer = await client.call(
+            'POST', RELAY_PATH, body=body, timeout_s=timeout_s
+        )
+        return answer.body if answer.status == 200 else None
+
+    async def close(self):
+        """Close all connections."""
+        for client in self._clients.values():
+            await client.close()
--- /dev/null
+++ b/arbutusrock/engine/relay.py
@@ -0,0 +1,337 @@
+"""Reaches the store through another node when it turns this one away.
+
+Load: the store refuses or does not hear a third of the nodes for seconds
+while it serves the others. Their callers would be refused, come again a
+second later at another node and be late.
+"""
+
+import asyncio
+import functools
+
+import msgspec
+
+from arbutusrock.engine import rows
+from arbutusrock import logs
+from arbutusrock.utils import clocks
+from arbutusrock.utils import http
+
+__all__ = ['StorePath']
+
+# How often a node that was turned away asks the store itself.
+PROBE_S = 1.0
+# After a peer that has no way either, no other one is asked for this time:
+# the store is away for all.
+PAUSE_S = 0.5
+# Peers that one call is offered to.
+TRIES = 2
+# A relayed call takes up to this long beyond what it waits for: less than
+# callers wait, more than a slow store takes (0.5 s).
+MARGIN_S = 1.2
+LOG = logs.get_log('relay')
+
+
+class RowData(msgspec.Struct, array_like=True):
+    """A row on the way between nodes."""
+
+    table: str
+    key: str
+    value: bytes | None
+    version: int
+    part: str
+
+
+class Transact(msgspec.Struct, tag='transact', array_like=True):
+    """A transaction for the store."""
+
+    expected: list[RowData]
+    puts: list[RowData]
+    removes: list[RowData]
+
+
+class ReadRange(msgspec.Struct, tag='read', array_like=True):
+    """A range of rows is asked for."""
+
+    table: str
+    part: str
+    first: str
+    last: str
+    limit: int
+
+
+class Watch(msgspec.Struct, tag='watch', array_like=True):
+    """Changes of a table are waited for."""
+
+    table: str
+    after: int
+    wait_s: float
+
+
+class Answer(msgspec.Struct, array_like=True):
+    """What the store answered.
+
+    :param outcome: ``done``, or the name of an exception of :mod:`rows`.
+    """
+
+    outcome: str
+    rows: list[RowData] = []
+    version: int = 0
+    text: str = ''
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode_call = msgspec.msgpack.Decoder(Transact | ReadRange | Watch).decode
+_decode_answer = msgspec.msgpack.Decoder(Answer).decode
+
+
+class StorePath:
+    """The store for one node: directly, or through a peer.
+
+    It has the methods of the client that it wraps.
+
+    :param direct: client of the store.
+    :param peers: :class:`arbutusrock.engine.peers.Peers`.
+    :param meter: counts relayed calls.
+    """
+
+    def __init__(self, *, direct, peers, meter):
+        self.direct = direct
+        self.peers = peers
+        self.meter = meter
+        # The peer that served the last relayed call.
+        self._peer = None
+        self._paused_until_s = 0.0
+        self._probe = None
+        self._failed_s = 0.0
+
+    @property
+    def turned_away(self):
+        """Whether the store does not serve this node directly."""
+        return self._probe is not None
+
+    async def transact(self, *, expected=(), puts=(), removes=()):
+        """Apply all of it or nothing, as the client does."""
+        direct = functools.partial(
+            self.direct.transact, expected=expected, puts=puts, removes=removes
+        )
+        message = functools.partial(_pack_transaction, expected, puts, removes)
+        # What a silent store did with a transaction is not known, so it is
+        # not sent again here.
+        answer = await self._call(direct, message, repeatable=False)
+        return answer.version if isinstance(answer, Answer) else answer
+
+    async def read_range(self, table, *, first='', last='', limit=0, part=''):
+        """Read rows in key order, as the client does."""
+        fields = {'part': part, 'first': first, 'last': last, 'limit': limit}
+        answer = await self._call(
+            functools.partial(self.direct.read_range, table, **fields),
+            functools.partial(ReadRange, table=table, **fields),
+        )
+        return _get_rows(answer)
+
+    async def watch(self, table, *, after, wait_s):
+        """Wait for changed rows of a table, as the client does."""
+        fields = {'after': after, 'wait_s': wait_s}
+        answer = await self._call(
+            functools.partial(self.direct.watch, table, **fields),
+            functools.partial(Watch, table=table, **fields),
+            wait_s=wait_s,
+        )
+        return _get_rows(answer)
+
+    async def _call(self, direct, message, *, wait_s=0.0, repeatable=True):
+        """Make a call directly, or through a peer where that fails.
+
+        :param direct: makes the call; its result is returned as it is.
+        :param message: creates the call for a peer, whose :class:`Answer`
+            is returned.
+        """
+        if self.turned_away:
+            answer = await self._relay(message(), wait_s)
+            if answer is not None:
+                return answer
+        try:
+            result = await direct()
+        except rows.StoreBusy:
+            raise
+        except (rows.StoreRefused, rows.StoreSilent) as exc:
+            self._note_failure(str(exc))
+            if isinstance(exc, rows.StoreSilent) and not repeatable:
+                raise
+            answer = await self._relay(message(), wait_s)
+            if answer is None:
+                raise
+            return answer
+        self._note_success()
+        return result
+
+    async def _relay(self, call, wait_s):
+        """Offer a call to peers.
+
+        :returns: the :class:`Answer`, or None when no peer has a way.
+        """
+        if clocks.now_s() < self._paused_until_s:
+            return None
+        body, avoided = _encode(call), set()
+        for _ in range(TRIES):
+            name = self._peer or self.peers.choose(avoided)
+            if name is None:
+                return None
+            self._peer = None
+            try:
+                data = await self.peers.call(
+                    name, body, timeout_s=wait_s + MARGIN_S
+                )
+            except http.NotSent:
+                data = None
+            except http.NoAnswer as exc:
+                if isinstance(call, Transact):
+                    raise rows.StoreSilent(str(exc)) from exc
+                data = None
+            if data is not None:
+                self._peer = name
+                self.meter.count('store_relayed')
+                return _check(_decode_answer(data))
+            avoided.add(name)
+        self._paused_until_s = clocks.now_s() + PAUSE_S
+        return None
+
+    def _note_failure(self, reason):
+        if self._probe is None:
+            LOG.warning('the store turns this node away', reason=reason)
+            self._failed_s = clocks.now_s()
+            self._probe = asyncio.ensure_future(self._probe_store())
+
+    def _note_success(self):
+        if self._probe is None:
+            return
+        self._probe.cancel()
+        self._probe = None
+        LOG.info(
+            'the store serves this node again',
+            after_s=round(clocks.now_s() - self._failed_s, 2),
+        )
+
+    async def _probe_store(self):
+        """Ask the store until it answers this node again."""
+        key = self.peers.node
+        while True:
+            await asyncio.sleep(PROBE_S)
+            try:
+                await self.direct.read_range(
+                    rows.TABLE_NODES,
+                    part=rows.PART,
+                    first=key,
+                    last=f'{key}\0',
+                    limit=1,
+                )
+            except (rows.StoreRefused, rows.StoreSilent):
+                # Still turned away; logged when it began.
+                continue
+            self._note_success()
+            return
+
+    async def serve(self, body):
+        """Answer a call of a peer from the store, or None.
+
+        Calls are not passed on: a node that is turned away takes none.
+
+        :raises msgspec.DecodeError: the body is no call.
+        """
+        call = _decode_call(body)
+        if self.turned_away:
+            return None
+        answer = await _ask(self.direct, call)
+        if answer.outcome == 'StoreRefused':
+            self._note_failure(answer.text)
+            return None
+        return _encode(answer)
+
+    async def close(self):
+        """End the probe and all connections."""
+        if self._probe is not None:
+            self._probe.cancel()
+        await self.peers.close()
+
+
+async def _ask(store, call):
+    """Make the call of a peer; return the :class:`Answer`."""
+    try:
+        match call:
+            case Transact():
+                found = []
+                version = await store.transact(
+                    expected=[_unpack(row) for row in call.expected],
+                    puts=[_unpack(row) for row in call.puts],
+                    removes=[_unpack(row) for row in call.removes],
+                )
+            case ReadRange():
+                found, version = await store.read_range(
+                    call.table,
+                    part=call.part,
+                    first=call.first,
+                    last=call.last,
+                    limit=call.limit,
+                )
+            case Watch():
+                found, version = await store.watch(
+                    call.table, after=call.after, wait_s=call.wait_s
+                )
+    except rows.Conflicted as exc:
+        return Answer(
+            outcome='Conflicted', rows=[_pack(row) for row in exc.rows]
+        )
+    except (
+        rows.HistoryLost,
+        rows.StoreBusy,
+        rows.StoreRefused,
+        rows.StoreSilent,
+    ) as exc:
+        return Answer(outcome=type(exc).__name__, text=str(exc))
+    return Answer(
+        outcome='done', rows=[_pack(row) for row in found], version=version
+    )
+
+
+def _check(answer):
+    match answer.outcome:
+        case 'done':
+            return answer
+        case 'Conflicted':
+            raise rows.Conflicted([_unpack(item) for item in answer.rows])
+        case 'HistoryLost':
+            raise rows.HistoryLost(answer.text)
+        case 'StoreBusy':
+            raise rows.StoreBusy(answer.text)
+        case 'StoreSilent':
+            raise rows.StoreSilent(answer.text)
+        case _:
+            raise rows.StoreRefused(answer.text)
+
+
+def _pack(row):
+    return RowData(row.table, row.key, row.value, row.version, row.part)
+
+
+def _unpack(item):
+    return rows.Row(
+        table=item.table,
+        key=item.key,
+        value=item.value,
+        version=item.version,
+        part=item.part,
+    )
+
+
+def _pack_transaction(expected, puts, removes):
+    return Transact(
+        expected=[_pack(row) for row in expected],
+        puts=[_pack(row) for row in puts],
+        removes=[_pack(row) for row in removes],
+    )
+
+
+def _get_rows(answer):
+    """Return ``(rows, version)`` of a direct result or of a peer's answer."""
+    if isinstance(answer, Answer):
+        return [_unpack(item) for item in answer.rows], answer.version
+    return answer
--- a/arbutusrock/engine/rows.py
+++ b/arbutusrock/engine/rows.py
@@ -13,9 +13,11 @@
     'Conflicted',
     'HistoryLost',
     'Row',
+    'StoreBusy',
     'StoreRefused',
     'StoreSilent',
     'TABLE_JOBS',
+    'TABLE_NODES',
     'TABLE_OPERATOR',
     'TABLE_OWNER',
     'TABLE_PROGRESS',
@@ -33,6 +35,7 @@
 TABLE_PROGRESS = 'arbutusrock-progress'
 TABLE_OWNER = 'arbutusrock-owner'
 TABLE_WAVES = 'arbutusrock-waves'
+TABLE_NODES = 'arbutusrock-nodes'
 # Tables of others; the adapter knows what the platform calls them.
 TABLE_OPERATOR = 'operator'
 TABLE_WORKERS = 'workers'
@@ -80,6 +83,10 @@
     """The store did nothing."""
 
 
+class StoreBusy(StoreRefused):
+    """The store has too many calls, from all nodes together."""
+
+
 class StoreSilent(Exception):
     """What the store did, or will do, is not known."""
 
--- a/arbutusrock/platform/__main__.py
+++ b/arbutusrock/platform/__main__.py
@@ -9,17 +9,16 @@
 import sys
 
 from aiohttp import web
-import msgspec
 import uvloop
 
 from arbutusrock.engine import node as node_module
-from arbutusrock.engine import status
 from arbutusrock import errors
 from arbutusrock import logs
 from arbutusrock import metrics as metrics_module
 from arbutusrock.platform import adapter as adapter_module
 from arbutusrock.platform import boot
 from arbutusrock.platform import ingress as ingress_module
+from arbutusrock.platform import inside
 from arbutusrock.utils import clocks
 
 __all__ = ['main']
@@ -57,26 +56,16 @@
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _note_reload)
 
-    async def show_metrics(request):
-        if request.path == '/status':
-            view = status.describe_node(node, ready=ingress.is_ready())
-            return web.Response(
-                body=msgspec.json.encode(view),
-                content_type='application/json',
-            )
-        status.collect_gauges(node, metrics)
-        body, headers = metrics.render()
-        return web.Response(body=body, headers=headers)
-
     await node.start()
     addresses = {}
     for name, handler, where in (
         ('callers', ingress.handle, settings.callers),
         ('readiness', ingress.handle_readiness, settings.readiness),
-        ('metrics', show_metrics, settings.metrics),
+        ('metrics', inside.Inside(ingress=ingress).handle, settings.metrics),
     ):
         address, _, port = where.rpartition(':')
         addresses[name] = await _listen(handler, address, int(port), runners)
+    node.peers.announce(addresses['metrics'])
     LOG.info('serving', node=settings.name, **addresses)
     waiters = {
         asyncio.ensure_future(stop.wait()),
--- a/arbutusrock/platform/advice.py
+++ b/arbutusrock/platform/advice.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from arbutusrock.engine import reports
-from arbutusrock.platform import http
+from arbutusrock.utils import http
 
 __all__ = ['AdviceClient']
 
--- /dev/null
+++ b/arbutusrock/platform/inside.py
@@ -0,0 +1,51 @@
+"""HTTP interface for operators and other nodes: metrics, state, relay."""
+
+from aiohttp import web
+import msgspec
+
+from arbutusrock.engine import peers
+from arbutusrock.engine import status
+from arbutusrock import logs
+
+__all__ = ['Inside']
+
+LOG = logs.get_log('inside')
+
+
+class Inside:
+    """Answers calls that come from inside the installation.
+
+    :param ingress: :class:`arbutusrock.platform.ingress.Ingress`.
+    """
+
+    def __init__(self, *, ingress):
+        self.ingress = ingress
+        self.node = ingress.node
+
+    async def handle(self, request):
+        """Answer one call."""
+        match request.path:
+            case peers.RELAY_PATH:
+                return await self._relay(request)
+            case '/status':
+                view = status.describe_node(
+                    self.node, ready=self.ingress.is_ready()
+                )
+                return web.Response(
+                    body=msgspec.json.encode(view),
+                    content_type='application/json',
+                )
+        status.collect_gauges(self.node, self.node.metrics)
+        body, headers = self.node.metrics.render()
+        return web.Response(body=body, headers=headers)
+
+    async def _relay(self, request):
+        """Make a call to the store for a node that it turns away."""
+        try:
+            answer = await self.node.store.serve(await request.read())
+        except msgspec.DecodeError as exc:
+            LOG.warning('a relayed call cannot be read', error=str(exc))
+            return web.Response(status=400)
+        if answer is None:
+            return web.Response(status=503)
+        return web.Response(body=answer)
--- a/arbutusrock/platform/machines.py
+++ b/arbutusrock/platform/machines.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from arbutusrock.engine import reports
-from arbutusrock.platform import http
 from arbutusrock.platform import workers
+from arbutusrock.utils import http
 
 __all__ = ['VMClient']
 
--- a/arbutusrock/platform/store.py
+++ b/arbutusrock/platform/store.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from arbutusrock.engine import rows
-from arbutusrock.platform import http
+from arbutusrock.utils import http
 
 __all__ = ['StoreClient']
 
@@ -173,7 +173,8 @@
         self.meter.count('store_bytes', amount=len(answer.body))
         if answer.status in {200, 410, 412}:
             return answer.status, answer.body
-        raise rows.StoreRefused(f'{path} answered {answer.status}')
+        refused = rows.StoreBusy if answer.status == 429 else rows.StoreRefused
+        raise refused(f'{path} answered {answer.status}')
 
 
 def _encode_key(row):
--- a/arbutusrock/platform/http.py
+++ b/arbutusrock/utils/http.py
@@ -1,4 +1,4 @@
-"""HTTP calls to the platform, with what is known when one fails."""
+"""HTTP calls, with what is known when one fails."""
 
 import asyncio
 
--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -14,6 +14,7 @@
 from arbutusrock import metrics as metrics_module
 from arbutusrock.platform import adapter as adapter_module
 from arbutusrock.platform import ingress as ingress_module
+from arbutusrock.platform import inside
 from examples.standins.site import machines
 from examples.standins.site import store as store_module
 from examples.standins.site import workers
@@ -48,12 +49,14 @@
 class SiteNode:
     """One node of the fleet manager in this process."""
 
-    def __init__(self, *, node, adapter, runners, address, readiness):
+    def __init__(self, *, node, adapter, runners, address, readiness, inside):
         self.node = node
         self.adapter = adapter
         self.runners = runners
         self.address = address
         self.readiness = readiness
+        # Where operators and other nodes call.
+        self.inside = inside
 
     @property
     def is_owner(self):
@@ -269,17 +272,18 @@
 
         :returns: :class:`SiteNode`.
         """
-        settings = node_settings.NodeSettings(
-            name=name,
-            address=HOST,
-            callers=f'{HOST}:0',
-            readiness=f'{HOST}:0',
-            metrics=f'{HOST}:0',
-            store=self._addresses['store'],
-            vm_service=self._addresses['vms'],
-            advice_service=self._addresses['policy'],
-            move_s=self.vms.move_s,
+        fields = {
+            'callers': f'{HOST}:0',
+            'readiness': f'{HOST}:0',
+            'metrics': f'{HOST}:0',
+            'store': self._addresses['store'],
+            'vm_service': self._addresses['vms'],
+            'advice_service': self._addresses['policy'],
+            'move_s': self.vms.move_s,
             **changes,
+        }
+        settings = node_settings.NodeSettings(
+            name=name, address=HOST, **fields
         )
         metrics = metrics_module.Metrics()
         adapter = adapter_module.PlatformAdapter(
@@ -291,7 +295,11 @@
         ingress = ingress_module.Ingress(node=node)
         await node.start()
         runners, addresses = [], []
-        for handler in (ingress.handle, ingress.handle_readiness):
+        for handler in (
+            ingress.handle,
+            ingress.handle_readiness,
+            inside.Inside(ingress=ingress).handle,
+        ):
             runner = web.ServerRunner(
                 web.Server(handler, access_log=None), shutdown_timeout=0.05
             )
@@ -299,12 +307,14 @@
             await web.TCPSite(runner, HOST, 0).start()
             runners.append(runner)
             addresses.append(f'{HOST}:{runner.addresses[0][1]}')
+        node.peers.announce(addresses[2])
         site_node = SiteNode(
             node=node,
             adapter=adapter,
             runners=runners,
             address=addresses[0],
             readiness=addresses[1],
+            inside=addresses[2],
         )
         self.nodes.append(site_node)
         return site_node
--- /dev/null
+++ b/tests/test_site_relay.py
@@ -0,0 +1,124 @@
+"""Nodes that the store turns away, on the stand-ins of the platform."""
+
+import asyncio
+
+import pytest
+
+from examples.standins import proxy
+from examples.standins.site import Site
+from examples.standins.site.site import create_step
+from tests import site_checks
+from tests.site_checks import JOB
+from tests.site_checks import wait_until
+
+
+@pytest.fixture
+async def site():
+    """One pool with three VMs."""
+    stand_in = Site(pools={'alpha': 3})
+    await stand_in.start()
+    yield stand_in
+    await stand_in.stop()
+    site_checks.check_ledger(stand_in.ledger)
+
+
+@pytest.fixture
+async def link(site):
+    """The way of one node to the store."""
+    port = int(site.get_address('store').rpartition(':')[2])
+    fault_proxy = proxy.FaultProxy(target_port=port)
+    await fault_proxy.start()
+    yield fault_proxy
+    await fault_proxy.stop()
+
+
+async def start_behind(site, link):
+    """Start an owner, and a node behind the link that knows it."""
+    await site_checks.start_nodes(site, 1)
+    node = await site.start_node('n2', store=f'127.0.0.1:{link.port}')
+    await site_checks.wait_ready(node)
+    await wait_until(lambda: node.node.peers.addresses, what='peers are known')
+    return node
+
+
+async def serve_job(site, node):
+    status = await site.submit('alpha', JOB, [create_step(2)], node=node)
+    assert status == 200
+    await site_checks.wait_state(site, 'completed', node=node)
+
+
+async def cut(link):
+    link.faults = proxy.LinkFaults(refuse=True)
+    link.cut_all()
+
+
+async def silence(link):
+    link.faults.silent_answers = link.faults.silent_requests = True
+
+
+@pytest.mark.parametrize('fault', [cut, silence])
+async def test_a_node_that_is_turned_away_serves_through_a_peer(
+    site, link, fault
+):
+    node = await start_behind(site, link)
+    await fault(link)
+    await wait_until(
+        lambda: node.node.store.turned_away, what='the node notices'
+    )
+    await serve_job(site, node)
+    # Changes of the configuration reach it too.
+    await site.configure()
+    await wait_until(
+        lambda: node.node.configuration.current.version == site.version,
+        what='the newest configuration',
+    )
+    assert node.node.metrics.get_count('store_relayed') > 0
+    link.faults = proxy.LinkFaults()
+    link.cut_all()
+    await wait_until(
+        lambda: not node.node.store.turned_away, what='the way is back'
+    )
+
+
+async def test_a_store_that_is_away_for_all_is_used_again(site):
+    nodes = await site_checks.start_nodes(site, 3)
+    await wait_until(
+        lambda: all(len(node.node.peers.addresses) == 2 for node in nodes),
+        what='peers are known',
+    )
+    site.store.faults.busy = True
+    await wait_until(
+        lambda: all(node.node.store.turned_away for node in nodes),
+        what='all notice',
+    )
+    status = await site.submit('alpha', JOB, [create_step(1)])
+    assert status == 503
+    site.store.faults.clear()
+    await wait_until(
+        lambda: not any(node.node.store.turned_away for node in nodes),
+        what='the store is back',
+    )
+    await serve_job(site, nodes[2])
+
+
+async def test_a_relayed_call_that_cannot_be_read_is_refused(site):
+    (node,) = await site_checks.start_nodes(site, 1)
+    async with site.session.post(
+        f'http://{node.inside}/relay', data=b'\xc1'
+    ) as reply:
+        assert reply.status == 400
+
+
+async def test_an_owner_that_is_turned_away_stays_the_owner(site, link):
+    node = await site.start_node('n1', store=f'127.0.0.1:{link.port}')
+    await site_checks.wait_ready(node)
+    await site_checks.wait_owner(site)
+    other = await site.start_node('n2')
+    await wait_until(lambda: node.node.peers.addresses, what='peers are known')
+    epoch = node.node.leader.term.epoch
+    await cut(link)
+    await serve_job(site, other)
+    await asyncio.sleep(3)
+    assert node.is_owner
+    assert node.node.leader.term.epoch == epoch
+    assert not other.is_owner
