--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PYTHON ?= python3.11
 READY = $(VENV)/.ready
 
-.PHONY: env run test lint format bench
+.PHONY: env run test lint format bench soak
 
 env: $(READY)
 
@@ -31,6 +31,9 @@
 	$(VENV)/bin/ruff check --fix -q . || true
 	$(VENV)/bin/ruff format -q .
 
+soak: $(READY)
+	$(VENV)/bin/python -m soak $(SOAK_FLAGS)
+
 bench: $(READY)
 	$(VENV)/bin/python -m benchmarks.bench_relay
 	$(VENV)/bin/python -m benchmarks.bench_shares
