Count no burst below three jobs

The last two large jobs reach a quarter of the highest peak. Ruled out: the threshold on the rate alone (jobs of one queue differ by ten). Change: a burst has three jobs or more in two seconds.

--- a/arbutusrock/scheduling/forecast.py
+++ b/arbutusrock/scheduling/forecast.py
@@ -33,8 +33,10 @@
 # VMs stand by for this long after the next burst was due: then it is met
 # like the first one.
 STANDBY_S = 6.0
-# Less than the room of so many VMs is no burst.
+# Less than the room of so many VMs is no burst, and less than so many jobs in
+# two spans: single ones are large.
 LEAST_BURST_VMS = 2
+LEAST_BURST_JOBS = 3
 # A pool that is busy again after less than this time is still in the same
 # burst; more than the takeover by another owner.
 LULL_S = 3.0
@@ -106,6 +108,10 @@
                 break
         return newest / SPAN_S, before / SPAN_S
 
+    def count_jobs(self, now_s):
+        """Return the arrivals of the last two spans."""
+        return sum(1 for at_s, _, _ in self.jobs if now_s - at_s < 2 * SPAN_S)
+
     def measure_growth(self, now_s, lead_s):
         """Return how the rate will grow until the middle of ``lead_s``.
 
@@ -228,7 +234,7 @@
             BURST_PART * history.burst_peak_cpu,
             LEAST_BURST_VMS * self.vm_cpu,
         )
-        if rate >= least and rate > 0:
+        if rate >= least and history.count_jobs(now_s) >= LEAST_BURST_JOBS:
             if not history.active:
                 history.begin_burst(now_s)
             history.burst_peak_cpu = max(
