Answer callers at once while nobody reaches the store

A caller's answer waited for the transaction under way (1.5 s), and again for the next one; questions waited for the store and then for two peers. After the store's return nodes took themselves for turned away again when calls from before failed (47 times), and refused until hung feeds were asked again. Ruled out: the owner (unchanged from 13.7 s on), the wait for room. Change: a caller is answered when it leaves, whatever is under way: 503 when the job was never sent, else 504; a job in doubt for a second is given up; a question takes 1.5 s at most. Without an answer, directly or by a peer, for a second calls are refused at once with a Retry-After as long as the outage has lasted, 4 s at most. Reading calls are made anew when the store is back, and calls from before its last answer tell nothing. Tests: engine/tests/test_submitter.py, test_relay.py, tests/test_site_relay.py.

--- a/arbutusrock/engine/gateway.py
+++ b/arbutusrock/engine/gateway.py
@@ -15,8 +15,14 @@
 
 # Retry-After while this node does not reach the store: another node may.
 STORE_RETRY_S = 1
+# Longest one: callers come again a few times only, and an outage of the store
+# takes seconds.
+MOST_RETRY_S = 4
 # An unanswered write is repeated at this pace until the caller gives up.
 RETRY_S = 0.05
+# A state is asked for again at another node rather than waited for longer; a
+# slow store takes about 0.5 s for the two reads.
+READ_S = 1.5
 # A count of waiting jobs may be this old.
 COUNT_AGE_S = 2.0
 # Without a sign of the store for so long, calls are refused at once.
@@ -48,9 +54,15 @@
             raise errors.NodeNotServing(
                 'no configuration yet', retry_after=STORE_RETRY_S
             )
-        if self.configuration.age_s > STORE_SILENT_S:
+        if (
+            self.store.out_of_reach
+            or self.configuration.age_s > STORE_SILENT_S
+        ):
+            # What has lasted for some time lasts about as long again.
+            retry_s = min(MOST_RETRY_S, round(self.store.lost_for_s))
             raise errors.NodeNotServing(
-                'the store is out of reach', retry_after=STORE_RETRY_S
+                'the store is out of reach',
+                retry_after=max(STORE_RETRY_S, retry_s),
             )
 
     def find_queue(self, host, path, key):
@@ -123,6 +135,15 @@
         known = self._remembered.get(job_id)
         if known is not None:
             return known
+        try:
+            async with asyncio.timeout(READ_S):
+                return await self._read_status(job_id)
+        except TimeoutError as exc:
+            raise errors.StoreUnavailable(
+                'the store does not answer', retry_after=STORE_RETRY_S
+            ) from exc
+
+    async def _read_status(self, job_id):
         row = await self._read_row(rows.TABLE_PROGRESS, job_id, rows.PART)
         if row is not None:
             status = plans.decode_progress(row.value).status
@@ -162,6 +183,13 @@
         :raises errors.StoreUnavailable: it was not cancelled.
         :raises errors.StoreUncertain: it may have been cancelled.
         """
+        try:
+            async with asyncio.timeout(max(0.0, until_s - clocks.now_s())):
+                return await self._cancel(job_id, until_s)
+        except TimeoutError as exc:
+            raise errors.StoreUncertain('the store does not answer') from exc
+
+    async def _cancel(self, job_id, until_s):
         if not await self._exists(job_id):
             return False
         put = rows.Row(
--- a/arbutusrock/engine/relay.py
+++ b/arbutusrock/engine/relay.py
@@ -17,8 +17,13 @@
 
 __all__ = ['StorePath']
 
-# How often a node that was turned away asks the store itself.
-PROBE_S = 1.0
+# How often a node that was turned away asks the store itself, and how long it
+# waits: more than a slow store takes.
+PROBE_S = 0.5
+PROBE_WAIT_S = 0.7
+# Without an answer, directly or by a peer, for this time nobody reaches the
+# store: two tries of a caller's call would fail too.
+GIVE_UP_S = 1.0
 # After a peer that has no way either, no other one is asked for this time:
 # the store is away for all.
 PAUSE_S = 0.5
@@ -100,14 +105,30 @@
         # The peer that served the last relayed call.
         self._peer = None
         self._paused_until_s = 0.0
+        self._lost_s = None
         self._probe = None
         self._failed_s = 0.0
+        # When the store last answered this node directly.
+        self._answered_s = 0.0
+        self._back = asyncio.Event()
 
     @property
     def turned_away(self):
         """Whether the store does not serve this node directly."""
         return self._probe is not None
 
+    @property
+    def lost_for_s(self):
+        """Since how long neither this node nor a peer has reached it."""
+        if not self.turned_away or self._lost_s is None:
+            return 0.0
+        return clocks.now_s() - self._lost_s
+
+    @property
+    def out_of_reach(self):
+        """Whether callers are told so at once."""
+        return self.lost_for_s > GIVE_UP_S
+
     async def transact(self, *, expected=(), puts=(), removes=()):
         """Apply all of it or nothing, as the client does."""
         direct = functools.partial(
@@ -149,12 +170,16 @@
             answer = await self._relay(message(), wait_s)
             if answer is not None:
                 return answer
+        began_s = clocks.now_s()
         try:
-            result = await direct()
+            if self.turned_away and repeatable:
+                result = await self._ask_until_back(direct)
+            else:
+                result = await direct()
         except rows.StoreBusy:
             raise
         except (rows.StoreRefused, rows.StoreSilent) as exc:
-            self._note_failure(str(exc))
+            self._note_failure(str(exc), began_s)
             if isinstance(exc, rows.StoreSilent) and not repeatable:
                 raise
             answer = await self._relay(message(), wait_s)
@@ -164,6 +189,22 @@
         self._note_success()
         return result
 
+    async def _ask_until_back(self, direct):
+        """Make a reading call, anew when the store serves this node again.
+
+        A call from before is not answered any more.
+        """
+        back = asyncio.ensure_future(self._back.wait())
+        asked = asyncio.ensure_future(direct())
+        try:
+            await asyncio.wait(
+                {back, asked}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return await (asked if asked.done() else direct())
+        finally:
+            back.cancel()
+            asked.cancel()
+
     async def _relay(self, call, wait_s):
         """Offer a call to peers.
 
@@ -175,7 +216,7 @@
         for _ in range(TRIES):
             name = self._peer or self.peers.choose(avoided)
             if name is None:
-                return None
+                break
             self._peer = None
             try:
                 data = await self.peers.call(
@@ -189,23 +230,35 @@
                 data = None
             if data is not None:
                 self._peer = name
+                self._lost_s = None
                 self.meter.count('store_relayed')
                 return _check(_decode_answer(data))
             avoided.add(name)
-        self._paused_until_s = clocks.now_s() + PAUSE_S
+        self._note_lost()
         return None
 
-    def _note_failure(self, reason):
-        if self._probe is None:
+    def _note_lost(self):
+        now_s = clocks.now_s()
+        self._paused_until_s = now_s + PAUSE_S
+        if self._lost_s is None:
+            self._lost_s = now_s
+
+    def _note_failure(self, reason, began_s):
+        # A call that hung since before the last answer tells nothing new.
+        if self._probe is None and began_s >= self._answered_s:
             LOG.warning('the store turns this node away', reason=reason)
             self._failed_s = clocks.now_s()
+            self._back.clear()
             self._probe = asyncio.ensure_future(self._probe_store())
 
     def _note_success(self):
+        self._lost_s = None
+        self._answered_s = clocks.now_s()
         if self._probe is None:
             return
         self._probe.cancel()
         self._probe = None
+        self._back.set()
         LOG.info(
             'the store serves this node again',
             after_s=round(clocks.now_s() - self._failed_s, 2),
@@ -217,14 +270,15 @@
         while True:
             await asyncio.sleep(PROBE_S)
             try:
-                await self.direct.read_range(
-                    rows.TABLE_NODES,
-                    part=rows.PART,
-                    first=key,
-                    last=f'{key}\0',
-                    limit=1,
-                )
-            except (rows.StoreRefused, rows.StoreSilent):
+                async with asyncio.timeout(PROBE_WAIT_S):
+                    await self.direct.read_range(
+                        rows.TABLE_NODES,
+                        part=rows.PART,
+                        first=key,
+                        last=f'{key}\0',
+                        limit=1,
+                    )
+            except (rows.StoreRefused, rows.StoreSilent, TimeoutError):
                 # Still turned away; logged when it began.
                 continue
             self._note_success()
@@ -240,9 +294,10 @@
         call = _decode_call(body)
         if self.turned_away:
             return None
+        began_s = clocks.now_s()
         answer = await _ask(self.direct, call)
         if answer.outcome == 'StoreRefused':
-            self._note_failure(answer.text)
+            self._note_failure(answer.text, began_s)
             return None
         return _encode(answer)
 
--- a/arbutusrock/engine/submitter.py
+++ b/arbutusrock/engine/submitter.py
@@ -23,6 +23,10 @@
 # A refusing store is asked so often before callers are refused.
 TRIES = 3
 RETRY_S = 0.03
+# A job in doubt for this time is given up: the store does not answer, and
+# another node may reach it. Shorter than the time-out of one call, longer
+# than a connection that is reset takes.
+IN_DOUBT_S = 1.0
 LOG = logs.get_log('submit')
 
 
@@ -37,13 +41,26 @@
 
 
 class _Entry:
-    __slots__ = ('job_id', 'value', 'until_s', 'tries', 'in_doubt', 'result')
+    __slots__ = (
+        'job_id',
+        'value',
+        'until_s',
+        'tries',
+        'sent_s',
+        'in_doubt',
+        'waiters',
+        'result',
+    )
 
     def __init__(self, *, job_id, value, until_s):
         self.job_id = job_id
         self.value = value
         self.until_s = until_s
         self.tries = 0
+        # When a transaction with it was first sent.
+        self.sent_s = None
+        # Callers that wait for it.
+        self.waiters = 0
         # An earlier transaction with it got no answer.
         self.in_doubt = False
         self.result = asyncio.get_running_loop().create_future()
@@ -99,8 +116,23 @@
             )
             self._entries[job_id] = entry
             self._due.set()
-        # A caller that leaves must not cancel the entry of another.
-        return await asyncio.shield(entry.result)
+        entry.waiters += 1
+        try:
+            async with asyncio.timeout(max(0.0, until_s - clocks.now_s())):
+                # A caller that leaves must not cancel the entry of another.
+                return await asyncio.shield(entry.result)
+        except TimeoutError:
+            return self._give_up(entry)
+        finally:
+            entry.waiters -= 1
+
+    def _give_up(self, entry):
+        """Answer a caller that leaves while a transaction is under way."""
+        if entry.sent_s is not None or entry.waiters > 1:
+            return Stored.UNKNOWN
+        self._entries.pop(entry.job_id, None)
+        entry.settle(Stored.REFUSED)
+        return Stored.REFUSED
 
     async def run(self):
         while True:
@@ -116,7 +148,7 @@
                 await self._write(batch)
             for entry in batch:
                 if entry.result.done():
-                    del self._entries[entry.job_id]
+                    self._entries.pop(entry.job_id, None)
             if not self._entries:
                 self._due.clear()
 
@@ -134,6 +166,8 @@
             )
             for entry in batch
         ]
+        for entry in batch:
+            entry.sent_s = entry.sent_s or clocks.now_s()
         try:
             await self.store.transact(expected=expected, puts=puts)
         except rows.Conflicted as exc:
@@ -168,7 +202,11 @@
     def _drop_overdue(batch):
         now_s = clocks.now_s()
         for entry in batch:
-            if now_s > entry.until_s and not entry.result.done():
+            if entry.result.done():
+                continue
+            if entry.in_doubt and now_s > entry.sent_s + IN_DOUBT_S:
+                entry.settle(Stored.UNKNOWN)
+            elif now_s > entry.until_s:
                 entry.settle(
                     Stored.UNKNOWN if entry.in_doubt else Stored.REFUSED
                 )
--- /dev/null
+++ b/arbutusrock/engine/tests/test_relay.py
@@ -0,0 +1,135 @@
+"""When a call goes through a peer, and when a node counts as turned away."""
+
+import asyncio
+
+import pytest
+
+from arbutusrock.engine import relay
+from arbutusrock.engine import rows
+from arbutusrock import metrics
+from arbutusrock.utils import http
+
+
+class Store:
+    """A store that does what the test says."""
+
+    def __init__(self):
+        self.failure = None
+        self.hanging = None
+
+    async def transact(self, **_fields):
+        if self.failure:
+            raise self.failure
+        return 7
+
+    async def read_range(self, _table, **_fields):
+        if self.hanging is not None:
+            hanging, self.hanging = self.hanging, None
+            await hanging.wait()
+            raise rows.StoreSilent('late')
+        if self.failure:
+            raise self.failure
+        return [], 7
+
+
+class Peers:
+    """One peer with a way to a store, or none."""
+
+    node = 'n1'
+
+    def __init__(self, *, other=None):
+        self.other = other
+        self.calls = 0
+
+    def choose(self, avoided):
+        return None if self.other is None or 'n2' in avoided else 'n2'
+
+    async def call(self, _name, body, *, timeout_s):
+        self.calls += 1
+        data = await self.other.serve(body)
+        if data == b'':
+            raise http.NoAnswer('cut')
+        return data
+
+    async def close(self):
+        pass
+
+
+def create_path(direct, other=None):
+    return relay.StorePath(
+        direct=direct, peers=Peers(other=other), meter=metrics.Metrics()
+    )
+
+
+@pytest.fixture
+async def pair():
+    """The store of a node, its path, and the path of a sound peer."""
+    direct = Store()
+    other = create_path(Store())
+    path = create_path(direct, other)
+    yield direct, path, other
+    await path.close()
+    await other.close()
+
+
+async def test_a_refused_call_goes_through_a_peer(pair):
+    direct, path, _ = pair
+    direct.failure = rows.StoreRefused('busy')
+    assert await path.transact() == 7
+    assert path.turned_away
+    assert not path.out_of_reach
+    assert await path.read_range('t') == ([], 7)
+    assert path.peers.calls == 2
+
+
+async def test_an_unanswered_transaction_is_not_sent_twice(pair):
+    direct, path, _ = pair
+    direct.failure = rows.StoreSilent('lost')
+    with pytest.raises(rows.StoreSilent):
+        await path.transact()
+    assert path.peers.calls == 0
+    assert await path.read_range('t') == ([], 7)
+
+
+async def test_a_store_with_too_many_calls_is_not_asked_by_others(pair):
+    direct, path, _ = pair
+    direct.failure = rows.StoreBusy('429')
+    with pytest.raises(rows.StoreBusy):
+        await path.transact()
+    assert path.peers.calls == 0
+    assert not path.turned_away
+
+
+async def test_what_a_peer_learns_is_passed_on(pair):
+    direct, path, other = pair
+    direct.failure = rows.StoreRefused('busy')
+    row = rows.Row(table='t', key='k', value=b'v', version=3)
+    other.direct.failure = rows.Conflicted([row])
+    with pytest.raises(rows.Conflicted) as caught:
+        await path.transact()
+    (found,) = caught.value.rows
+    assert (found.key, found.value, found.version) == ('k', b'v', 3)
+
+
+async def test_a_peer_that_is_turned_away_passes_nothing_on(pair):
+    direct, path, other = pair
+    direct.failure = other.direct.failure = rows.StoreRefused('busy')
+    for _ in range(3):
+        with pytest.raises(rows.StoreRefused):
+            await path.transact()
+    # After one try no peer is asked for a while.
+    assert path.peers.calls == 1
+    assert path.lost_for_s >= 0
+
+
+async def test_a_call_that_hung_since_before_tells_nothing_new(pair):
+    """Seen in an incident: nodes were turned away again by old calls."""
+    direct, path, _ = pair
+    direct.hanging = hanging = asyncio.Event()
+    old = asyncio.ensure_future(path.read_range('t'))
+    await asyncio.sleep(0)
+    assert await path.read_range('t') == ([], 7)
+    hanging.set()
+    assert await old == ([], 7)
+    assert path.peers.calls == 1
+    assert not path.turned_away
--- /dev/null
+++ b/arbutusrock/engine/tests/test_submitter.py
@@ -0,0 +1,90 @@
+"""Callers are answered while the store does not answer."""
+
+import asyncio
+
+import pytest
+
+from arbutusrock.engine import rows
+from arbutusrock.engine import submitter
+from arbutusrock.engine.tests import samples
+from arbutusrock.utils import clocks
+
+JOB = '00000000000000a1'
+
+
+class HangingStore:
+    """A store that never answers."""
+
+    def __init__(self):
+        self.asked = asyncio.Event()
+
+    async def transact(self, **_fields):
+        self.asked.set()
+        await asyncio.Event().wait()
+
+
+class SilentStore:
+    """A store whose answers are lost after a time."""
+
+    def __init__(self):
+        self.calls = 0
+
+    async def transact(self, **_fields):
+        self.calls += 1
+        await asyncio.sleep(0)
+        raise rows.StoreSilent('lost')
+
+
+async def submit(store, wait_s):
+    part = submitter.Submitter(store=store)
+    running = asyncio.ensure_future(part.run())
+    try:
+        return await part.submit(
+            JOB, samples.create_submission(), until_s=clocks.now_s() + wait_s
+        )
+    finally:
+        running.cancel()
+
+
+async def test_a_caller_is_answered_while_a_transaction_hangs():
+    """Seen in an incident: 135 callers left before they were answered."""
+    store = HangingStore()
+    async with asyncio.timeout(5):
+        outcome = await submit(store, 0.2)
+    assert outcome is submitter.Stored.UNKNOWN
+    assert store.asked.is_set()
+
+
+async def test_a_job_that_was_never_sent_is_refused():
+    part = submitter.Submitter(store=HangingStore())
+    # Nothing writes: as in a lane that still waits for another batch.
+    outcome = await part.submit(
+        JOB, samples.create_submission(), until_s=clocks.now_s()
+    )
+    assert outcome is submitter.Stored.REFUSED
+
+
+async def test_a_job_in_doubt_is_given_up_before_its_caller_leaves(
+    monkeypatch,
+):
+    monkeypatch.setattr(submitter, 'IN_DOUBT_S', 0.05)
+    store = SilentStore()
+    async with asyncio.timeout(5):
+        outcome = await submit(store, 3600.0)
+    assert outcome is submitter.Stored.UNKNOWN
+    assert store.calls > 1
+
+
+@pytest.mark.parametrize('wait_s', [0.0, 0.1])
+async def test_callers_of_one_job_do_not_disturb_each_other(wait_s):
+    part = submitter.Submitter(store=HangingStore())
+    until_s = clocks.now_s()
+    first, second = await asyncio.gather(
+        part.submit(JOB, samples.create_submission(), until_s=until_s),
+        part.submit(
+            JOB, samples.create_submission(), until_s=until_s + wait_s
+        ),
+    )
+    # The last one to leave takes the job away; before that it may be stored.
+    assert first is submitter.Stored.UNKNOWN
+    assert second is submitter.Stored.REFUSED
--- a/tests/test_site_relay.py
+++ b/tests/test_site_relay.py
@@ -122,3 +122,30 @@
     assert node.is_owner
     assert node.node.leader.term.epoch == epoch
     assert not other.is_owner
+
+
+async def test_callers_are_refused_at_once_while_nobody_reaches_the_store(
+    site,
+):
+    nodes = await site_checks.start_nodes(site, 2)
+    await wait_until(
+        lambda: all(node.node.peers.addresses for node in nodes),
+        what='peers are known',
+    )
+    site.store.faults.silent = True
+    await wait_until(
+        lambda: all(node.node.store.out_of_reach for node in nodes),
+        what='all know that the store is away',
+    )
+    for node in nodes:
+        status = await site.submit('alpha', JOB, [create_step(1)], node=node)
+        assert status == 503
+        assert await site.get_state('alpha', JOB, node) == 503
+    site.store.faults.clear()
+    await wait_until(
+        lambda: all(node.node.configuration.age_s < 1 for node in nodes),
+        what='the store is back',
+    )
+    assert await site.get_state('alpha', JOB, nodes[1]) == 410
+    assert not site.ledger
+    await serve_job(site, nodes[1])
