Let pools do late jobs within seconds after an outage

Cause (soak): after two changes of the owner fifty late jobs of a pool waited for its one VM for up to 17 s, while five VMs were switched off: a late job asked for no room at all. Ruled out: the takeover (1.8 s), a lost job (it ran when its turn came). Change: the work of late jobs is spread over ten seconds in the sizing.

--- a/arbutusrock/scheduling/pools.py
+++ b/arbutusrock/scheduling/pools.py
@@ -30,6 +30,9 @@
 PLANNED = 0.8
 # Least time over which the work of a job is spread.
 LEAST_S = 0.5
+# Time over which the work of late jobs is spread: their worth does not pay for
+# more VMs, but each accepted job is done soon after a burst or an outage.
+LATE_SPAN_S = 10.0
 # Idle time after which a VM is switched off: a move there and back costs as
 # much as about two seconds in a pool.
 IDLE_S = 2.5
@@ -134,8 +137,7 @@
 def measure_need(*, work_left, chain_left_s, time_left_s):
     """Return the room that a job needs to end in time.
 
-    A job that can no longer end in time needs none: its small worth does
-    not pay for a VM, and it runs in the room that others leave.
+    A job that can no longer end in time needs little.
 
     :param work_left: work that is left (thousandths of core-seconds).
     :param chain_left_s: longest chain of work that is left.
@@ -145,10 +147,10 @@
     >>> measure_need(work_left=8000, chain_left_s=1, time_left_s=5)
     2000.0
     >>> measure_need(work_left=8000, chain_left_s=2, time_left_s=1)
-    0.0
+    800.0
     """
     if chain_left_s > time_left_s:
-        return 0.0
+        return work_left / max(chain_left_s, LATE_SPAN_S)
     return work_left / plan_span(
         chain_left_s=chain_left_s, time_left_s=time_left_s
     )
