Switch idle VMs off sooner when no burst lasts in their pool

Change: one second when no burst rises or lasts there. Test: scheduling/tests/test_pools.py, failing first.

--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -197,6 +197,7 @@
         if not view.spare:
             view.expected_cpu = forecast.predict_cpu(view.name, now_s, lead_s)
             view.standby_vms = standby.get(view.name, 0)
+            view.calm = forecast.is_calm(view.name, now_s)
 
 
 def _add_needs(views, term):
--- a/arbutusrock/scheduling/forecast.py
+++ b/arbutusrock/scheduling/forecast.py
@@ -249,6 +249,11 @@
             2 * history.burst_peak_cpu * FADING_PART
         )
 
+    def is_calm(self, pool, now_s):
+        """Return whether no burst rises or lasts in a pool."""
+        history = self._get(pool)
+        return not history.active or self._is_fading(history, now_s)
+
     def find_next(self, pools):
         """Return the pools whose turn may be next.
 
--- a/arbutusrock/scheduling/pools.py
+++ b/arbutusrock/scheduling/pools.py
@@ -34,8 +34,10 @@
 # more VMs, but each accepted job is done soon after a burst or an outage.
 LATE_SPAN_S = 10.0
 # Idle time after which a VM is switched off: a move there and back costs as
-# much as about two seconds in a pool.
+# much as about two seconds in a pool. When no burst rises or lasts, it is
+# not needed again soon.
 IDLE_S = 2.5
+IDLE_CALM_S = 1.0
 # Empty VMs that each pool keeps: the room for the first second of a burst.
 RESERVE = 1
 
@@ -69,6 +71,7 @@
     :param used_cpu: what its tasks have now.
     :param lasting_vms: least VMs that hold the lasting tasks.
     :param standby_vms: empty VMs that wait for a burst.
+    :param calm: no burst rises or lasts there.
     """
 
     __slots__ = (
@@ -81,6 +84,7 @@
         'used_cpu',
         'lasting_vms',
         'standby_vms',
+        'calm',
     )
 
     def __init__(
@@ -95,6 +99,7 @@
         used_cpu=0,
         lasting_vms=0,
         standby_vms=0,
+        calm=False,
     ):
         self.name = name
         self.spare = spare
@@ -105,6 +110,7 @@
         self.used_cpu = used_cpu
         self.lasting_vms = lasting_vms
         self.standby_vms = standby_vms
+        self.calm = calm
 
 
 class Move:
@@ -201,17 +207,18 @@
             (vm for vm in pool.vms if vm.movable),
             key=lambda vm: (-vm.idle_s, vm.vm),
         )
-        surplus += [(vm, pool.name) for vm in idle[:excess]]
+        surplus += [(vm, pool) for vm in idle[:excess]]
         if excess > len(idle):
             busy[pool.name] = excess - len(idle)
-    off = [(vm, pool.name) for pool in spare for vm in pool.vms if vm.movable]
+    off = [(vm, pool) for pool in spare for vm in pool.vms if vm.movable]
     moves = _fill_missing(missing, off, surplus)
     if spare and len(moves) < most:
         taken = {move.vm for move in moves}
         moves += [
-            Move(vm=vm.vm, origin=name, target=spare[0].name)
-            for vm, name in surplus
-            if vm.vm not in taken and vm.idle_s > IDLE_S
+            Move(vm=vm.vm, origin=pool.name, target=spare[0].name)
+            for vm, pool in surplus
+            if vm.vm not in taken
+            and vm.idle_s > (IDLE_CALM_S if pool.calm else IDLE_S)
         ]
     return PoolPlan(moves=moves[:most], unmet=sum(missing.values()), busy=busy)
 
@@ -226,10 +233,10 @@
     """Give VMs to the pools that lack most, idle ones before those off."""
     moves = []
     sources = sorted(surplus, key=lambda item: -item[0].idle_s) + off
-    for vm, origin in sources:
+    for vm, pool in sources:
         name = max(missing, key=missing.get, default=None)
         if name is None or missing[name] <= 0:
             break
         missing[name] -= 1
-        moves.append(Move(vm=vm.vm, origin=origin, target=name))
+        moves.append(Move(vm=vm.vm, origin=pool.name, target=name))
     return moves
--- a/arbutusrock/scheduling/tests/test_pools.py
+++ b/arbutusrock/scheduling/tests/test_pools.py
@@ -75,6 +75,16 @@
     assert len(moves) == 4 - pools.RESERVE
 
 
+def test_vms_go_off_sooner_when_no_burst_lasts():
+    """Eighty VMs stood idle for 2.5 s after each burst."""
+    off = pools.PoolView(name='off', spare=True)
+    burst = create_pool('a', 4, idle_s=1.5)
+    assert not pools.plan_moves([burst, off], most=12).moves
+    calm = create_pool('a', 4, idle_s=1.5, calm=True)
+    moves = pools.plan_moves([calm, off], most=12).moves
+    assert len(moves) == 4 - pools.RESERVE
+
+
 def test_vms_with_work_never_move():
     busy = pools.PoolView(
         name='a', vms=create_vms('a', 6, movable=False, idle_s=9.0)
