End a node's connections to peers after its tasks; one form for all log lines

Cause (soak, six nodes): a node that was stopped while the store turned it away closed its connections to peers before its tasks ended; the next relayed call raised "Session is closed", the service crashed during a planned stop, and the crash was written as text between the JSON lines. Change: the connections are closed when the tasks have ended; a closed client says that nothing was sent; what libraries log takes the form of other lines.

--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -111,8 +111,8 @@
         )
         await self.leader.run(roster)
 
-    async def on_stop(self):
-        """Close the connections to other nodes."""
+    async def on_shutdown(self):
+        """Close the connections to other nodes, after all tasks ended."""
         await self.store.close()
 
     def check_ready(self):
--- a/arbutusrock/logs.py
+++ b/arbutusrock/logs.py
@@ -100,6 +100,18 @@
         get_log('http').info('a malformed request was refused', kind=kind)
 
 
+class _LibraryRecords(logging.Handler):
+    """Writes what libraries log in the form of all other lines."""
+
+    def emit(self, record):
+        get_log('library').log(
+            record.levelno,
+            record.getMessage(),
+            logger=record.name,
+            exc_info=record.exc_info,
+        )
+
+
 def configure_logs(*, log_format='text', level='info', stream=None):
     """Send logs to ``stream``, standard error by default.
 
@@ -128,7 +140,7 @@
         logger_factory=structlog.WriteLoggerFactory(file=stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
-    logging.basicConfig(level=logging.WARNING, stream=stream or sys.stderr)
+    logging.basicConfig(level=logging.WARNING, handlers=[_LibraryRecords()])
     server = logging.getLogger('aiohttp.server')
     server.handlers = [_MalformedRequests()]
     server.propagate = False
--- /dev/null
+++ b/arbutusrock/tests/test_library_logs.py
@@ -0,0 +1,31 @@
+"""Lines of the log, in a process of its own: logging is set up once."""
+
+import json
+import subprocess
+import sys
+
+PROGRAM = """
+import logging
+from arbutusrock import logs
+logs.configure_logs(log_format='json')
+logging.getLogger('some.library').error('it failed %s', 'twice')
+try:
+    raise OSError('lost')
+except OSError:
+    logging.getLogger('some.library').exception('crashed')
+logging.getLogger('some.library').info('a detail')
+"""
+
+
+def test_what_libraries_log_is_written_in_the_same_form():
+    """Seen in the soak: a crash was logged as plain lines of text."""
+    done = subprocess.run(  # noqa: S603
+        [sys.executable, '-c', PROGRAM],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    lines = [json.loads(line) for line in done.stderr.splitlines()]
+    assert [line['event'] for line in lines] == ['it failed twice', 'crashed']
+    assert {line['logger'] for line in lines} == {'some.library'}
+    assert 'OSError: lost' in lines[1]['exception']
--- a/arbutusrock/utils/http.py
+++ b/arbutusrock/utils/http.py
@@ -38,6 +38,7 @@
         self.base = base
         self.limit = limit
         self._session = None
+        self._closed = False
 
     def _open(self):
         # Idle connections stay open, as new ones cost more than idle ones.
@@ -51,7 +52,8 @@
         )
 
     async def close(self):
-        """Close all connections."""
+        """Close all connections; later calls are not sent."""
+        self._closed = True
         if self._session is not None:
             await self._session.close()
 
@@ -63,6 +65,8 @@
         :raises NotSent: the connection was refused.
         :raises NoAnswer: no whole answer came.
         """
+        if self._closed:
+            raise NotSent(f'{self.base}: the client is closed')
         if self._session is None:
             self._session = self._open()
         headers = dict(headers or ())
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -93,7 +93,7 @@
                 self.owner = True
             case 'another node owns the unit' | 'the unit is released':
                 self.owner = False
-        if line['level'] == 'error':
+        if line.get('level') == 'error':
             self.failures.append(f'{self.name}: {line}')
 
     @property
