Count a node as turned away that gets nothing but 429

Ruled out: the rate of all nodes (others were served at the same time). Change: a node that gets nothing else for 0.3 s uses peers. A closed log pipe no longer raises (seen when a soak was ended: the last line of a planned stop). Tests: engine/tests/test_relay.py, tests/test_logs.py, failing first.

--- a/arbutusrock/engine/relay.py
+++ b/arbutusrock/engine/relay.py
@@ -27,6 +27,9 @@
 # After a peer that has no way either, no other one is asked for this time:
 # the store is away for all.
 PAUSE_S = 0.5
+# Answers of too many calls (429) mean that all nodes ask too much, unless this
+# node gets nothing else for so long: then it is turned away.
+BUSY_S = 0.3
 # Peers that one call is offered to.
 TRIES = 2
 # A relayed call takes up to this long beyond what it waits for: less than
@@ -110,6 +113,8 @@
         self._failed_s = 0.0
         # When the store last answered this node directly.
         self._answered_s = 0.0
+        # Since when it had too many calls and answered none; None otherwise.
+        self._busy_s = None
         self._back = asyncio.Event()
 
     @property
@@ -176,11 +181,14 @@
                 result = await self._ask_until_back(direct)
             else:
                 result = await direct()
-        except rows.StoreBusy:
-            raise
         except (rows.StoreRefused, rows.StoreSilent) as exc:
-            self._note_failure(str(exc), began_s)
-            if isinstance(exc, rows.StoreSilent) and not repeatable:
+            if isinstance(exc, rows.StoreBusy):
+                self._note_busy(str(exc), began_s)
+                stays = not self.turned_away
+            else:
+                self._note_failure(str(exc), began_s)
+                stays = isinstance(exc, rows.StoreSilent) and not repeatable
+            if stays:
                 raise
             answer = await self._relay(message(), wait_s)
             if answer is None:
@@ -251,8 +259,15 @@
             self._back.clear()
             self._probe = asyncio.ensure_future(self._probe_store())
 
+    def _note_busy(self, reason, began_s):
+        now_s = clocks.now_s()
+        if self._busy_s is None:
+            self._busy_s = now_s
+        if now_s - self._busy_s > BUSY_S:
+            self._note_failure(reason, began_s)
+
     def _note_success(self):
-        self._lost_s = None
+        self._lost_s = self._busy_s = None
         self._answered_s = clocks.now_s()
         if self._probe is None:
             return
--- a/arbutusrock/engine/tests/test_relay.py
+++ b/arbutusrock/engine/tests/test_relay.py
@@ -100,6 +100,25 @@
     assert not path.turned_away
 
 
+async def test_a_node_that_gets_nothing_but_429_is_turned_away(
+    pair, monkeypatch
+):
+    """Seen on two days: the owner was replaced, callers were refused."""
+    monkeypatch.setattr(relay, 'BUSY_S', 0.0)
+    direct, path, _ = pair
+    direct.failure = rows.StoreBusy('429')
+    with pytest.raises(rows.StoreBusy):
+        await path.transact()
+    assert await path.transact() == 7
+    assert path.turned_away
+    # An answer in between means that the store is busy with all.
+    direct.failure = None
+    path._note_success()
+    direct.failure = rows.StoreBusy('429')
+    with pytest.raises(rows.StoreBusy):
+        await path.transact()
+
+
 async def test_what_a_peer_learns_is_passed_on(pair):
     direct, path, other = pair
     direct.failure = rows.StoreRefused('busy')
--- a/arbutusrock/logs.py
+++ b/arbutusrock/logs.py
@@ -40,8 +40,9 @@
 class BoundedOutput:
     """Writes lines to a file descriptor without ever waiting for it.
 
-    Lines beyond the rate, and those that the reader of a full pipe does not
-    take, are counted and left out; the count is written when there is room.
+    Lines beyond the rate, and those that the reader of a full or closed pipe
+    does not take, are counted and left out; the count is written when there is
+    room.
 
     :param descriptor: number of an open file.
     """
@@ -79,7 +80,8 @@
             return True
         try:
             count = os.write(self.descriptor, data)
-        except BlockingIOError:
+        except (BlockingIOError, BrokenPipeError):
+            # The reader is slow, or gone: the work goes on without it.
             self.dropped += data is not self._rest
             return False
         self._rest = data[count:]
--- a/arbutusrock/tests/test_logs.py
+++ b/arbutusrock/tests/test_logs.py
@@ -37,3 +37,12 @@
     lines = first + read_all(reader)
     assert lines[-1] == 'after'
     assert {len(item) for item in lines[:60]} == {999}
+
+
+def test_a_reader_that_is_gone_stops_nothing():
+    """Seen in the soak: the last line of a planned stop raised."""
+    reader, writer = os.pipe()
+    output = logs.BoundedOutput(descriptor=writer)
+    os.close(reader)
+    output.write('lost\n')
+    assert output.dropped == 1
