--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import random
+import signal
 import sys
 
 import defopt
@@ -32,6 +33,8 @@
     :returns: 1 when a promise was broken.
     """
     logs.configure_logs(level='error')
+    # Its processes end with it.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = 0
     fresh = random.getrandbits(31)  # noqa: S311
     for number in range(seeds):
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -138,10 +138,15 @@
         if self.process.returncode is None:
             self.process.send_signal(signal.SIGCONT)
 
+    def end(self):
+        """Kill the process without waiting for its end."""
+        self._expected_end = True
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+
     async def close(self):
-        """End the process and the proxy."""
-        if self.process is not None:
-            self.resume()
-            await self.kill()
+        """Wait for the end of a killed process, and end the proxy."""
+        if self._reader is not None:
+            await self._reader
         if self.link is not None:
             await self.link.stop()
--- a/soak/world.py
+++ b/soak/world.py
@@ -52,7 +52,9 @@
                 group.create_task(node.start())
 
     async def close(self):
-        """End everything."""
+        """End everything, the processes first."""
+        for node in self.nodes:
+            node.end()
         for node in self.nodes:
             await node.close()
         await self.site.stop()
