Leave out peers that are turned away too

Ruled out: the peers' rate (their own calls were served). Change: a peer that serves is kept, one that had no way is left out for two seconds, three are tried. A conflict or lost history counts as an answer. Test: engine/tests/test_relay.py, failing first.

--- a/arbutusrock/engine/relay.py
+++ b/arbutusrock/engine/relay.py
@@ -30,8 +30,10 @@
 # Answers of too many calls (429) mean that all nodes ask too much, unless this
 # node gets nothing else for so long: then it is turned away.
 BUSY_S = 0.3
-# Peers that one call is offered to.
-TRIES = 2
+# Peers that one call is offered to, and how long one that had no way is left
+# out: a third of the nodes may be turned away together.
+TRIES = 3
+AVOIDED_S = 2.0
 # A relayed call takes up to this long beyond what it waits for: less than
 # callers wait, more than a slow store takes (0.5 s).
 MARGIN_S = 1.2
@@ -107,6 +109,8 @@
         self.meter = meter
         # The peer that served the last relayed call.
         self._peer = None
+        # Until when peers that had no way are left out.
+        self._avoided = {}
         self._paused_until_s = 0.0
         self._lost_s = None
         self._probe = None
@@ -181,6 +185,9 @@
                 result = await self._ask_until_back(direct)
             else:
                 result = await direct()
+        except (rows.Conflicted, rows.HistoryLost):
+            self._note_success()
+            raise
         except (rows.StoreRefused, rows.StoreSilent) as exc:
             if isinstance(exc, rows.StoreBusy):
                 self._note_busy(str(exc), began_s)
@@ -220,12 +227,11 @@
         """
         if clocks.now_s() < self._paused_until_s:
             return None
-        body, avoided = _encode(call), set()
+        body = _encode(call)
         for _ in range(TRIES):
-            name = self._peer or self.peers.choose(avoided)
+            name = self._peer or self._choose_peer()
             if name is None:
                 break
-            self._peer = None
             try:
                 data = await self.peers.call(
                     name, body, timeout_s=wait_s + MARGIN_S
@@ -241,10 +247,21 @@
                 self._lost_s = None
                 self.meter.count('store_relayed')
                 return _check(_decode_answer(data))
-            avoided.add(name)
+            self._avoided[name] = clocks.now_s() + AVOIDED_S
+            if self._peer == name:
+                self._peer = None
         self._note_lost()
         return None
 
+    def _choose_peer(self):
+        now_s = clocks.now_s()
+        self._avoided = {
+            name: until_s
+            for name, until_s in self._avoided.items()
+            if until_s > now_s
+        }
+        return self.peers.choose(self._avoided.keys())
+
     def _note_lost(self):
         now_s = clocks.now_s()
         self._paused_until_s = now_s + PAUSE_S
--- a/arbutusrock/engine/tests/test_relay.py
+++ b/arbutusrock/engine/tests/test_relay.py
@@ -37,15 +37,19 @@
 
     node = 'n1'
 
-    def __init__(self, *, other=None):
+    def __init__(self, *, other=None, turned_away=()):
         self.other = other
+        self.turned_away = turned_away
         self.calls = 0
 
     def choose(self, avoided):
-        return None if self.other is None or 'n2' in avoided else 'n2'
+        names = [*self.turned_away, *(['n2'] if self.other else [])]
+        return next((name for name in names if name not in avoided), None)
 
-    async def call(self, _name, body, *, timeout_s):
+    async def call(self, name, body, *, timeout_s):
         self.calls += 1
+        if name in self.turned_away:
+            return None
         data = await self.other.serve(body)
         if data == b'':
             raise http.NoAnswer('cut')
@@ -141,6 +145,18 @@
     assert path.lost_for_s >= 0
 
 
+async def test_peers_that_are_turned_away_too_are_left_out(pair):
+    """Seen on a day: a tenth of the calls met two such peers and failed."""
+    direct, path, _ = pair
+    path.peers.turned_away = ('n8', 'n9')
+    direct.failure = rows.StoreRefused('busy')
+    assert await path.transact() == 7
+    assert path.peers.calls == 3
+    for _ in range(4):
+        assert await path.transact() == 7
+    assert path.peers.calls == 7
+
+
 async def test_a_call_that_hung_since_before_tells_nothing_new(pair):
     """Seen in an incident: nodes were turned away again by old calls."""
     direct, path, _ = pair
