--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -97,6 +97,8 @@
         self.nodes = []
         self.version = 0
         self.queues = {}
+        # Speed of the steady clock of a VM's workers, where it is not 1.
+        self.clock_rates = {}
         self.accounts = {'acme': {'apiKeys': [KEY], 'weight': 50}}
         self._addresses = {}
         self._runners = []
@@ -208,6 +210,7 @@
     async def _start_life(self, vm, pool):
         worker_id = f'i-{next(self._life):04d}'
         worker = workers.StandInWorker(worker_id=worker_id, ledger=self.ledger)
+        worker.clock_rate = self.clock_rates.get(vm, 1.0)
         runner, address = await _serve(worker.create_app())
         if self.route is not None:
             address = await self.route(vm, address)
--- a/soak/world.py
+++ b/soak/world.py
@@ -34,6 +34,12 @@
     def __init__(self, *, nodes, folder):
         self.site = Site(pools=POOLS, cores=CORES, route=self._route)
         self.site.accounts[ACCOUNT]['maximum'] = {'cpu': UPPER_LIMIT_CPU}
+        # Each second VM has a slow clock.
+        self.site.clock_rates = {
+            f'm-{pool}-{number}': SLOW_CLOCK_RATE
+            for pool, count in POOLS.items()
+            for number in range(0, count, 2)
+        }
         self.nodes = [
             daemons.Daemon(name=f'n{number}', site=self.site, folder=folder)
             for number in range(1, nodes + 1)
@@ -62,7 +68,7 @@
             await link.stop()
 
     async def _route(self, vm, address):
-        """Put a proxy before a worker; half of the clocks are slow."""
+        """Put a proxy before a worker."""
         link = proxy.FaultProxy(target_port=int(address.rpartition(':')[2]))
         await link.start()
         self.worker_links[vm] = link
