--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -32,9 +32,8 @@
         self.path = folder / f'{name}.conf'
         self.link = None
         self.process = None
-        # Addresses for callers and of the readiness probe.
+        # Address for callers.
         self.address = ''
-        self.readiness = ''
         self.owner = False
         self.stopping = False
         self.paused = False
@@ -87,7 +86,6 @@
         match line['event']:
             case 'serving':
                 self.address = line['callers']
-                self.readiness = line['readiness']
                 self._serving.set()
             case 'this node owns the unit':
                 self.owner = True
--- a/tests/site_checks.py
+++ b/tests/site_checks.py
@@ -1,11 +1,15 @@
 """Checks of the promises, from the ledgers of the stand-in workers."""
 
 import asyncio
+import contextlib
+
+from examples.standins.site import Site
 
 __all__ = [
     'JOB',
     'check_ledger',
     'find_broken',
+    'open_site',
     'start_nodes',
     'wait_owner',
     'wait_state',
@@ -16,6 +20,19 @@
 JOB = '00000000000000a1'
 
 
+@contextlib.asynccontextmanager
+async def open_site(pools):
+    """Start the stand-ins; stop them and check the ledger at the end.
+
+    :param pools: number of VMs by pool.
+    """
+    site = Site(pools=pools)
+    await site.start()
+    yield site
+    await site.stop()
+    check_ledger(site.ledger)
+
+
 async def wait_until(condition, *, what, timeout_s=WAIT_S):
     """Wait until ``condition`` (plain or a coroutine function) holds."""
     try:
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from examples.standins.site import Site
 from examples.standins.site.site import create_step
 from examples.standins.site.workers import LedgerLine
 from tests import site_checks
@@ -18,11 +17,10 @@
 @pytest.fixture
 async def site():
     """Two pools with two VMs each, and spare ones."""
-    stand_in = Site(pools={'alpha': 2, 'beta': 2, 'spare': 2})
-    await stand_in.start()
-    yield stand_in
-    await stand_in.stop()
-    site_checks.check_ledger(stand_in.ledger)
+    async with site_checks.open_site(
+        {'alpha': 2, 'beta': 2, 'spare': 2}
+    ) as stand_in:
+        yield stand_in
 
 
 async def test_a_job_of_two_steps_is_completed_in_order(site):
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -6,7 +6,6 @@
 
 from arbutusrock.engine import ownership
 from arbutusrock.engine import retention
-from examples.standins.site import Site
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
@@ -24,11 +23,8 @@
 @pytest.fixture
 async def site():
     """One pool with three VMs."""
-    stand_in = Site(pools={'alpha': 3})
-    await stand_in.start()
-    yield stand_in
-    await stand_in.stop()
-    site_checks.check_ledger(stand_in.ledger)
+    async with site_checks.open_site({'alpha': 3}) as stand_in:
+        yield stand_in
 
 
 def count_running(site):
--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -10,7 +10,6 @@
 
 from arbutusrock import errors
 from arbutusrock.platform import boot
-from examples.standins.site import Site
 from examples.standins.site.site import create_step
 from tests import site_checks
 
@@ -19,11 +18,8 @@
 
 @pytest.fixture
 async def site():
-    stand_in = Site(pools={'alpha': 2})
-    await stand_in.start()
-    yield stand_in
-    await stand_in.stop()
-    site_checks.check_ledger(stand_in.ledger)
+    async with site_checks.open_site({'alpha': 2}) as stand_in:
+        yield stand_in
 
 
 class Process:
--- a/tests/test_site_relay.py
+++ b/tests/test_site_relay.py
@@ -5,7 +5,6 @@
 import pytest
 
 from examples.standins import proxy
-from examples.standins.site import Site
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
@@ -15,11 +14,8 @@
 @pytest.fixture
 async def site():
     """One pool with three VMs."""
-    stand_in = Site(pools={'alpha': 3})
-    await stand_in.start()
-    yield stand_in
-    await stand_in.stop()
-    site_checks.check_ledger(stand_in.ledger)
+    async with site_checks.open_site({'alpha': 3}) as stand_in:
+        yield stand_in
 
 
 @pytest.fixture
--- a/tests/test_site_vms.py
+++ b/tests/test_site_vms.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from examples.standins.site import Site
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
@@ -17,11 +16,10 @@
 @pytest.fixture
 async def site():
     """Two pools, one of them idle, and VMs that are off."""
-    stand_in = Site(pools={'alpha': 2, 'beta': 4, 'spare': 2})
-    await stand_in.start()
-    yield stand_in
-    await stand_in.stop()
-    site_checks.check_ledger(stand_in.ledger)
+    async with site_checks.open_site(
+        {'alpha': 2, 'beta': 4, 'spare': 2}
+    ) as stand_in:
+        yield stand_in
 
 
 def count_pool(site, pool):
