Keep rows that are enqueued while a flush is under way

Cause: each batch of a flush cleared the queue of the other components' rows, so rows enqueued while the first of several batches was being written (over 40 dirty jobs, which at hundreds of VMs is every burst) were dropped. Only progress of waves is queued, so what could be lost were VMs recorded as done: a later owner orders their maintenance again, which the VM service answers as done already, and a lost first row made the wave look younger. Acknowledgements and archived rows do not take this way. Change: the queue is taken once, in full batches of its own. A transaction could also exceed 100 entries (40 rows count twice, plus queued rows): 30.

--- a/arbutusrock/engine/state_writer.py
+++ b/arbutusrock/engine/state_writer.py
@@ -26,8 +26,9 @@
 HEARTBEAT_INTERVAL_S = 0.5
 # Time in which completions are collected into one transaction.
 BATCH_DELAY_S = 0.02
-# Progress rows in one transaction; the store takes 100 entries.
-MAX_BATCH_ROWS = 40
+# Rows of each kind in one transaction; the store takes 100 entries, and a
+# progress row counts twice, as it is expected and written.
+MAX_BATCH_ROWS = 30
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 0.5
 LOG = logs.get_log('journal')
@@ -119,13 +120,20 @@
         self.flushes_started += 1
         jobs = list(self.term.job_registry.dirty_jobs.values())
         self.term.job_registry.dirty_jobs.clear()
-        puts = [self._create_progress(job) for job in jobs]
+        progress = [self._create_progress(job) for job in jobs]
+        queued_rows = list(self._queued_rows.values())
+        self._queued_rows.clear()
         first = True
-        while puts or first:
-            batch, puts = puts[:MAX_BATCH_ROWS], puts[MAX_BATCH_ROWS:]
-            queued_rows = list(self._queued_rows.values()) if first else []
-            self._queued_rows.clear()
-            await self._commit(batch, queued_rows, with_heartbeat=first)
+        while first or progress or queued_rows:
+            batch, progress = (
+                progress[:MAX_BATCH_ROWS],
+                progress[MAX_BATCH_ROWS:],
+            )
+            others, queued_rows = (
+                queued_rows[:MAX_BATCH_ROWS],
+                queued_rows[MAX_BATCH_ROWS:],
+            )
+            await self._commit(batch, others, with_heartbeat=first)
             first = False
         self.flushes_completed = self.flushes_started
         self._flush_completed.set()
--- a/arbutusrock/engine/tests/test_state_writer.py
+++ b/arbutusrock/engine/tests/test_state_writer.py
@@ -116,3 +116,49 @@
     ]
     await writer.flush()
     assert writer.flushes_completed == writer.flushes_started == 1
+
+
+async def test_flush_keeps_rows_enqueued_during_its_first_batch():
+    """They are written by the next flush, not dropped by a later batch.
+
+    A burst has more dirty jobs than one transaction takes, and the progress
+    of a wave changes while the first of them is being written.
+    """
+    owner_term, store, writer = create_state_writer()
+    for number in range(2 * state_writer.MAX_BATCH_ROWS):
+        add_dirty_job(owner_term, f'{number:016x}')
+    transact = store.transact
+
+    async def transact_and_enqueue(**fields):
+        if not store.written_keys:
+            writer.enqueue_row(
+                rows.Row(table=rows.TABLE_WAVES, key='7', value=b'')
+            )
+        return await transact(**fields)
+
+    store.transact = transact_and_enqueue
+    await writer.flush()
+    assert owner_term.flush_due.is_set()
+    await writer.flush()
+    assert any('7' in keys for keys in store.written_keys)
+
+
+async def test_flush_splits_rows_into_transactions_the_store_takes():
+    owner_term, store, writer = create_state_writer()
+    for number in range(100):
+        add_dirty_job(owner_term, f'{number:016x}')
+        writer.enqueue_row(
+            rows.Row(table=rows.TABLE_WAVES, key=str(number), value=b'')
+        )
+    await writer.flush()
+    progress = [
+        sum(len(key) == 16 for key in keys) for keys in store.written_keys
+    ]
+    # Expected and written rows together, with the claim.
+    entries = [
+        len(keys) + count + 1
+        for keys, count in zip(store.written_keys, progress, strict=True)
+    ]
+    assert max(entries) <= 100
+    assert sum(progress) == 100
+    assert sum(len(keys) for keys in store.written_keys) == 202
