Never call a job not run whose earlier call may have stored it

Cause: a call with an id that was answered 504 or stored before began without that knowledge, so that three refusals of the store, a deadline before the send, or a node that cannot serve answered 503, although the job runs. Change: a node remembers the ids whose outcome was unknown (20,000) and those that it stored; they get 504 where others get 503, and a stored one is accepted at once without a call to the store. Not covered: what another node has in doubt, or a node that was restarted.

--- a/arbutusrock/engine/gateway.py
+++ b/arbutusrock/engine/gateway.py
@@ -93,11 +93,13 @@
         return queue, account
 
     async def submit(self, queue, account, job_id, plan, *, deadline_at_s):
-        """Accept a job.
+        """Accept a job; one that this node has stored already, at once.
 
         :raises errors.StoreUnavailable: it is not stored and never runs.
         :raises errors.StoreOutcomeUnknown: it may have been stored.
         """
+        if job_id in self._status_cache:
+            return
         submission = plans.Submission(
             queue=queue.name,
             pool=queue.pool,
@@ -130,6 +132,15 @@
                 )
         self._cache_status(job_id, None)
 
+    def may_be_stored(self, job_id):
+        """Return whether an earlier call to this node may have stored a job.
+
+        Such a job must not be called refused.
+        """
+        return job_id in self._status_cache or self.submitter.may_be_stored(
+            job_id
+        )
+
     def _cache_status(self, job_id, status):
         self._status_cache[job_id] = status
         self._status_cache.move_to_end(job_id)
--- a/arbutusrock/engine/submitter.py
+++ b/arbutusrock/engine/submitter.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import OrderedDict
 import enum
 
 from arbutusrock.engine import plans
@@ -28,6 +29,8 @@
 # Shorter than the time-out of one call, longer than a call takes whose
 # connection is reset.
 MAX_IN_DOUBT_S = 1.0
+# Ids of jobs with an unknown outcome that are remembered for later calls.
+MAX_REMEMBERED_JOBS = 20_000
 LOG = logs.get_log('submit')
 
 
@@ -55,7 +58,7 @@
         'result',
     )
 
-    def __init__(self, *, job_id, value, deadline_at_s):
+    def __init__(self, *, job_id, value, deadline_at_s, in_doubt):
         self.job_id = job_id
         self.value = value
         self.deadline_at_s = deadline_at_s
@@ -65,7 +68,7 @@
         # Number of callers that wait for the result.
         self.waiters = 0
         # Whether an earlier transaction with it was not answered.
-        self.in_doubt = False
+        self.in_doubt = in_doubt
         self.result = asyncio.get_running_loop().create_future()
 
     def resolve(self, result):
@@ -80,11 +83,18 @@
     """
 
     def __init__(self, *, store):
+        # Ids whose outcome was unknown: a later call with such an id may be
+        # refused only by an unknown outcome again.
+        self._unknown_ids = OrderedDict()
         self._writers = {
             part: _PartWriter(store=store, part=part)
             for part in rows.JOB_PARTS
         }
 
+    def may_be_stored(self, job_id):
+        """Return whether an earlier call may have stored a job."""
+        return job_id in self._unknown_ids
+
     async def submit(self, job_id, submission, *, deadline_at_s):
         """Store a job, unless a job with this id is stored already.
 
@@ -92,9 +102,17 @@
         :returns: :class:`StoreOutcome`.
         """
         writer = self._writers[rows.get_job_part(job_id)]
-        return await writer.submit(
-            job_id, submission, deadline_at_s=deadline_at_s
+        outcome = await writer.submit(
+            job_id,
+            submission,
+            deadline_at_s=deadline_at_s,
+            in_doubt=self.may_be_stored(job_id),
         )
+        if outcome is StoreOutcome.UNKNOWN:
+            self._unknown_ids[job_id] = None
+            while len(self._unknown_ids) > MAX_REMEMBERED_JOBS:
+                self._unknown_ids.popitem(last=False)
+        return outcome
 
     async def run(self):
         """Write jobs until cancelled."""
@@ -112,13 +130,14 @@
         self._pending = {}
         self._has_pending = asyncio.Event()
 
-    async def submit(self, job_id, submission, *, deadline_at_s):
+    async def submit(self, job_id, submission, *, deadline_at_s, in_doubt):
         job = self._pending.get(job_id)
         if job is None:
             job = _PendingJob(
                 job_id=job_id,
                 value=plans.encode_row(submission),
                 deadline_at_s=deadline_at_s,
+                in_doubt=in_doubt,
             )
             self._pending[job_id] = job
             self._has_pending.set()
@@ -143,8 +162,9 @@
         if job.first_sent_at_s is not None or job.waiters > 1:
             return StoreOutcome.UNKNOWN
         self._pending.pop(job.job_id, None)
-        job.resolve(StoreOutcome.REFUSED)
-        return StoreOutcome.REFUSED
+        outcome = _get_refusal(job)
+        job.resolve(outcome)
+        return outcome
 
     async def run(self):
         while True:
@@ -222,8 +242,9 @@
             if job.in_doubt and now_s > job.first_sent_at_s + MAX_IN_DOUBT_S:
                 job.resolve(StoreOutcome.UNKNOWN)
             elif now_s > job.deadline_at_s:
-                job.resolve(
-                    StoreOutcome.UNKNOWN
-                    if job.in_doubt
-                    else StoreOutcome.REFUSED
-                )
+                job.resolve(_get_refusal(job))
+
+
+def _get_refusal(job):
+    """Return the outcome of a job that this call gives up."""
+    return StoreOutcome.UNKNOWN if job.in_doubt else StoreOutcome.REFUSED
--- a/arbutusrock/engine/tests/test_submitter.py
+++ b/arbutusrock/engine/tests/test_submitter.py
@@ -97,3 +97,54 @@
     # The last caller to leave withdraws the job; until then it may be stored.
     assert first is submitter.StoreOutcome.UNKNOWN
     assert second is submitter.StoreOutcome.REFUSED
+
+
+class ScriptedStore:
+    """A store whose calls fail with the prepared errors, in order."""
+
+    def __init__(self, failures):
+        self.failures = failures
+
+    async def transact(self, **_fields):
+        await asyncio.sleep(0)
+        if self.failures:
+            raise self.failures.pop(0)
+        return 1
+
+
+async def submit_in_turn(store, spans_s):
+    job_submitter = submitter.Submitter(store=store)
+    running = asyncio.ensure_future(job_submitter.run())
+    outcomes = []
+    try:
+        async with asyncio.timeout(10):
+            for span_s in spans_s:
+                outcomes.append(
+                    await job_submitter.submit(
+                        JOB_ID,
+                        samples.create_submission(),
+                        deadline_at_s=clocks.now_s() + span_s,
+                    )
+                )
+    finally:
+        running.cancel()
+    return outcomes
+
+
+async def test_submit_never_refuses_job_in_doubt(monkeypatch):
+    """The answer to an earlier call was lost; now the store refuses all.
+
+    The earlier transaction may still be carried out, so that no later call
+    may say that the job never runs.
+    """
+    monkeypatch.setattr(submitter, 'MAX_IN_DOUBT_S', 0.0)
+    refused = [rows.StoreRefused('busy') for _ in range(50)]
+    store = ScriptedStore([rows.StoreSilent('lost'), *refused])
+    outcomes = await submit_in_turn(store, [5.0, 5.0, 0.0])
+    assert outcomes == [submitter.StoreOutcome.UNKNOWN] * 3
+
+
+async def test_submit_refuses_job_that_is_not_in_doubt():
+    store = ScriptedStore([rows.StoreRefused('busy') for _ in range(3)])
+    outcomes = await submit_in_turn(store, [5.0])
+    assert outcomes == [submitter.StoreOutcome.REFUSED]
--- a/arbutusrock/platform/ingress.py
+++ b/arbutusrock/platform/ingress.py
@@ -77,6 +77,15 @@
     async def _answer(self, request):
         try:
             return await self._dispatch(request)
+        except errors.NodeNotServing as exc:
+            job_id = request.path.rpartition('/')[2]
+            if request.method == 'POST' and self.gateway.may_be_stored(job_id):
+                # 503 would say that the job never runs.
+                unknown = errors.StoreOutcomeUnknown(
+                    f'an earlier call may have stored the job; {exc}'
+                )
+                return self._refuse(request, unknown)
+            return self._refuse(request, exc)
         except errors.ArbutusrockError as exc:
             return self._refuse(request, exc)
 
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -143,6 +143,26 @@
     assert not site.ledger
 
 
+async def test_stored_job_is_never_refused_as_not_run(site):
+    """A stored job is sent again while the node cannot serve.
+
+    503 means that a job never runs, which is not true of this one.
+    """
+    (node,) = await start_nodes(site, 1)
+    body = {'spec': '', 'steps': [create_step(1)]}
+    assert (await site.call('POST', 'alpha', JOB, body=body))[0] == 200
+    site.store.faults.busy = True
+    assert (await site.call('POST', 'alpha', JOB, body=body))[0] == 200
+    site.store.faults.unresponsive = True
+    await wait_until(
+        lambda: node.node.store.is_unreachable, what='the store is silent'
+    )
+    assert (await site.call('POST', 'alpha', JOB, body=body))[0] == 504
+    site.store.faults.clear()
+    await wait_state(site, 'completed')
+    assert len(site.ledger) == 1
+
+
 async def test_job_continues_while_store_is_down(site):
     await start_nodes(site, 1)
     steps = [create_step(2), create_step(2, after=[0])]
