Keep the slot of a retry when an earlier try of its task ends

Cause: slots were kept by task id, which an earlier try with an unknown outcome shares with its retry. Releasing one removed the id, so that a graceful stop took the running job for one without a slot and cancelled it. Change: the tries hold slots, not the id.

--- a/arbutusrock/jobs/dispatcher.py
+++ b/arbutusrock/jobs/dispatcher.py
@@ -106,7 +106,7 @@
         self.pools = {}
         self.waiting_by_queue = {}
         self._needs = {}
-        self._slot_task_ids = set()
+        self._slot_holders = set()
         self._closed = False
 
     async def acquire(self, work):
@@ -216,18 +216,18 @@
         self._adjust_demand(pool, work.team_name, 1)
         work.holds_slot = True
         work.started_at_s = clocks.now_s()
-        self._slot_task_ids.add(work.task_id)
+        self._slot_holders.add(work)
 
     def has_slot(self, task_id):
-        """Return whether a task holds a slot on this member."""
-        return task_id in self._slot_task_ids
+        """Return whether a task, or an earlier try of it, holds a slot."""
+        return any(work.task_id == task_id for work in self._slot_holders)
 
     def release(self, work):
         """Release the slot and permit of work that has certainly ended."""
         if not work.holds_slot:
             return
         work.holds_slot = False
-        self._slot_task_ids.discard(work.task_id)
+        self._slot_holders.discard(work)
         pool = self._get_pool(work.pool)
         team = self._get_team(pool, work.team_name)
         team.running -= 1
@@ -283,7 +283,7 @@
         pool.slots.acquire(vm.vm)
         work.vm = vm
         work.holds_slot = True
-        self._slot_task_ids.add(work.task_id)
+        self._slot_holders.add(work)
         work.started_at_s = clocks.now_s()
         work.slot_future.set_result(vm)
 
