Tell the number of dropped log lines once

Cause: the count was reset only when the line that tells it was accepted whole; the rest of a line accepted in part is written later, and the count was told again with the next line. Change: the count is reset once any part of the line is accepted. Result: a test that fails on the code before.

--- a/arbutusrock/logs.py
+++ b/arbutusrock/logs.py
@@ -64,7 +64,7 @@
             self._tokens + (now_s - self._refilled_at_s) * MAX_LINES_PER_S,
         )
         self._refilled_at_s = now_s
-        if self._tokens < 1 or not self._write_bytes(self._unwritten):
+        if self._tokens < 1 or not self._write_remainder():
             self.dropped_lines += 1
             return
         self._tokens -= 1
@@ -73,25 +73,31 @@
                 f'{{"event": "lines left out", "n": {self.dropped_lines}}}'
                 f'\n{text}'
             )
-        if self._write_bytes(text.encode()):
-            self.dropped_lines = 0
+        data = text.encode()
+        count = self._write_bytes(data)
+        if count is None:
+            self.dropped_lines += 1
+            return
+        # Even if only a part was written: the rest follows before other lines.
+        self._unwritten = data[count:]
+        self.dropped_lines = 0
+
+    def _write_remainder(self):
+        """Write the rest of the last line; return whether none is left."""
+        if self._unwritten:
+            count = self._write_bytes(self._unwritten) or 0
+            self._unwritten = self._unwritten[count:]
+        return not self._unwritten
 
     def _write_bytes(self, data):
-        """Write as many bytes as the descriptor accepts; keep the others.
+        """Return how many bytes the descriptor accepted; None for an error.
 
-        :returns: whether all bytes were written.
+        A slow or closed reader must not stop the program.
         """
-        if not data:
-            return True
         try:
-            count = os.write(self.descriptor, data)
+            return os.write(self.descriptor, data)
         except (BlockingIOError, BrokenPipeError):
-            # A slow or closed reader must not stop the program. A line that
-            # was written in part is not counted again.
-            self.dropped_lines += data is not self._unwritten
-            return False
-        self._unwritten = data[count:]
-        return not self._unwritten
+            return None
 
     def flush(self):
         """Do nothing, as :meth:`write` writes lines at once."""
--- a/arbutusrock/tests/test_logs.py
+++ b/arbutusrock/tests/test_logs.py
@@ -49,3 +49,29 @@
     os.close(reader)
     output.write('lost\n')
     assert output.dropped_lines == 1
+
+
+def test_non_blocking_output_tells_count_once(monkeypatch):
+    """The line with the count was accepted in part only."""
+    output = logs.NonBlockingOutput(descriptor=os.pipe()[1])
+    written = []
+
+    def write(_descriptor, data):
+        if len(written) == 1:
+            written.append(data[:20])
+            return 20
+        written.append(data)
+        return len(data)
+
+    monkeypatch.setattr(logs.os, 'write', write)
+    output.write('first\n')
+    output.dropped_lines = 5
+    output.write('second\n')
+    output.write('third\n')
+    lines = b''.join(written).decode().splitlines()
+    assert lines == [
+        'first',
+        '{"event": "lines left out", "n": 5}',
+        'second',
+        'third',
+    ]
