Drop the oldest audit entries when the queue is full

Cause: after a failed write the batch went back at the front of a bounded queue, which then dropped as many of the newest entries, silently. Change: of the batch only what fits goes back, the newest first, and the loss is logged.

--- a/arbutusrock/audit.py
+++ b/arbutusrock/audit.py
@@ -101,11 +101,24 @@
             try:
                 await self.platform.commit([], writes)
             except (errors.StoreUnavailable, platform_client.Conflicted):
-                self._pending.extendleft(reversed(batch))
+                self._return_to_queue(batch)
                 await asyncio.sleep(FLUSH_DELAY_S)
                 self._wake.set()
                 return
 
+    def _return_to_queue(self, batch):
+        """Put entries back that were not written; the oldest go if it is full.
+
+        :param batch: entries in order of time, older than all pending ones.
+        """
+        kept = min(len(batch), MAX_PENDING_ENTRIES - len(self._pending))
+        if kept < len(batch):
+            LOG.warning(
+                'the audit queue is full; entries are lost',
+                entries=len(batch) - kept,
+            )
+        self._pending.extendleft(reversed(batch[len(batch) - kept :]))
+
     def _create_write(self, entry):
         self._sequence_number += 1
         key = (
