Count only the VMs of a pool as excluded from it

Cause: find_excluded ignored its pool. Both callers intersect the result with the VMs of the pool, so nothing went wrong yet.

--- a/arbutusrock/machines/health.py
+++ b/arbutusrock/machines/health.py
@@ -124,14 +124,13 @@
             self._notify_changed()
 
     def find_excluded(self, pool):
-        """Return the names of VMs that get no new tasks now."""
-        now = clocks.now_s()
-        excluded = {
-            name
-            for name, record in self._records.items()
-            if record.exclusion_ends_at_s > now
+        """Return the names of a pool's VMs that get no new tasks now."""
+        excluded = self.find_unhealthy()
+        return {
+            vm.vm
+            for vm in self.configuration.pool_vms.get(pool, ())
+            if vm.vm in excluded
         }
-        return excluded | self.not_live
 
     def find_unhealthy(self):
         """Return the names of VMs that use up availability budgets."""
