End a wave that is resumed after its last VM returned

Cause: a paused wave keeps its state when its last VM returns, and a resumed one has no VM left whose return would end it: it stayed running for good. Change: resuming a wave without VMs left ends it.

--- a/arbutusrock/links/operator_actions.py
+++ b/arbutusrock/links/operator_actions.py
@@ -319,7 +319,11 @@
                 raise errors.NotFound(f'wave {name}')
             if wave.state in (waves.WaveState.DONE, waves.WaveState.ABORTED):
                 raise errors.StateConflict(f'wave {name} is {wave.state}')
-            after = msgspec.structs.replace(wave, state=state)
+            # Its last VM may have returned while it was paused.
+            finished = state is waves.WaveState.RUNNING and wave.is_finished
+            after = msgspec.structs.replace(
+                wave, state=waves.WaveState.DONE if finished else state
+            )
             operations = [
                 change_log.create_operation(configuration, 'wave', name, after)
             ]
--- a/arbutusrock/machines/vm_transitions.py
+++ b/arbutusrock/machines/vm_transitions.py
@@ -118,16 +118,16 @@
     ]
     wave = configuration.get('wave', vm.wave)
     if wave is not None and name not in wave.done:
-        done = [*wave.done, name]
+        wave = msgspec.structs.replace(wave, done=[*wave.done, name])
         state = wave.state
-        if set(done) >= set(wave.vms) and state is waves.WaveState.RUNNING:
+        if wave.is_finished and state is waves.WaveState.RUNNING:
             state = waves.WaveState.DONE
         operations.append(
             change_log.create_operation(
                 configuration,
                 'wave',
                 wave.wave,
-                msgspec.structs.replace(wave, done=done, state=state),
+                msgspec.structs.replace(wave, state=state),
             )
         )
     return operations
--- a/arbutusrock/machines/waves.py
+++ b/arbutusrock/machines/waves.py
@@ -31,3 +31,8 @@
     state: WaveState = WaveState.RUNNING
     done: list[str] = []
     reason: str = ''
+
+    @property
+    def is_finished(self):
+        """Whether all its VMs are back in service."""
+        return set(self.done) >= set(self.vms)
