Treat malformed answers of the platform as no answer

Cause: a reply of one worker, a list of VMs, tickets or an answer of the store that could not be decoded raised in a task of the owner, whose failure ends the ownership; one worker that repeats it ends each one after it. A malformed answer of the store also ended the tasks that write callers' jobs. Change: the adapter logs it and reports an unknown outcome.

--- a/arbutusrock/platform/advice.py
+++ b/arbutusrock/platform/advice.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from arbutusrock.engine import platform_messages
+from arbutusrock import logs
 from arbutusrock.utils import http
 
 __all__ = ['AdviceClient']
@@ -18,6 +19,7 @@
     validMs: float = 0.0  # noqa: N815
 
 
+LOG = logs.get_log('advice')
 _decode = msgspec.json.Decoder(_WireTickets).decode
 
 
@@ -60,7 +62,11 @@
             return None
         if answer.status != 200:
             return None
-        wire = _decode(answer.body)
+        try:
+            wire = _decode(answer.body)
+        except ValueError as exc:
+            LOG.warning('tickets cannot be decoded', error=str(exc))
+            return None
         tickets = [
             platform_messages.Ticket(worker_id=worker_id, ticket=ticket)
             for worker_id, ticket in wire.good
--- a/arbutusrock/platform/store.py
+++ b/arbutusrock/platform/store.py
@@ -118,7 +118,7 @@
             'POST', TX_PATH, body=body, timeout_s=self.timeout_s
         )
         self.metrics.count('store_writes')
-        answer = _decode_rows(data)
+        answer = _decode_answer(data)
         if status == 412:
             raise rows.Conflicted([row.to_row() for row in answer.rows])
         return answer.ver
@@ -144,7 +144,7 @@
                 'GET', GET_PATH, query=query, timeout_s=self.timeout_s
             )
             self.metrics.count('store_reads')
-            page = _decode_rows(data)
+            page = _decode_answer(data)
             version = page.ver if version is None else version
             found += [row.to_row() for row in page.rows]
             if not page.morePages or limit or not page.rows:
@@ -172,7 +172,7 @@
         self.metrics.count('store_reads')
         if status == 410:
             raise rows.HistoryLost(table)
-        answer = _decode_rows(data)
+        answer = _decode_answer(data)
         return [row.to_row() for row in answer.rows], answer.ver
 
     async def _call(self, method, path, *, query=None, body=None, timeout_s):
@@ -195,6 +195,17 @@
         )
 
 
+def _decode_answer(data):
+    """Return the rows in an answer.
+
+    :raises rows.StoreSilent: the answer is malformed and tells nothing.
+    """
+    try:
+        return _decode_rows(data)
+    except ValueError as exc:
+        raise rows.StoreSilent(f'malformed answer: {exc}') from exc
+
+
 def _encode_key(row):
     return {
         'table': _PLATFORM_NAMES.get(row.table, row.table),
--- a/arbutusrock/platform/vm_service.py
+++ b/arbutusrock/platform/vm_service.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from arbutusrock.engine import platform_messages
+from arbutusrock import logs
 from arbutusrock.platform import workers
 from arbutusrock.utils import http
 
@@ -11,6 +12,7 @@
 # A call takes a few ms; the callers of this client repeat it when no answer
 # arrives.
 TIMEOUT_S = 1.0
+LOG = logs.get_log('vms')
 _OUTCOME_BY_REASON = {
     'fence': platform_messages.VMOutcome.FENCED,
     'busy': platform_messages.VMOutcome.BUSY,
@@ -80,8 +82,12 @@
             self.metrics.count('vm_calls')
             if answer.status != 200:
                 return None
-            page = _decode_page(answer.body)
-            found += [_to_vm_entry(item) for item in page.machines]
+            try:
+                page = _decode_page(answer.body)
+                found += [_to_vm_entry(item) for item in page.machines]
+            except ValueError as exc:
+                LOG.warning('a list of VMs cannot be decoded', error=str(exc))
+                return None
             token = page.nextToken
             if not token:
                 return found
@@ -132,7 +138,10 @@
         case 400:
             return platform_messages.VMOutcome.INVALID
         case 409:
-            reason = _decode_refusal(answer.body).reason
+            try:
+                reason = _decode_refusal(answer.body).reason
+            except ValueError:
+                return platform_messages.VMOutcome.UNKNOWN
             return _OUTCOME_BY_REASON.get(
                 reason, platform_messages.VMOutcome.BUSY
             )
--- a/arbutusrock/platform/workers.py
+++ b/arbutusrock/platform/workers.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from arbutusrock.engine import platform_messages
+from arbutusrock import logs
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import http
 
@@ -15,6 +16,8 @@
 # How long the answer to a lease renewal may take beyond the wait requested of
 # the worker.
 RENEWAL_MARGIN_S = 0.8
+INSTANCE_HEADER = 'Arbutusrock-Expected-Instance'
+LOG = logs.get_log('workers')
 
 _OUTCOME_BY_REASON = {
     'fence': platform_messages.OrderOutcome.FENCED,
@@ -124,7 +127,7 @@
 
     def __init__(self, *, address, worker_id, metrics):
         self.metrics = metrics
-        self._headers = {'Arbutusrock-Expected-Instance': worker_id}
+        self._headers = {INSTANCE_HEADER: worker_id}
         self._http = http.HTTPClient(
             base_url=f'http://{address}', max_connections=MAX_CONNECTIONS
         )
@@ -194,13 +197,17 @@
             return answer
         if answer.status != 200:
             return _to_order_reply(answer)
-        wire = _decode_renewal_reply(answer.body)
-        return platform_messages.RenewalReply(
-            clock_ms=wire.clockMs,
-            born_ms=wire.born,
-            running=tuple(map(_to_run_report, wire.running)),
-            ended=tuple(map(_to_completion_report, wire.ended)),
-        )
+        try:
+            return _to_renewal_reply(_decode_renewal_reply(answer.body))
+        except (ValueError, TypeError, IndexError) as exc:
+            LOG.warning(
+                'the reply of a worker cannot be decoded',
+                worker=self._headers[INSTANCE_HEADER],
+                error=str(exc),
+            )
+            return platform_messages.OrderReply(
+                outcome=platform_messages.OrderOutcome.UNKNOWN
+            )
 
     async def _send_order(self, path, body):
         answer = await self._call(path, body, timeout_s=ORDER_TIMEOUT_S)
@@ -240,6 +247,15 @@
     return platform_messages.OrderReply(outcome=outcome, clock_ms=wire.clockMs)
 
 
+def _to_renewal_reply(wire):
+    return platform_messages.RenewalReply(
+        clock_ms=wire.clockMs,
+        born_ms=wire.born,
+        running=tuple(map(_to_run_report, wire.running)),
+        ended=tuple(map(_to_completion_report, wire.ended)),
+    )
+
+
 def _to_run_report(row):
     return platform_messages.RunReport(
         task=row[0],
