Hold both VMs in the test of attempts on two workers

Cause (traced earlier): while the set-up takes over a second, the idle second VM of the pool is switched off, and all three attempts run on one worker. The code moves idle VMs so; the test did not hold them. Change: a lasting task on each VM keeps both on; bound and count are the same.

--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -126,10 +126,21 @@
 
 async def test_failing_task_uses_all_its_attempts(site):
     await start_nodes(site, 1)
+    # A task that lasts on each VM of the pool keeps both switched on.
+    await site.submit(
+        'alpha',
+        OTHER_JOB,
+        [create_step(2, longRunning=True, antiAffinity=1)],
+        spec='{"lasts": 1}',
+    )
+    await site_checks.wait_until(
+        lambda: len(site.ledger) == 2, what='both VMs are in use'
+    )
     await site.submit('alpha', JOB, [create_step(1)], spec='{"fail": 1}')
     await wait_state(site, 'failed')
-    assert len(site.ledger) == 3
-    assert len({line.worker_id for line in site.ledger}) == 2
+    lines = [line for line in site.ledger if line.task.startswith(JOB)]
+    assert len(lines) == 3
+    assert len({line.worker_id for line in lines}) == 2
 
 
 async def test_upper_limit_holds_across_pools(site):
