Accept a job that the store refuses when another node stored it before

Change: before it refuses, the node reads the row of the job; one that is there is accepted. When the store serves no reads either, the refusal stands: a write in doubt at another node cannot be known then (open). Result: a test that fails on the code before.

--- a/arbutusrock/engine/submitter.py
+++ b/arbutusrock/engine/submitter.py
@@ -31,6 +31,8 @@
 MAX_IN_DOUBT_S = 1.0
 # Ids of jobs with an unknown outcome that are remembered for later calls.
 MAX_REMEMBERED_JOBS = 20_000
+# Time-out of the check whether a job that the store refused is stored already.
+CHECK_TIMEOUT_S = 0.3
 LOG = logs.get_log('submit')
 
 
@@ -223,15 +225,47 @@
     async def _handle_refusal(self, batch, exc):
         for job in batch:
             job.attempts += 1
-            # A job in doubt may be stored by an earlier attempt.
-            if job.attempts >= MAX_ATTEMPTS and not job.in_doubt:
-                LOG.info(
-                    'the store refused a job', job=job.job_id, error=str(exc)
-                )
-                job.resolve(StoreOutcome.REFUSED)
+        # A job in doubt may be stored by an earlier attempt.
+        refused = [
+            job
+            for job in batch
+            if job.attempts >= MAX_ATTEMPTS and not job.in_doubt
+        ]
+        await asyncio.gather(
+            *(self._resolve_refused(job, exc) for job in refused)
+        )
         self._expire_overdue(batch)
         await asyncio.sleep(RETRY_DELAY_S)
 
+    async def _resolve_refused(self, job, exc):
+        """Resolve a job that the store refused, as far as this node knows.
+
+        A call with the same id at another node may have stored it before.
+        """
+        stored = await self._is_stored(job.job_id)
+        LOG.info(
+            'the store refused a job',
+            job=job.job_id,
+            stored_before=stored,
+            error=str(exc),
+        )
+        job.resolve(StoreOutcome.STORED if stored else StoreOutcome.REFUSED)
+
+    async def _is_stored(self, job_id):
+        """Return whether a job is stored; None when the store is no help."""
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                found, _ = await self.store.read_range(
+                    rows.TABLE_JOBS,
+                    first=job_id,
+                    last=f'{job_id}\0',
+                    limit=1,
+                    part=self.part,
+                )
+        except (rows.StoreRefused, rows.StoreSilent, TimeoutError):
+            return None
+        return bool(found)
+
     @staticmethod
     def _expire_overdue(batch):
         """Resolve jobs in doubt for too long, and jobs past their deadline."""
--- a/arbutusrock/engine/tests/test_submitter.py
+++ b/arbutusrock/engine/tests/test_submitter.py
@@ -102,8 +102,12 @@
 class ScriptedStore:
     """A store whose calls fail with the prepared errors, in order."""
 
-    def __init__(self, failures):
+    def __init__(self, failures, stored_ids=()):
         self.failures = failures
+        self.stored_ids = stored_ids
+
+    async def read_range(self, _table, *, first, **_fields):
+        return [first] if first in self.stored_ids else [], 1
 
     async def transact(self, **_fields):
         await asyncio.sleep(0)
@@ -148,3 +152,15 @@
     store = ScriptedStore([rows.StoreRefused('busy') for _ in range(3)])
     outcomes = await submit_in_turn(store, [5.0])
     assert outcomes == [submitter.StoreOutcome.REFUSED]
+
+
+async def test_submit_accepts_job_that_another_node_stored():
+    """The store refuses the write of a job that was stored before.
+
+    The caller sent it again to another node, as its first answer was lost.
+    """
+    store = ScriptedStore(
+        [rows.StoreRefused('busy') for _ in range(3)], stored_ids={JOB_ID}
+    )
+    outcomes = await submit_in_turn(store, [5.0])
+    assert outcomes == [submitter.StoreOutcome.STORED]
