Add a command that traces a job over the logs of all nodes

Cause: with 97 processes the lines of one request are in several files, and whether a line is by an owner, and of which epoch, is in other lines.

--- a/arbutusrock/commands/main.py
+++ b/arbutusrock/commands/main.py
@@ -12,6 +12,7 @@
 from arbutusrock.commands import machine
 from arbutusrock.commands import node
 from arbutusrock.commands import overview
+from arbutusrock.commands import trace
 
 __all__ = ['COMMANDS', 'main']
 
@@ -57,6 +58,7 @@
     'status': overview.show_status,
     'audit': overview.show_audit,
     'explain': overview.explain,
+    'trace': trace.trace,
 }
 
 
