--- a/arbutusrock/scheduling/ordering.py
+++ b/arbutusrock/scheduling/ordering.py
@@ -1,10 +1,12 @@
 """The order in which waiting jobs are started.
 
-Load: for some seconds a bursting queue receives up to twice what its pool can
-run. A job that is completed in time is worth many times a late one. Jobs that
-can still be in time therefore go first, and among them those with the highest
-value per remaining work. Late jobs use the capacity that is left over; they
-are never dropped.
+Load: for some seconds a bursting queue receives more than its pool can run
+until further VMs have arrived. A job that is completed in time is worth many
+times a late one, so jobs that can still be in time go before late ones, which
+use the capacity that is left over; none is dropped. Jobs that can be in time
+start in the order of their arrival. By value per remaining work a stream of
+small jobs keeps the large ones waiting until they are late; by slack, which
+depends on declared durations, all jobs of an overload end a little late.
 """
 
 import enum
@@ -85,9 +87,10 @@
 
 
 def rank_job(job):
-    """Return a sort key: tier, urgency, value per remaining work.
+    """Return a sort key: tier, urgency, then age or value.
 
-    The job with the smallest key goes first.
+    The job with the smallest key goes first. Jobs that can be in time are
+    ordered by age, the others by value per remaining work.
 
     :param job: :class:`JobSnapshot`.
 
@@ -97,15 +100,18 @@
     ...         objective_s=2, critical_path_left_s=1,
     ...         work_core_s=work_core_s, work_left_core_s=work_core_s,
     ...         mean_work_core_s=10)
-    >>> rank_job(view(0, 5)) < rank_job(view(0, 20)) < rank_job(view(1.5, 5))
+    >>> rank_job(view(0.5, 20)) < rank_job(view(0, 5)) < rank_job(view(1.5, 5))
     True
     """
+    tier = find_tier(job)
+    if tier is Tier.IN_TIME:
+        return (tier, job.urgency, -job.age_s)
     value = (
         FIXED_VALUE_FRACTION
         + (1 - FIXED_VALUE_FRACTION) * job.work_core_s / job.mean_work_core_s
     )
     density = value / max(job.work_left_core_s, 1e-3)
-    return (find_tier(job), job.urgency, -density)
+    return (tier, job.urgency, -density)
 
 
 def find_tier(job):
