Add a simulation that plays load patterns through the owner's decisions

Change: benchmarks.bench_policies plays patterns in virtual time (5 s each) through the ranking, placement, forecast and pool sizing that ship; workers, the VM service and callers are simulated; patterns are YAML, checked.

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,4 @@
 	$(VENV)/bin/python -m benchmarks.bench_relay
 	$(VENV)/bin/python -m benchmarks.bench_shares
 	$(VENV)/bin/python -m benchmarks.bench_capacity
+	$(VENV)/bin/python -m benchmarks.bench_policies
--- /dev/null
+++ b/benchmarks/fleet_simulation.py
@@ -0,0 +1,440 @@
+"""A simulated fleet in virtual time, driven by the product's own decisions.
+
+The ranking, placement, forecast and pool sizing are those of an owner
+(:class:`arbutusrock.engine.leader.Leader`). The workers, the VM service and
+the callers are simulated: a start is confirmed at once, a task ends after its
+true duration, a move takes ``move_s`` and ``REGISTRATION_DELAY_S``.
+"""
+
+import heapq
+import itertools
+import math
+import random
+import types
+from unittest import mock
+
+import msgspec
+
+from arbutusrock.engine import fleet as fleet_module
+from arbutusrock.engine import leader as leader_module
+from arbutusrock.engine import node_settings
+from arbutusrock.engine import plans
+from arbutusrock.engine import platform_messages
+from arbutusrock.engine import rows
+from arbutusrock.engine import term as term_module
+from arbutusrock.engine import vm_registry
+from arbutusrock import metrics
+from arbutusrock.scheduling import configuration
+from arbutusrock.scheduling import Resources
+from arbutusrock.utils import clocks
+
+__all__ = ['JobResult', 'Pattern', 'QueuePattern', 'Simulation']
+
+SPARE_POOL = 'spare'
+REGISTRATION_DELAY_S = 0.3
+DISPATCH_INTERVAL_S = 0.02
+RESIZE_INTERVAL_S = 0.1
+# Virtual time before the first job, in which pools reach their idle size.
+LEAD_IN_S = 12.0
+# Virtual time after the last job, for late jobs.
+LEAD_OUT_S = 15.0
+
+
+class QueuePattern(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Load of one queue; each queue has a pool of its own.
+
+    :param jobs_per_s: mean rate over the day.
+    :param steps: mean number of steps, one after the other.
+    :param width: mean number of tasks of a step.
+    :param cores: mean cores of a task.
+    :param task_s: mean duration of a task.
+    :param declared_error: sigma of the logarithm of declared over true
+        durations.
+    :param stretch: factor on the critical path in the objective.
+    :param objective_s: fixed part of the objective.
+    :param value: value of a job of mean work that ends in time.
+    :param serving_tasks: tasks that run all day.
+    """
+
+    jobs_per_s: float
+    steps: float = 1.6
+    width: float = 8.0
+    cores: float = 4.0
+    task_s: float = 0.8
+    declared_error: float = 0.5
+    stretch: float = 1.6
+    objective_s: float = 0.6
+    value: float = 1.0
+    urgency: int = 0
+    serving_tasks: int = 20
+    serving_cores: float = 4.0
+    vms: int = 20
+
+
+class Pattern(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """A load pattern.
+
+    :param burst_factor: rate in a burst over the mean rate; the queues burst
+        by turns.
+    :param burst_s: duration of a burst.
+    :param rounds: how often each queue bursts.
+    :param sudden: bursts have their full rate at once, instead of a rise and
+        a fall of half a sine wave.
+    :param late_value: value of a late job as a fraction of one in time.
+    """
+
+    queues: dict[str, QueuePattern]
+    spare_vms: int = 10
+    vm_cores: float = 32.0
+    burst_factor: float = 4.0
+    quiet_factor: float = 0.05
+    burst_s: float = 8.0
+    rounds: int = 1
+    move_s: float = 1.5
+    late_value: float = 0.07
+    sudden: bool = False
+
+
+class JobResult:
+    """A job and its outcome.
+
+    :param late_after_s: objective by the true durations.
+    :param ended_at_s: None for a job that has not ended.
+    """
+
+    __slots__ = (
+        'queue',
+        'arrived_at_s',
+        'work_core_s',
+        'value',
+        'late_after_s',
+        'ended_at_s',
+    )
+
+    def __init__(
+        self, *, queue, arrived_at_s, work_core_s, value, late_after_s
+    ):
+        self.queue = queue
+        self.arrived_at_s = arrived_at_s
+        self.work_core_s = work_core_s
+        self.value = value
+        self.late_after_s = late_after_s
+        self.ended_at_s = None
+
+    @property
+    def in_time(self):
+        """Whether it ended within its objective."""
+        return (
+            self.ended_at_s is not None
+            and self.ended_at_s - self.arrived_at_s <= self.late_after_s
+        )
+
+
+class _Link:
+    """Stands for the connection to one worker."""
+
+    def __init__(self, *, simulation):
+        self.simulation = simulation
+
+    def send_start(self, run, *, spec, ticket=''):
+        self.simulation.start_run(run)
+
+    def send_stop(self, run):
+        self.simulation.stop_run(run)
+
+
+class Simulation:
+    """One play of a pattern.
+
+    :param pattern: :class:`Pattern`.
+    :param seed: of arrivals and sizes.
+    """
+
+    def __init__(self, *, pattern, seed):
+        self.pattern = pattern
+        self.random = random.Random(seed)  # noqa: S311
+        self.now_s = 1000.0
+        self.began_at_s = self.now_s + LEAD_IN_S
+        self.results = {}
+        self.vm_seconds = 0.0
+        self.moves = 0
+        self._durations = {}
+        self._events = []
+        self._order = itertools.count()
+        self._completions = itertools.count(1)
+        self._worker_numbers = itertools.count(1)
+
+    def run(self):
+        """Play the pattern; the results are in ``results``."""
+        with (
+            mock.patch.object(clocks, 'now_s', lambda: self.now_s),
+            mock.patch.object(clocks, 'wall_time_s', lambda: self.now_s),
+        ):
+            self._create_owner()
+            self._create_vms()
+            last_at_s = self._create_arrivals()
+            self._play(last_at_s + LEAD_OUT_S)
+
+    def _create_owner(self):
+        queues = [
+            configuration.Queue(
+                name=name,
+                host='h',
+                prefix=f'/{name}/',
+                pool=name,
+                urgency=queue.urgency,
+                stretch=queue.stretch,
+                objective_ms=queue.objective_s * 1000,
+            )
+            for name, queue in self.pattern.queues.items()
+        ]
+        pools = [configuration.Pool(name=queue.name) for queue in queues]
+        pools.append(configuration.Pool(name=SPARE_POOL, spare=True))
+        current = configuration.FleetConfiguration(
+            version=1,
+            queues=queues,
+            pools=pools,
+            accounts=[configuration.Account(name='a', weight=1e9)],
+            limits=configuration.RequestLimits(),
+        )
+        settings = node_settings.NodeSettings(
+            name='n',
+            address='h',
+            callers='h:1',
+            readiness='h:2',
+            metrics='h:3',
+            store='h:4',
+            move_s=self.pattern.move_s,
+            vm_calls_per_s=300.0,
+        )
+        self.term = term_module.Term(
+            epoch=1,
+            claim_version=1,
+            claim_sent_at_s=self.now_s,
+            settings=settings,
+            configuration=types.SimpleNamespace(current=current, waves={}),
+            metrics=metrics.Metrics(),
+        )
+        self.leader = leader_module.Leader(
+            term=self.term,
+            store=None,
+            adapter=mock.Mock(),
+            on_heartbeat=None,
+        )
+        self.vms = self.leader.vm_controller
+        self.vms.issue_order = self._move_vm
+
+    def _create_vms(self):
+        entries = []
+        pools = {
+            name: queue.vms for name, queue in self.pattern.queues.items()
+        }
+        for pool, count in {
+            **pools,
+            SPARE_POOL: self.pattern.spare_vms,
+        }.items():
+            for number in range(count):
+                entry = platform_messages.VMEntry(
+                    vm=f'{pool}-{number}',
+                    pool=pool,
+                    state=platform_messages.VMState.UP,
+                    capacity=self._capacity,
+                )
+                entries.append(entry)
+                if pool != SPARE_POOL:
+                    self._add_worker(entry.vm, pool)
+        self.vms.vm_registry.update(entries, self.now_s, lambda _order: 1e9)
+        for name, queue in self.pattern.queues.items():
+            if queue.serving_tasks:
+                step = plans.StepPlan(
+                    count=queue.serving_tasks,
+                    demand=Resources(cpu=int(queue.serving_cores * 1000)),
+                    long_running=True,
+                    most_per_worker=max(1, queue.serving_tasks // 8),
+                    may_miss=1,
+                )
+                self._submit(name, (step,))
+
+    @property
+    def _capacity(self):
+        return Resources(
+            cpu=int(self.pattern.vm_cores * 1000), memory_mb=1 << 20
+        )
+
+    def _add_worker(self, vm, pool):
+        worker_id = f'w{next(self._worker_numbers)}'
+        worker = fleet_module.WorkerState(
+            entry=platform_messages.WorkerEntry(
+                worker_id=worker_id,
+                pool=pool,
+                address='h:1',
+                vm=vm,
+                capacity=self._capacity,
+            ),
+            now_s=self.now_s,
+        )
+        worker.has_answered = worker.in_roster = True
+        self.term.fleet.workers[worker_id] = worker
+        self.leader.links[worker_id] = _Link(simulation=self)
+        self.term.request_dispatch()
+
+    # Arrivals.
+
+    def _create_arrivals(self):
+        names = list(self.pattern.queues)
+        length_s = len(names) * self.pattern.burst_s * self.pattern.rounds
+        for turn, name in enumerate(names):
+            queue = self.pattern.queues[name]
+            at_s = 0.0
+            peak = queue.jobs_per_s * self.pattern.burst_factor * 2
+            while True:
+                at_s += self.random.expovariate(peak)
+                if at_s >= length_s:
+                    break
+                rate = self._get_rate(queue, turn, at_s, len(names))
+                if self.random.random() < rate / peak:
+                    self._schedule(
+                        self.began_at_s + at_s, self._arrive, name, queue
+                    )
+        return self.began_at_s + length_s
+
+    def _get_rate(self, queue, turn, at_s, count):
+        """Return the rate: in the turn of the queue a burst."""
+        turns = at_s / self.pattern.burst_s
+        if int(turns) % count != turn:
+            return queue.jobs_per_s * self.pattern.quiet_factor
+        height = 1.0
+        if not self.pattern.sudden:
+            height = math.sin(math.pi * (turns % 1)) * math.pi / 2
+        return queue.jobs_per_s * self.pattern.burst_factor * height
+
+    def _draw(self, mean, sigma=0.5):
+        return mean * self.random.lognormvariate(-sigma * sigma / 2, sigma)
+
+    def _arrive(self, name, queue):
+        count = max(1, round(self._draw(queue.steps, 0.4)))
+        cores = min(self._draw(queue.cores, 0.45), self.pattern.vm_cores * 0.9)
+        task_s = max(0.05, self._draw(queue.task_s))
+        error = self.random.gauss(0, queue.declared_error)
+        steps, work_core_s = [], 0.0
+        for number in range(count):
+            width = min(32, max(1, round(self._draw(queue.width, 0.6))))
+            work_core_s += width * cores * task_s
+            steps.append(
+                plans.StepPlan(
+                    count=width,
+                    demand=Resources(cpu=int(cores * 1000), memory_mb=100),
+                    estimate_ms=task_s * math.exp(error) * 1000,
+                    after=(number - 1,) if number else (),
+                )
+            )
+        job_id = self._submit(name, tuple(steps))
+        mean = queue.steps * queue.width * queue.cores * queue.task_s
+        self._durations[job_id] = task_s
+        self.results[job_id] = JobResult(
+            queue=name,
+            arrived_at_s=self.now_s,
+            work_core_s=work_core_s,
+            value=queue.value * min(4.0, 0.3 + 0.7 * work_core_s / mean),
+            late_after_s=queue.stretch * count * task_s + queue.objective_s,
+        )
+
+    def _submit(self, name, steps):
+        queue = self.pattern.queues[name]
+        job_id = f'{next(self._order):016x}'
+        submission = plans.Submission(
+            queue=name,
+            pool=name,
+            account='a',
+            accepted_ms=self.now_s * 1000,
+            plan=plans.JobPlan(spec='', steps=steps),
+            stretch=queue.stretch,
+            objective_ms=queue.objective_s * 1000,
+        )
+        row = rows.Row(
+            table=rows.TABLE_JOBS,
+            key=job_id,
+            value=plans.encode_row(submission),
+            version=1,
+        )
+        self.leader._apply_job_rows([row], False)
+        return job_id
+
+    # Workers and VMs.
+
+    def start_run(self, run):
+        """Confirm a run, and schedule its end."""
+        run.state = leader_module.run_controller.job_state.RunState.RUNNING
+        run.confirmed_at_s = self.now_s
+        run.task.step.job.started = True
+        if run.task.step.plan.long_running:
+            run.percent = 100.0
+            run.ready_at_s = self.now_s
+            return
+        true_s = self._durations[run.task.step.job.job_id]
+        true_s *= self.random.lognormvariate(0, 0.15)
+        self._schedule(self.now_s + true_s, self._end_run, run, 'done')
+
+    def stop_run(self, run):
+        """Stop a run after a short time."""
+        self._schedule(self.now_s + 0.05, self._end_run, run, 'stopped')
+
+    def _end_run(self, run, kind):
+        if run.worker.runs.get((run.name, run.number)) is not run:
+            return
+        completion = platform_messages.CompletionReport(
+            number=next(self._completions),
+            task=run.name,
+            run=run.number,
+            kind=platform_messages.CompletionKind(kind),
+        )
+        self.leader.run_controller._handle_completion(
+            run.worker, completion, self.now_s
+        )
+        self.term.job_registry.dirty_jobs.clear()
+        job_id = run.task.step.job.job_id
+        result = self.results.get(job_id)
+        if result is not None and run.task.step.job.ended:
+            result.ended_at_s = result.ended_at_s or self.now_s
+
+    def _move_vm(self, tracked, worker, *, target=None, **_fields):
+        order = vm_registry.VMOrder(target=target, begun_at_s=self.now_s)
+        order.confirmed_at_s = self.now_s
+        tracked.order = order
+        tracked.was_used = True
+        self.moves += 1
+        if worker is not None:
+            del self.term.fleet.workers[worker.worker_id]
+        tracked.entry = msgspec.structs.replace(tracked.entry, pool=target)
+        if target != SPARE_POOL:
+            self._schedule(
+                self.now_s + self.pattern.move_s + REGISTRATION_DELAY_S,
+                self._add_worker,
+                tracked.entry.vm,
+                target,
+            )
+
+    # Time.
+
+    def _schedule(self, at_s, function, *args):
+        heapq.heappush(self._events, (at_s, next(self._order), function, args))
+
+    def _play(self, until_s):
+        resize_at_s = self.now_s
+        while self.now_s < until_s:
+            self.now_s += DISPATCH_INTERVAL_S
+            while self._events and self._events[0][0] <= self.now_s:
+                _, _, function, args = heapq.heappop(self._events)
+                function(*args)
+            self.term._checked_at_s = self.now_s
+            self.term.confirmed_at_s = self.now_s
+            if self.now_s >= resize_at_s:
+                resize_at_s = self.now_s + RESIZE_INTERVAL_S
+                self.vms._update_orders(self.now_s)
+                self.vms._resize_pools(self.now_s)
+            self.leader.dispatcher.dispatch()
+            if self.now_s >= self.began_at_s:
+                self.vm_seconds += DISPATCH_INTERVAL_S * sum(
+                    tracked.entry.pool != SPARE_POOL
+                    for tracked in self.vms.vm_registry.vms.values()
+                )
