--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -273,12 +273,20 @@
 
 async def test_retry_waits_for_worker_without_earlier_failure(site):
     await start_nodes(site, 1)
-    full = create_step(2, cpu=8000, antiAffinity=1)
-    site.workers['m-alpha-2'].failing = True
+    # A task that lasts on each VM keeps all of them switched on.
+    lasting = create_step(3, cpu=1000, antiAffinity=1, longRunning=True)
+    await site.submit('alpha', '1' * 16, [lasting], spec=LASTING_SPEC)
+    await wait_until(
+        lambda: len(site.ledger) == 3, what='all workers are in use'
+    )
+    full = create_step(2, cpu=7000, antiAffinity=1)
     await site.submit('alpha', '0' * 16, [full], spec='{"ms": 900}')
     await wait_until(
-        lambda: len(site.ledger) == 2, what='two workers are full'
+        lambda: len(site.ledger) == 5, what='two workers are full'
     )
+    full_ids = {line.worker_id for line in site.ledger[3:]}
+    for worker in site.workers.values():
+        worker.failing = worker.worker_id not in full_ids
     await site.submit('alpha', JOB, [create_step(1, cpu=1000)])
     await wait_state(site, 'completed')
     lines = [line for line in site.ledger if line.task.startswith(JOB)]
