Count the runs of cordoned VMs in the load of their pool

Change: their runs count, against the capacity of the others; the log line gives the load that decided. A test that fails on the code before.

--- a/arbutusrock/engine/tests/test_wave_controller.py
+++ b/arbutusrock/engine/tests/test_wave_controller.py
@@ -186,3 +186,24 @@
         )
     )
     assert vm_views.is_empty(off, None, leases_inherited=True)
+
+
+def test_pool_load_counts_runs_of_cordoned_workers():
+    """A wave took busy VMs of a bursting pool, one after the other.
+
+    With each of them its runs disappeared from the load of the pool, so that
+    the rest seemed to be lightly used.
+    """
+    pool = fleet.Fleet()
+    for number, used in enumerate((8000, 8000, 2000)):
+        worker = create_worker(f'm-{number}')
+        worker.has_answered = worker.in_roster = True
+        worker.used_millicores = used
+        pool.workers[worker.worker_id] = worker
+    loads = vm_views.compute_pool_loads(pool)
+    assert loads == {'p': 18000 / 24000}
+    pool.workers['i-m-0'].cordon_reason = 'wave'
+    pool.workers['i-m-1'].cordon_reason = 'wave'
+    assert vm_views.compute_pool_loads(pool) == {'p': 18000 / 8000}
+    pool.workers['i-m-2'].cordon_reason = 'wave'
+    assert vm_views.compute_pool_loads(pool) == {'p': 1.0}
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -39,14 +39,22 @@
 
 
 def compute_pool_loads(fleet):
-    """Return the fraction of each pool's usable capacity that is in use."""
+    """Return what each pool uses over its usable capacity.
+
+    Runs on cordoned workers count, as they have to move to the others.
+    """
     used, capacity = {}, {}
     for worker in fleet.workers.values():
+        if worker.ended:
+            continue
+        pool = worker.entry.pool
+        used[pool] = used.get(pool, 0) + worker.used_millicores
         if worker.usable:
-            pool = worker.entry.pool
-            used[pool] = used.get(pool, 0) + worker.used_millicores
             capacity[pool] = capacity.get(pool, 0) + worker.entry.capacity.cpu
-    return {pool: used[pool] / capacity[pool] for pool in capacity}
+    return {
+        pool: used[pool] / capacity[pool] if capacity.get(pool) else 1.0
+        for pool in used
+    }
 
 
 def is_empty(tracked, worker, *, leases_inherited):
--- a/arbutusrock/engine/wave_controller.py
+++ b/arbutusrock/engine/wave_controller.py
@@ -112,13 +112,14 @@
             self.write_record(wave.number, record)
             return
         elapsed_s = clocks.wall_time_s() - record.began_ms / 1000
+        pool_loads = vm_views.compute_pool_loads(self.term.fleet)
         chosen = wave_selection.choose_wave_vms(
             pending,
             down=self.vm_registry.count_unavailable(wave.number),
             max_down=wave.most_at_once,
             time_left_s=wave.duration_s - elapsed_s,
             maintenance_s=self.term.settings.maintenance_s,
-            pool_loads=vm_views.compute_pool_loads(self.term.fleet),
+            pool_loads=pool_loads,
         )
         workers = vm_views.map_workers_by_vm(self.term.fleet)
         for chosen_vm in chosen:
@@ -130,6 +131,7 @@
                     vm=chosen_vm.vm,
                     wave=wave.number,
                     runs=len(worker.runs) if worker else 0,
+                    pool_load=round(pool_loads.get(chosen_vm.pool, 0.0), 2),
                 )
             tracked.cordoned_wave = wave.number
             if worker is not None and not worker.cordon_reason:
