Count a VM in maintenance for each wave until its order is confirmed

Cause (by reading): a VM that is listed in maintenance is asked about for a wave; while that order is under way it counted for this wave alone, although it may be down for another one, which could then take one VM too many. Result: a test that fails on the code before.

--- a/arbutusrock/engine/tests/test_vm_registry.py
+++ b/arbutusrock/engine/tests/test_vm_registry.py
@@ -36,3 +36,20 @@
         lambda _order: 2.3,
     )
     assert registry.count_unavailable(1) == 1
+
+
+def test_vm_in_maintenance_counts_for_each_wave_until_confirmed():
+    """The owner asks whether it is there for wave 2; it may be for wave 1."""
+    registry = vm_registry.VMRegistry()
+    registry.update(
+        [create_entry(platform_messages.VMState.UPKEEP)],
+        0.0,
+        lambda _order: 2.3,
+    )
+    order = vm_registry.VMOrder(target='p', begun_at_s=0.1, wave_number=2)
+    registry.vms['m'].order = order
+    assert registry.count_unavailable(1) == 1
+    assert registry.count_unavailable(2) == 1
+    order.confirmed_at_s = 0.2
+    assert registry.count_unavailable(1) == 0
+    assert registry.count_unavailable(2) == 1
--- a/arbutusrock/engine/vm_registry.py
+++ b/arbutusrock/engine/vm_registry.py
@@ -137,15 +137,20 @@
     def count_unavailable(self, wave):
         """Return how many VMs are, or may be, unavailable for a wave.
 
-        A VM in maintenance without an order of this owner was sent there by
-        an earlier one, and counts for each wave.
+        A VM in maintenance without a confirmed order of this owner was sent
+        there by an earlier one, and counts for each wave.
         """
         return sum(
             1
             for tracked in self.vms.values()
             if (
+                tracked.order is not None and tracked.order.wave_number == wave
+            )
+            or (
                 tracked.entry.state is platform_messages.VMState.UPKEEP
-                if tracked.order is None
-                else tracked.order.wave_number == wave
+                and (
+                    tracked.order is None
+                    or tracked.order.confirmed_at_s is None
+                )
             )
         )
