--- a/benchmarks/fleet_simulation.py
+++ b/benchmarks/fleet_simulation.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from arbutusrock.engine import fleet as fleet_module
+from arbutusrock.engine import job_state
 from arbutusrock.engine import leader as leader_module
 from arbutusrock.engine import node_settings
 from arbutusrock.engine import plans
@@ -364,7 +365,7 @@
 
     def start_run(self, run):
         """Confirm a run, and schedule its end."""
-        run.state = leader_module.run_controller.job_state.RunState.RUNNING
+        run.state = job_state.RunState.RUNNING
         run.confirmed_at_s = self.now_s
         run.task.step.job.started = True
         if run.task.step.plan.long_running:
