--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -254,6 +254,16 @@
                 waited_s=round(clocks.wall_time_s() - job.accepted_unix_s, 3),
                 configuration=self.term.configuration.current.version,
             )
+        task.starts += 1
+        if task.starts > 1:
+            LOG.info(
+                'a task is started again',
+                task=task.name,
+                run=number,
+                worker=worker.worker_id,
+                starts=task.starts,
+                failed=len(task.failed_runs),
+            )
         self.term.fleet.add_run(run)
         self.term.job_registry.mark_active(task)
         self.links[worker.worker_id].send_start(
--- a/arbutusrock/engine/job_state.py
+++ b/arbutusrock/engine/job_state.py
@@ -121,6 +121,7 @@
         'name',
         'status',
         'runs',
+        'starts',
         'failed_runs',
         'deprioritized_vms',
         'checkpoint',
@@ -140,6 +141,8 @@
         )
         self.status = TaskStatus.BLOCKED
         self.runs = []
+        # Number of runs that this owner has ordered.
+        self.starts = 0
         self.failed_runs = set()
         # VMs on which a run of it failed or made no progress.
         self.deprioritized_vms = set()
