--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -24,6 +24,8 @@
 HOST = '127.0.0.1'
 API_KEY = 'key-1'
 REGISTRATION_INTERVAL_S = 0.3
+# A worker that a task has crashed is back after this time.
+CRASH_RECOVERY_S = 0.8
 SPARE_POOL = 'spare'
 
 
@@ -103,6 +105,13 @@
             spare_pool=SPARE_POOL,
         )
         self.ledger = []
+        # Run record of each run that has crashed its worker.
+        self.crashes = []
+        self.crash_recovery_s = CRASH_RECOVERY_S
+        # VM to the capacity of its workers in millicores, where it is not that
+        # of ``cores``; and (instant, VM, millicores) of each change.
+        self.millicores = {}
+        self.capacity_changes = []
         self.workers = {}
         self.nodes = []
         self.version = 0
@@ -113,6 +122,7 @@
         self._addresses = {}
         self._runners = []
         self._worker_tasks = {}
+        self._crash_tasks = []
         self._worker_numbers = itertools.count(1)
         self._vm_numbers = itertools.count()
         self.session = None
@@ -136,7 +146,7 @@
                     'state': 'up',
                     'zone': 'z1',
                     'labels': ['a', f'r{next(self._vm_numbers) // 4}'],
-                    'capacity': self._get_capacity(),
+                    'capacity': self._get_capacity(vm),
                     'id': None,
                 }
                 if pool != SPARE_POOL:
@@ -146,13 +156,22 @@
         self.vm_service.record_list()
         await self.configure()
 
-    def _get_capacity(self):
-        return {'cpu': self.cores * 1000, 'memMb': 65536, 'gpus': 0}
+    def _get_capacity(self, vm):
+        millicores = self.millicores.get(vm, self.cores * 1000)
+        return {'cpu': millicores, 'memMb': 65536, 'gpus': 0}
+
+    def set_millicores(self, vm, millicores):
+        """Change the capacity that the workers of a VM report."""
+        self.millicores[vm] = millicores
+        self.capacity_changes.append((time.monotonic(), vm, millicores))
 
     async def stop(self):
         """Stop all nodes, workers and services."""
         for node in list(self.nodes):
             await self.kill_node(node)
+        for task in self._crash_tasks:
+            task.cancel()
+        await asyncio.gather(*self._crash_tasks, return_exceptions=True)
         for vm in list(self._worker_tasks):
             await self._stop_worker(vm)
         for runner in self._runners:
@@ -227,7 +246,13 @@
 
     async def _start_worker(self, vm, pool):
         worker_id = f'i-{next(self._worker_numbers):04d}'
-        worker = workers.StandInWorker(worker_id=worker_id, ledger=self.ledger)
+        worker = workers.StandInWorker(
+            worker_id=worker_id,
+            ledger=self.ledger,
+            on_crash=lambda run_record: self._crash_tasks.append(
+                asyncio.ensure_future(self._crash_under(vm, run_record))
+            ),
+        )
         worker.clock_rate = self.clock_rates.get(vm, 1.0)
         runner, address = await _serve(worker.create_app())
         if self.map_address is not None:
@@ -259,7 +284,7 @@
             'slots': 8,
             'state': 'ready',
             'coldRemainingMs': 0,
-            'capacity': self._get_capacity(),
+            'capacity': self._get_capacity(vm),
             'labels': self.vm_service.vms[vm]['labels'],
             'machine': vm,
             'born': worker.started_unix_ms,
@@ -289,6 +314,18 @@
         """Start a new incarnation on a VM whose worker has crashed."""
         await self._start_worker(vm, self.vm_service.vms[vm]['pool'])
 
+    async def _crash_under(self, vm, run_record):
+        """Crash the worker of a run; a new one starts on its VM later."""
+        worker = self.workers.get(vm)
+        if worker is None or worker.worker_id != run_record.worker_id:
+            return
+        self.crashes.append(run_record)
+        await self.crash_worker(vm)
+        await asyncio.sleep(self.crash_recovery_s)
+        state = self.vm_service.vms[vm]
+        if state['id'] is None and state['state'] == 'up':
+            await self.restart_worker(vm)
+
     # Nodes.
 
     async def start_node(self, name='n1', **overrides):
--- a/examples/standins/site/workers.py
+++ b/examples/standins/site/workers.py
@@ -1,7 +1,9 @@
 """Stand-in of a worker: runs tasks under a lease, records them in a ledger.
 
 A task's ``spec`` may hold JSON: ``ms`` (duration), ``fail`` (the run fails),
-``lasts`` (the run ends only when it is stopped, as that of a serving task).
+``lasts`` (the run ends only when it is stopped, as that of a serving task),
+``crash`` (indexes of the tasks that crash their worker) and ``crash_ms`` (how
+long after their start).
 """
 
 import asyncio
@@ -15,6 +17,7 @@
 __all__ = ['RunRecord', 'StandInWorker']
 
 DEFAULT_DURATION_MS = 40
+DEFAULT_CRASH_MS = 10
 # Runs report 0 percent until they are this old, then 100.
 STARTUP_S = 0.02
 # Key under which the middleware stores the decoded body in the request.
@@ -62,11 +65,14 @@
 
     :param worker_id: id of this incarnation.
     :param ledger: list to which a :class:`RunRecord` is added for each run.
+    :param on_crash: called with the :class:`RunRecord` of a run that crashes
+        the worker; None if no run does.
     """
 
-    def __init__(self, *, worker_id, ledger):
+    def __init__(self, *, worker_id, ledger, on_crash=None):
         self.worker_id = worker_id
         self.ledger = ledger
+        self.on_crash = on_crash
         self.faults = faults.ServiceFaults()
         self.started_unix_ms = int(time.time() * 1000)
         self.started_at_s = time.monotonic()
@@ -156,6 +162,12 @@
             behaviour = json.loads(run_record.spec)
         except ValueError:
             behaviour = {}
+        index = int(run_record.task.rpartition('.')[2])
+        if self.on_crash and index in behaviour.get('crash', ()):
+            crash_ms = behaviour.get('crash_ms', DEFAULT_CRASH_MS)
+            await asyncio.sleep(crash_ms / 1000)
+            self.on_crash(run_record)
+            return
         if behaviour.get('lasts'):
             return
         await asyncio.sleep(behaviour.get('ms', DEFAULT_DURATION_MS) / 1000)
