Count crashes of workers under a task, and give deadly tasks up

Callers saw jobs of other accounts late or never done while one task crashed worker after worker; its own job was never ended (BUDGET).

Cause: a run that is lost with its worker left no trace. Its task was queued again without a count, together with its neighbours and on the same worker. Class: retries without a bound, since only reported failures were counted.

The runs that had just started are the suspects of a crash. Each is started again alone, on an empty worker where there is one, and no task starts beside it until it has been seen running. A task that was the only suspect in two crashes is given up, and its job fails; one that outlives its crashes is cleared. Crashes are durable before the next start, suspects are stored before they start and when their worker falls silent, and a new owner resolves them by the VM's worker. Ends that the owner ordered, drains, lapsed leases and cut-off workers that come back are no crashes.

Stand-in workers that have crashed refuse calls; before, they carried out starts that were under way.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from arbutusrock.engine import guarded_starts
 from arbutusrock.engine import job_state
 from arbutusrock.engine import occurrence_estimates
 from arbutusrock import logs
@@ -41,12 +42,16 @@
     :param links: :class:`arbutusrock.engine.worker_link.WorkerLink` by
         worker id.
     :param ticket_cache: :class:`arbutusrock.engine.tickets.TicketCache`.
+    :param crash_tracker: knows which tasks may crash their worker.
     """
 
-    def __init__(self, *, term, links, ticket_cache):
+    def __init__(self, *, term, links, ticket_cache, crash_tracker):
         self.term = term
         self.links = links
         self.ticket_cache = ticket_cache
+        self.guarded_starter = guarded_starts.GuardedStarter(
+            term=term, crash_tracker=crash_tracker
+        )
         self._ranks = {}
         self._ranks_cleared_at_s = 0.0
 
@@ -107,10 +112,21 @@
         suspect_vms = {
             vm for vm in vms if term.vm_health.is_suspect(vm, now_s)
         }
-        candidates = [item for item in workers if item.vm not in excluded]
+        workers = [item for item in workers if item.vm not in excluded]
+        candidates = [
+            item
+            for item in workers
+            if guarded_starts.is_available(item, now_s)
+        ]
         inherited_runs_possible = term.fleet.may_have_inherited_runs(
             pool, now_s
         )
+        steps = [
+            step
+            for step in steps
+            if self._may_start(step, inherited_runs_possible)
+        ]
+        self._start_suspects(steps, workers, candidates, suspect_vms)
         max_free = _find_max_free(candidates)
         # Skipped before the sort: under overload few steps fit anywhere.
         steps = [step for step in steps if _may_fit(step, max_free)]
@@ -119,14 +135,6 @@
         # that demand as much or more are skipped.
         unplaced_demands = []
         for step in steps:
-            if (
-                inherited_runs_possible
-                and step.job.inherited
-                and not step.plan.speculative
-            ):
-                continue
-            if not term.may_start(step.job):
-                continue
             if not _may_fit(step, max_free):
                 continue
             demand = _get_placement_demand(step)
@@ -138,6 +146,12 @@
             if len(step.waiting) < before:
                 max_free = _find_max_free(candidates)
 
+    def _may_start(self, step, inherited_runs_possible):
+        inherited = inherited_runs_possible and step.job.inherited
+        return self.term.may_start(step.job) and (
+            step.plan.speculative or not inherited
+        )
+
     def _start_step(self, step, workers, suspect_vms, now_s):
         """Start waiting tasks of a step while they fit.
 
@@ -153,6 +167,8 @@
         for task in list(step.waiting.values()):
             if task.name in unwanted_runs and not step.plan.speculative:
                 continue
+            if guarded_starts.is_suspect(task):
+                continue
             if not self._fits_account_limit(step, 1):
                 return True
             request = self._create_placement_request(
@@ -177,7 +193,10 @@
         """Start all tasks of a gang under one run number, or none."""
         count = len(step.waiting)
         unwanted_runs = self.term.fleet.unwanted_runs
-        if any(task.name in unwanted_runs for task in step.tasks):
+        if any(
+            task.name in unwanted_runs or guarded_starts.is_suspect(task)
+            for task in step.tasks
+        ):
             return True
         if count < step.plan.count or not self._fits_account_limit(
             step, count
@@ -198,6 +217,64 @@
             self._start_run(task, worker, number, now_s)
         return True
 
+    def _start_suspects(self, steps, workers, candidates, suspect_vms):
+        """Start tasks that may crash their worker, the least likely first.
+
+        :param workers: workers of the pool, with those that are held.
+        :param candidates: workers for other tasks; one that a suspect gets
+            is removed.
+        """
+        now_s = clocks.now_s()
+        groups = [
+            (step, tasks)
+            for step in steps
+            if step.job.progress.crashes or step.job.progress.unresolved
+            for tasks in self._find_suspects(step)
+        ]
+        groups.sort(
+            key=lambda group: (
+                len(group[1][0].crashes),
+                self._rank(group[0], now_s),
+            )
+        )
+        for step, tasks in groups:
+            allowed = self.ticket_cache.get_allowed_ids(step, workers, now_s)
+            if not self._fits_account_limit(step, len(tasks)):
+                continue
+            chosen = self.guarded_starter.choose_workers(
+                step,
+                tasks,
+                workers,
+                self._create_placement_request(
+                    step, tasks[0], suspect_vms, allowed
+                ),
+            )
+            if chosen is None:
+                continue
+            number = self.term.create_run_number()
+            for task, worker in zip(tasks, chosen, strict=True):
+                self._start_run(task, worker, number, now_s, guarded=True)
+                if worker in candidates:
+                    candidates.remove(worker)
+
+    def _find_suspects(self, step):
+        """Return the waiting suspects of a step, those of a gang together."""
+        suspects = [
+            task
+            for task in step.waiting.values()
+            if guarded_starts.is_suspect(task)
+        ]
+        unwanted_runs = self.term.fleet.unwanted_runs
+        if step.plan.gang:
+            complete = len(step.waiting) == step.plan.count
+            free = not any(task.name in unwanted_runs for task in step.tasks)
+            return [step.tasks] if suspects and complete and free else []
+        return [
+            [task]
+            for task in suspects
+            if task.name not in unwanted_runs or step.plan.speculative
+        ]
+
     def _create_placement_request(self, step, task, suspect_vms, allowed):
         if step.plan.long_running:
             # VMs that are to be drained are a last choice, as the task would
@@ -231,7 +308,7 @@
         used = self.term.fleet.get_usage(account.name)
         return quotas.fits_limit(used, demand, account.upper_limit)
 
-    def _start_run(self, task, worker, number, now_s):
+    def _start_run(self, task, worker, number, now_s, guarded=False):
         job = task.step.job
         run = job_state.Run(
             number=number,
@@ -266,11 +343,17 @@
             )
         self.term.fleet.add_run(run)
         self.term.job_registry.mark_active(task)
-        self.links[worker.worker_id].send_start(
-            run,
-            spec=job.plan.spec,
-            ticket=self.ticket_cache.get_ticket(task.step, worker.worker_id),
-        )
+        link = self.links[worker.worker_id]
+        ticket = self.ticket_cache.get_ticket(task.step, worker.worker_id)
+        if guarded:
+            link.send_reserved_start(
+                run,
+                spec=job.plan.spec,
+                ticket=ticket,
+                until_durable=self.guarded_starter.reserve(run),
+            )
+        else:
+            link.send_start(run, spec=job.plan.spec, ticket=ticket)
 
     def _find_worker(self, task):
         """Return a worker for one more run of a task, or None.
@@ -285,6 +368,7 @@
                 step.job.submission.pool
             )
             if worker.usable
+            and guarded_starts.is_available(worker, now_s)
             and worker.worker_id in self.links
             and worker.vm not in task.deprioritized_vms
             and not term.vm_health.is_suspect(worker.vm, now_s)
@@ -300,7 +384,12 @@
         return self._find_worker(task) is not None
 
     def start_extra_run(self, task):
-        """Start an extra run of a task; return whether one was started."""
+        """Start an extra run of a task; return whether one was started.
+
+        A task that may crash its worker gets no extra runs.
+        """
+        if guarded_starts.is_suspect(task):
+            return False
         worker = self._find_worker(task)
         if worker is None or not self._fits_account_limit(task.step, 1):
             return False
--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -1,10 +1,11 @@
 """Workers as the owner knows them, and the resources that accounts use."""
 
 import asyncio
+import enum
 
 from arbutusrock.scheduling import Resources
 
-__all__ = ['Fleet', 'MIN_CLOCK_RATE', 'WorkerState']
+__all__ = ['Fleet', 'IncarnationEnd', 'MIN_CLOCK_RATE', 'WorkerState']
 
 # Rate of the slowest steady clock of a worker: it may be 2% slow.
 MIN_CLOCK_RATE = 0.98
@@ -13,6 +14,16 @@
 LEASE_MARGIN_S = 0.3
 
 
+class IncarnationEnd(enum.Enum):
+    """How the owner learned that a worker's incarnation is over."""
+
+    MOVED = 'its VM was moved or sent to maintenance'
+    REPLACED = 'its VM runs another worker'
+    RESTARTED = 'it was restarted'
+    ADDRESS_TAKEN = 'another incarnation answers'
+    UNREGISTERED = 'it is no longer registered'
+
+
 class WorkerState:
     """One incarnation of a worker, and the runs on it.
 
@@ -39,6 +50,9 @@
         'pending_acks',
         'unregistered_since_s',
         'cordon_reason',
+        'guarded_run',
+        'held_until_s',
+        'unresolved',
         'ended_at_s',
         'in_roster',
         'flush_done',
@@ -71,6 +85,13 @@
         self.unregistered_since_s = None
         # Why it gets no new runs; empty when it is not cordoned.
         self.cordon_reason = ''
+        # Run of a suspect, beside which no run is started; None without one.
+        self.guarded_run = None
+        # Until then it gets no runs, so that a suspect can be started there.
+        self.held_until_s = 0.0
+        # Runs that may have crashed it: (task, UnresolvedRun) by the name of
+        # the task and the number of the run.
+        self.unresolved = {}
         self.ended_at_s = None
         # Whether it is in the stored roster, so that a later owner would know
         # that it may hold runs.
@@ -221,6 +242,8 @@
         worker = run.worker
         if worker.runs.pop((run.name, run.number), None) is None:
             return
+        if worker.guarded_run is run:
+            worker.guarded_run = None
         self._busy_count -= not worker.runs
         self._update_usage(run, -1)
         if run.task is None:
--- /dev/null
+++ b/arbutusrock/engine/guarded_starts.py
@@ -0,0 +1,133 @@
+"""Starts tasks that may crash their worker, each apart from other tasks."""
+
+from arbutusrock.engine import job_state
+from arbutusrock import logs
+from arbutusrock.scheduling import crash_attribution
+from arbutusrock.scheduling import isolation
+from arbutusrock.utils import clocks
+
+__all__ = ['GuardedStarter', 'is_available', 'is_suspect']
+
+# A worker that is held for a suspect gets no other runs for this time.
+HOLD_S = 1.0
+LOG = logs.get_log('crashes')
+
+
+def is_suspect(task):
+    """Return whether a task must be started apart from others.
+
+    That is so after a crash that it may have caused, and while it is not
+    known whether the worker of an earlier run has crashed.
+    """
+    progress = task.step.job.progress
+    if not (progress.crashes or progress.unresolved):
+        return False
+    return task.progress_key in progress.unresolved or (
+        crash_attribution.is_suspect(task.crashes)
+    )
+
+
+def is_likely(task):
+    """Return whether a task was the only suspect in a crash."""
+    return crash_attribution.count_sole_crashes(task.crashes) > 0
+
+
+def is_available(worker, now_s):
+    """Return whether runs may start on a worker beside those it has."""
+    return worker.guarded_run is None and worker.held_until_s <= now_s
+
+
+class GuardedStarter:
+    """Starts suspects where a crash costs least and tells who caused it.
+
+    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param crash_tracker:
+        :class:`arbutusrock.engine.crash_tracker.CrashTracker`.
+    """
+
+    def __init__(self, *, term, crash_tracker):
+        self.term = term
+        self.crash_tracker = crash_tracker
+
+    def choose_workers(self, step, tasks, workers, request):
+        """Return a worker for each task, or None if they have to wait.
+
+        Workers that it would take once they have fewer runs are held.
+
+        :param tasks: a suspect, or all tasks of a gang.
+        :param workers: workers of the pool that may get runs.
+        :param request: :class:`arbutusrock.scheduling.placement.
+            PlacementRequest` of the tasks.
+        """
+        now_s = clocks.now_s()
+        if not (
+            self.crash_tracker.is_durable(tasks[0])
+            and self.term.is_confirmed_at(now_s)
+            and self._fits_account(step, tasks[0])
+        ):
+            return None
+        choice = isolation.choose_isolated_workers(
+            [
+                self._describe_worker(worker)
+                for worker in workers
+                if worker.guarded_run is None
+            ],
+            request,
+            len(tasks),
+            waited_s=now_s - tasks[0].queued_at_s,
+        )
+        for worker in choice.hold:
+            worker.held_until_s = now_s + HOLD_S
+        return choice.workers
+
+    def reserve(self, run):
+        """Reserve the worker of a run for it.
+
+        :returns: awaitable that is done when the order may be sent.
+        """
+        run.state = job_state.RunState.RESERVED
+        run.worker.guarded_run = run
+        run.worker.held_until_s = 0.0
+        return self.crash_tracker.record_start(run)
+
+    @staticmethod
+    def _describe_worker(worker):
+        return isolation.IsolationCandidate(
+            worker=worker,
+            runs=len(worker.runs),
+            settled=all(
+                run.state is job_state.RunState.STOPPING
+                or (
+                    run.confirmed_at_s is not None
+                    and crash_attribution.is_settled(
+                        worker.clock_read_at_s - run.confirmed_at_s
+                    )
+                    and not (run.task and run.task.crashes)
+                )
+                for run in worker.runs.values()
+            ),
+        )
+
+    def _fits_account(self, step, task):
+        """Return whether the account may risk one more worker of the pool."""
+        job = step.job
+        pool_workers = [
+            worker
+            for worker in self.term.fleet.find_pool_workers(
+                job.submission.pool
+            )
+            if not worker.ended
+        ]
+        guarded = [
+            worker.guarded_run
+            for worker in pool_workers
+            if worker.guarded_run is not None
+            and worker.guarded_run.account == job.submission.account
+        ]
+        return isolation.may_risk_worker(
+            workers=len(pool_workers),
+            guarded=[
+                run.task is not None and is_likely(run.task) for run in guarded
+            ],
+            likely=is_likely(task),
+        )
--- a/arbutusrock/engine/job_registry.py
+++ b/arbutusrock/engine/job_registry.py
@@ -158,7 +158,12 @@
         bits.extend(bytes(max(0, byte + 1 - len(bits))))
         bits[byte] |= 1 << bit
         job.progress.done[step.key] = bytes(bits)
-        self._remove_checkpoint(job, task)
+        for entries in (
+            job.progress.checkpoints,
+            job.progress.crashes,
+            job.progress.unresolved,
+        ):
+            entries.pop(task.progress_key, None)
         self.dirty_jobs[job.job_id] = job
         if not step.done:
             return False
@@ -167,10 +172,6 @@
         self._unblock_steps(step.occurrence, now_s)
         return False
 
-    @staticmethod
-    def _remove_checkpoint(job, task):
-        job.progress.checkpoints.pop(task.progress_key, None)
-
     def _finish_occurrence(self, occurrence, wall_s):
         job = occurrence.job
         prefix = f'{occurrence.number}.'
@@ -200,9 +201,14 @@
             self.dirty_jobs[job.job_id] = job
         if len(task.failed_runs) < max_attempts or job.ended:
             return False
-        self._end_job(job, plans.JobStatus.FAILED, wall_s)
+        self.fail(job, wall_s)
         return True
 
+    def fail(self, job, wall_s):
+        """Record that a job has failed; an ended job stays unchanged."""
+        if not job.ended:
+            self._end_job(job, plans.JobStatus.FAILED, wall_s)
+
     def record_checkpoint(self, task, checkpoint):
         """Record where the next run can resume; a gang shares checkpoints."""
         if not checkpoint or task.status is job_state.TaskStatus.DONE:
--- a/arbutusrock/engine/job_state.py
+++ b/arbutusrock/engine/job_state.py
@@ -34,6 +34,8 @@
     """What the owner knows about a run."""
 
     ORDERED = 'ordered'
+    # The start order is sent once the record of it is durable.
+    RESERVED = 'reserved'
     # The start order was not answered; it may still be carried out.
     IN_DOUBT = 'in doubt'
     RUNNING = 'running'
@@ -124,6 +126,7 @@
         'starts',
         'failed_runs',
         'deprioritized_vms',
+        'crashes_durable_at_flush',
         'checkpoint',
         'queued_at_s',
         'run_duration_s',
@@ -146,6 +149,8 @@
         self.failed_runs = set()
         # VMs on which a run of it failed or made no progress.
         self.deprioritized_vms = set()
+        # Number of the flush that makes the crashes under it durable.
+        self.crashes_durable_at_flush = 0
         self.checkpoint = ''
         self.queued_at_s = None
         # Duration of the run that completed the task, and its VM.
@@ -157,6 +162,17 @@
         """Key of the task in the progress row of its job."""
         return f'{self.step.key}.{self.index}'
 
+    @property
+    def unit(self):
+        """The task with which its crashes are kept: the first of a gang."""
+        return self.step.tasks[0] if self.step.plan.gang else self
+
+    @property
+    def crashes(self):
+        """Each :class:`crash_attribution.CrashRecord` of its unit."""
+        crashes = self.step.job.progress.crashes
+        return crashes.get(self.unit.progress_key, ()) if crashes else ()
+
 
 class Step:
     """One step of one occurrence of a job."""
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -74,7 +74,10 @@
             term=term, client=adapter.advice_client, spawn=self.spawn
         )
         self.dispatcher = dispatcher.Dispatcher(
-            term=term, links=self.links, ticket_cache=self.ticket_cache
+            term=term,
+            links=self.links,
+            ticket_cache=self.ticket_cache,
+            crash_tracker=self.run_controller.crash_tracker,
         )
         self.evacuation = evacuation.EvacuationController(
             term=term, run_controller=self.run_controller
--- a/arbutusrock/engine/plans.py
+++ b/arbutusrock/engine/plans.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from arbutusrock.scheduling import crash_attribution
 from arbutusrock.scheduling import Resources
 
 __all__ = [
@@ -108,6 +109,10 @@
     :param done: bitmap of the done tasks by "occurrence.step".
     :param failed_runs: numbers of the failed runs by "occurrence.step.index".
     :param checkpoints: checkpoint to resume from by "occurrence.step.index".
+    :param crashes: crashes of workers by "occurrence.step.index" of the task
+        that had a run there; those of a gang are kept with its first task.
+    :param unresolved: runs by "occurrence.step.index" whose worker may have
+        crashed.
     :param finished: numbers of the occurrences whose tasks are all done.
     :param ended_ms: Unix time at which the job ended; 0 before.
     """
@@ -116,6 +121,8 @@
     done: dict[str, bytes] = {}
     failed_runs: dict[str, list[int]] = {}
     checkpoints: dict[str, str] = {}
+    crashes: dict[str, list[crash_attribution.CrashRecord]] = {}
+    unresolved: dict[str, list[crash_attribution.UnresolvedRun]] = {}
     finished: list[int] = []
     ended_ms: float = 0.0
 
--- a/arbutusrock/engine/registration_controller.py
+++ b/arbutusrock/engine/registration_controller.py
@@ -67,6 +67,7 @@
             if entry is not None:
                 self._add(entry, inherited_leases_end_at_s=until_s)
         self._add_unregistered(roster, until_s)
+        self.run_controller.crash_tracker.restore()
         return version
 
     def _add_unregistered(self, roster, until_s):
@@ -106,8 +107,10 @@
                 vm=entry.vm,
                 draining=entry.draining,
             )
+        self.run_controller.crash_tracker.resolve_vm(entry)
         self.term.request_flush()
         self.connect(worker)
+        return worker
 
     async def run(self, version):
         """Apply changes until the ownership ends."""
@@ -143,14 +146,17 @@
             # Added from the roster, without an address, and now registered:
             # runs of an earlier owner may still be there.
             del self.term.fleet.workers[entry.worker_id]
-            self._add(
+            successor = self._add(
                 entry,
                 inherited_leases_end_at_s=worker.inherited_leases_end_at_s,
             )
+            self.run_controller.crash_tracker.replace_worker(worker, successor)
             return
         if worker is not None and not worker.ended:
             if entry.born_ms > worker.entry.born_ms > 0:
-                self.run_controller.end_incarnation(worker, 'it was restarted')
+                self.run_controller.end_incarnation(
+                    worker, fleet_module.IncarnationEnd.RESTARTED
+                )
             else:
                 self._update(worker, entry)
                 return
@@ -192,7 +198,7 @@
                 and worker.entry.born_ms < entry.born_ms
             ):
                 self.run_controller.end_incarnation(
-                    worker, 'its VM runs another worker'
+                    worker, fleet_module.IncarnationEnd.REPLACED
                 )
 
     def _record_unregistered(self, worker_id):
@@ -227,5 +233,5 @@
             and now_s - unregistered_since_s > UNREGISTERED_GRACE_S
         ):
             self.run_controller.end_incarnation(
-                worker, 'it is no longer registered'
+                worker, fleet_module.IncarnationEnd.UNREGISTERED
             )
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -4,6 +4,8 @@
 tasks again whose runs were lost, and stops runs that are not to go on.
 """
 
+from arbutusrock.engine import crash_tracker
+from arbutusrock.engine import fleet
 from arbutusrock.engine import job_state
 from arbutusrock.engine import plans
 from arbutusrock.engine import platform_messages
@@ -35,6 +37,9 @@
     def __init__(self, *, term, state_writer):
         self.term = term
         self.state_writer = state_writer
+        self.crash_tracker = crash_tracker.CrashTracker(
+            term=term, state_writer=state_writer, on_give_up=self._give_up
+        )
         # WorkerLink by worker id, for stop orders. The owner of the
         # connections sets it.
         self.links = {}
@@ -43,12 +48,34 @@
         """Order a run to stop, unless it is being stopped already."""
         if run.state is job_state.RunState.STOPPING:
             return
+        if run.state is job_state.RunState.RESERVED:
+            # No order was sent.
+            self.release_reservation(run)
+            return
         run.state = job_state.RunState.STOPPING
         run.stop_reason = reason
         link = self.links.get(run.worker.worker_id)
         if link is not None:
             link.send_stop(run)
 
+    def release_reservation(self, run):
+        """Remove a run whose start order was not sent."""
+        self.crash_tracker.drop_run(run)
+        self._remove_and_requeue(run)
+
+    def _give_up(self, task):
+        """Fail the job of a task that crashes the workers that start it."""
+        job = task.step.job
+        LOG.info(
+            'a job has failed: a task of it crashes workers',
+            job=job.job_id,
+            task=task.name,
+            crashes=len(task.crashes),
+            runs=[crash.run for crash in task.crashes],
+        )
+        self.term.job_registry.fail(job, clocks.wall_time_s())
+        self.stop_job(job, 'the job has failed')
+
     def stop_job(self, job, reason):
         """Stop all runs of a job that has ended."""
         for task in job.iterate_tasks():
@@ -85,7 +112,9 @@
                 self._log_failed_start(run, outcome)
                 return
             case platform_messages.OrderOutcome.GONE:
-                self.end_incarnation(worker, 'another incarnation answers')
+                self.end_incarnation(
+                    worker, fleet.IncarnationEnd.ADDRESS_TAKEN
+                )
                 return
             case platform_messages.OrderOutcome.UNREACHABLE:
                 worker.unresponsive = True
@@ -100,6 +129,7 @@
             ):
                 self._record_failed_attempt(run.task, run)
         self._log_failed_start(run, outcome)
+        self.crash_tracker.drop_run(run)
         self._remove_and_requeue(run)
 
     @staticmethod
@@ -140,8 +170,11 @@
         for item in step.tasks:
             self.term.job_registry.requeue(item, clocks.now_s())
 
-    def end_incarnation(self, worker, reason):
-        """Record that a worker's incarnation and all its runs have ended."""
+    def end_incarnation(self, worker, cause):
+        """Record that a worker's incarnation and all its runs have ended.
+
+        :param cause: :class:`fleet.IncarnationEnd`.
+        """
         if worker.ended:
             return
         worker.ended_at_s = clocks.now_s()
@@ -149,10 +182,11 @@
             'a worker incarnation has ended',
             worker=worker.worker_id,
             vm=worker.vm,
-            reason=reason,
+            reason=cause.value,
             runs=len(worker.runs),
             tasks=_describe_runs(worker),
         )
+        self.crash_tracker.record_end(worker, cause)
         self._requeue_runs(worker)
         self.term.request_dispatch()
         self.term.request_flush()
@@ -172,6 +206,7 @@
             runs=len(worker.runs),
             tasks=_describe_runs(worker),
         )
+        self.crash_tracker.record_silence(worker)
         self._requeue_runs(worker)
 
     def _requeue_runs(self, worker):
@@ -187,7 +222,7 @@
         now_s = clocks.now_s()
         born_ms = worker.entry.born_ms
         if born_ms and reply.born_ms and reply.born_ms != born_ms:
-            self.end_incarnation(worker, 'it was restarted')
+            self.end_incarnation(worker, fleet.IncarnationEnd.RESTARTED)
             return
         worker.record_clock(reply.clock_ms, now_s)
         worker.last_reply_at_s = now_s
@@ -206,6 +241,7 @@
             self._handle_run_report(worker, report, now_s)
         if len(reply.ended) < COMPLETIONS_PER_PAGE:
             self._handle_missing_runs(worker, reported, sent_at_s)
+        self.crash_tracker.record_answer(worker)
 
     def _has_unloaded_job(self, reply, now_s):
         """Return whether a reported run belongs to a job not loaded yet.
@@ -361,6 +397,7 @@
             run.checkpoint = report.checkpoint
         if report.percent >= 100 and run.ready_at_s is None:
             run.ready_at_s = now_s
+        self.crash_tracker.record_progress(run)
 
     def _adopt_or_stop(self, worker, report, now_s):
         """Adopt a run that an earlier owner started, or stop an unwanted one.
--- a/arbutusrock/engine/state_writer.py
+++ b/arbutusrock/engine/state_writer.py
@@ -108,8 +108,11 @@
 
     async def wait_until_durable(self):
         """Wait until all current changes are durable."""
-        flush = self.get_next_flush_number()
         self.term.request_flush()
+        await self.wait_for_flush(self.get_next_flush_number())
+
+    async def wait_for_flush(self, flush):
+        """Wait until the flush with a number has completed."""
         while self.flushes_completed < flush:
             self._flush_completed.clear()
             await self._flush_completed.wait()
--- a/arbutusrock/engine/vm_controller.py
+++ b/arbutusrock/engine/vm_controller.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from arbutusrock.engine import fleet
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine import term as term_module
 from arbutusrock.engine import vm_registry
@@ -231,7 +232,7 @@
         tracked.order = order
         tracked.was_used = True
         if worker is not None:
-            worker.cordon_reason = 'order'
+            worker.cordon_reason = vm_views.CORDON_ORDER
         self.spawn(self._execute_order(tracked, worker, order, wave, record))
 
     async def _execute_order(self, tracked, worker, order, wave, record):
@@ -286,7 +287,7 @@
             order.confirmed_at_s = clocks.now_s()
             if worker is not None:
                 self.run_controller.end_incarnation(
-                    worker, 'its VM was moved or sent to maintenance'
+                    worker, fleet.IncarnationEnd.MOVED
                 )
             return
         tracked.order = None
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -13,6 +13,7 @@
 from arbutusrock.utils import clocks
 
 __all__ = [
+    'CORDON_ORDER',
     'CORDON_SHRINK',
     'compute_pool_loads',
     'create_loaded_vms',
@@ -24,6 +25,8 @@
 
 # Cordon reason of workers whose VM is evacuated to move to another pool.
 CORDON_SHRINK = 'shrink'
+# Cordon reason of workers whose VM has an order that is under way.
+CORDON_ORDER = 'order'
 # Time from the end of a VM's move until its worker has registered and answered
 # the owner.
 REGISTRATION_DELAY_S = 0.3
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -6,6 +6,8 @@
 
 import asyncio
 
+from arbutusrock.engine import fleet
+from arbutusrock.engine import job_state
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine import term as term_module
 from arbutusrock import logs
@@ -28,6 +30,10 @@
 RENEWAL_SPACING_S = 0.001
 # Delay before an order or renewal that was not answered is sent again.
 RETRY_DELAY_S = 0.25
+# Poll time while a suspect starts, beside which no other task may start.
+GUARDED_POLL_WAIT_S = 0.1
+# How long a worker is reserved for a run before its order must be sent.
+RESERVATION_TIMEOUT_S = 1.0
 # Interval of renewals while the store does not make received completions
 # durable. The worker repeats these, and adds later ones.
 UNACKED_POLL_INTERVAL_S = 0.3
@@ -126,7 +132,7 @@
                 raise term_module.OwnershipLost(worker.worker_id)
             case platform_messages.OrderOutcome.GONE:
                 self.run_controller.end_incarnation(
-                    worker, 'another incarnation answers'
+                    worker, fleet.IncarnationEnd.ADDRESS_TAKEN
                 )
             case _:
                 self._handle_failed_renewal(reply)
@@ -134,6 +140,8 @@
 
     def _choose_poll_wait_s(self):
         """Return how long the worker may hold back its reply to a renewal."""
+        if self.worker.guarded_run is not None:
+            return GUARDED_POLL_WAIT_S
         starting = any(
             run.ready_at_s is None
             and run.task is not None
@@ -151,6 +159,7 @@
                 outcome=reply.outcome.value,
                 runs=len(worker.runs),
             )
+            self.run_controller.crash_tracker.record_silence(worker)
         worker.unresponsive = True
         if worker.is_lease_expired(clocks.now_s()):
             self.run_controller.handle_lease_expiry(worker)
@@ -171,7 +180,55 @@
 
     def send_start(self, run, *, spec, ticket=''):
         """Order the worker to start a run that was added to it."""
-        order = platform_messages.RunOrder(
+        self.spawn(self._start(run, self._create_order(run, spec, ticket)))
+
+    def send_reserved_start(self, run, *, spec, ticket, until_durable):
+        """Order the start of a reserved run once its record is durable.
+
+        If that takes too long, the run is removed without an order.
+
+        :param until_durable: awaitable that is done then.
+        """
+        self.spawn(self._start_reserved(run, spec, ticket, until_durable))
+
+    async def _start_reserved(self, run, spec, ticket, until_durable):
+        try:
+            async with asyncio.timeout(RESERVATION_TIMEOUT_S):
+                await until_durable
+        except TimeoutError:
+            # The store is slow or unreachable; the task waits without a
+            # worker until it is back.
+            LOG.info(
+                'a start order was not sent, as its record is not durable',
+                task=run.name,
+                run=run.number,
+            )
+        else:
+            if self._may_start_reserved(run):
+                run.state = job_state.RunState.ORDERED
+                run.ordered_at_s = clocks.now_s()
+                order = self._create_order(run, spec, ticket)
+                await self._start(run, order)
+                return
+        if self._is_reserved(run):
+            self.run_controller.release_reservation(run)
+
+    def _is_reserved(self, run):
+        return (
+            self.worker.runs.get((run.name, run.number)) is run
+            and run.state is job_state.RunState.RESERVED
+        )
+
+    def _may_start_reserved(self, run):
+        return (
+            self._is_reserved(run)
+            and self.worker.in_service
+            and not self.term.holds_orders
+            and not self.term.stopping
+        )
+
+    def _create_order(self, run, spec, ticket):
+        return platform_messages.RunOrder(
             task=run.name,
             run=run.number,
             spec=spec,
@@ -180,7 +237,6 @@
             checkpoint=run.task.checkpoint,
             ticket=ticket,
         )
-        self.spawn(self._start(run, order))
 
     async def _start(self, run, order):
         reply = await self.client.start_run(order)
@@ -208,7 +264,7 @@
                     raise term_module.OwnershipLost(worker.worker_id)
                 case platform_messages.OrderOutcome.GONE:
                     self.run_controller.end_incarnation(
-                        worker, 'another incarnation answers'
+                        worker, fleet.IncarnationEnd.ADDRESS_TAKEN
                     )
                 case _:
                     await asyncio.sleep(RETRY_DELAY_S)
--- /dev/null
+++ b/arbutusrock/scheduling/crash_attribution.py
@@ -0,0 +1,143 @@
+"""Which task made a worker crash, and when a task is given up for it.
+
+Load: a task crashes each worker that starts it, and all other runs there are
+lost with it. Nothing reports the cause. Tasks that are queued again together
+would crash the next worker together, with new neighbours.
+
+A crash follows the start of its cause, so runs that have been seen running
+for a while are not blamed, unless no other run was there. A suspect is
+started again where no other suspect is. A task is given up once it was the
+only suspect in several crashes; one that then runs for longer than before is
+cleared. So a task whose worker crashed for another reason is given up only if
+that happens to it again and again, each time within a moment of its start.
+"""
+
+import msgspec
+
+__all__ = [
+    'CrashRecord',
+    'CrashedRun',
+    'UnresolvedRun',
+    'attribute_crash',
+    'count_sole_crashes',
+    'is_cleared',
+    'is_settled',
+    'is_suspect',
+    'should_give_up',
+]
+
+# A run that was seen running this long after its start is not the first to be
+# blamed for a crash of its worker.
+SETTLED_S = 0.15
+# A run that was seen running for this long is never blamed.
+MAX_SUSPECT_AGE_S = 10.0
+# Crashes in which a task was the only suspect, after which it is given up.
+MAX_SOLE_CRASHES = 2
+# Crashes in which a task was one of several suspects, after which it is given
+# up too. A task may be started twice after three crashes, and one crash may
+# have been missed at a change of the owner.
+MAX_SUSPECTED_CRASHES = 4
+
+
+class CrashRecord(msgspec.Struct, kw_only=True, frozen=True):
+    """A crash of a worker that had a run of a task.
+
+    :param run: number of the run.
+    :param survived_s: how long the run had been seen running.
+    :param suspect: whether the run is one of those that are to blame first.
+    :param sole: whether it is the only one of these.
+    """
+
+    run: int
+    survived_s: float = 0.0
+    suspect: bool = False
+    sole: bool = False
+
+
+class UnresolvedRun(msgspec.Struct, kw_only=True, frozen=True):
+    """A run of a suspect on a worker that may crash, or may have crashed.
+
+    :param run: number of the run.
+    :param worker_id: its worker.
+    :param born_ms: start of the worker's incarnation (Unix time); 0 when not
+        known.
+    :param vm: VM of the worker.
+    :param survived_s: how long the run had been seen running.
+    :param sole: whether it was the only suspect there.
+    """
+
+    run: int
+    worker_id: str
+    born_ms: int = 0
+    vm: str = ''
+    survived_s: float = 0.0
+    sole: bool = False
+
+
+class CrashedRun:
+    """A run on a worker when it crashed.
+
+    :param number: number of the run.
+    :param unit: what is given up as a whole: a task, or all tasks of a gang.
+    :param survived_s: how long the run had been seen running.
+    :param crashes: :class:`CrashRecord` of each earlier crash under the unit.
+    """
+
+    __slots__ = ('number', 'unit', 'survived_s', 'crashes')
+
+    def __init__(self, *, number, unit, survived_s, crashes=()):
+        self.number = number
+        self.unit = unit
+        self.survived_s = survived_s
+        self.crashes = crashes
+
+
+def attribute_crash(runs):
+    """Return the :class:`CrashRecord` of each unit that may be the cause.
+
+    :param runs: :class:`CrashedRun` of each run that the worker had.
+    :returns: dict with the records by unit.
+    """
+    recent = [run for run in runs if run.survived_s < MAX_SUSPECT_AGE_S]
+    suspects = [
+        run for run in recent if run.crashes or not is_settled(run.survived_s)
+    ] or recent
+    units = {run.unit for run in suspects}
+    return {
+        run.unit: CrashRecord(
+            run=run.number,
+            survived_s=run.survived_s,
+            suspect=run.unit in units,
+            sole=units == {run.unit},
+        )
+        for run in recent
+    }
+
+
+def is_settled(survived_s):
+    """Return whether a run has been seen running for a while."""
+    return survived_s >= SETTLED_S
+
+
+def is_suspect(crashes):
+    """Return whether a task is to be started apart from other suspects."""
+    return any(crash.suspect for crash in crashes)
+
+
+def count_sole_crashes(crashes):
+    """Return in how many crashes a task was the only suspect."""
+    return sum(crash.sole for crash in crashes)
+
+
+def should_give_up(crashes):
+    """Return whether a task is not to be started again."""
+    return (
+        count_sole_crashes(crashes) >= MAX_SOLE_CRASHES
+        or sum(crash.suspect for crash in crashes) >= MAX_SUSPECTED_CRASHES
+    )
+
+
+def is_cleared(crashes, survived_s):
+    """Return whether a run has outlived all crashes under its task."""
+    longest_s = max((crash.survived_s for crash in crashes), default=0.0)
+    return survived_s >= longest_s + SETTLED_S
--- a/arbutusrock/scheduling/placement.py
+++ b/arbutusrock/scheduling/placement.py
@@ -11,6 +11,7 @@
     'PlacementRequest',
     'choose_gang_workers',
     'choose_worker',
+    'could_fit',
     'find_eligible_workers',
 ]
 
@@ -95,6 +96,18 @@
     )
 
 
+def could_fit(worker, request):
+    """Return whether a worker would fit a request if it had no runs."""
+    demand, capacity = request.demand, worker.entry.capacity
+    return (
+        capacity.cpu >= demand.cpu
+        and capacity.memory_mb >= demand.memory_mb
+        and capacity.accelerators >= demand.accelerators
+        and (not request.label or request.label in worker.entry.labels)
+        and (request.allowed is None or worker.worker_id in request.allowed)
+    )
+
+
 def _rank(worker, request):
     """Return the sort key of a fitting worker; the smallest is the best."""
     return (
--- /dev/null
+++ b/arbutusrock/scheduling/tests/test_crash_attribution.py
@@ -0,0 +1,68 @@
+"""Which runs are blamed for a crash, and when a task is given up."""
+
+from arbutusrock.scheduling import crash_attribution
+
+
+def create_run(unit, survived_s, crashes=()):
+    return crash_attribution.CrashedRun(
+        number=1, unit=unit, survived_s=survived_s, crashes=crashes
+    )
+
+
+def attribute(*runs):
+    """Return the units to blame first, and those that may be the cause."""
+    records = crash_attribution.attribute_crash(list(runs))
+    suspects = {unit for unit, record in records.items() if record.suspect}
+    return suspects, set(records)
+
+
+def test_newest_runs_are_blamed_before_their_neighbours():
+    suspects, known = attribute(
+        create_run('new', 0.0), create_run('old', 2.0), create_run('ages', 60)
+    )
+    assert suspects == {'new'}
+    assert known == {'new', 'old'}
+
+
+def test_run_that_lasts_is_never_blamed():
+    """A worker with one lasting task crashes from time to time."""
+    assert attribute(create_run('lasts', 3600.0)) == (set(), set())
+
+
+def test_settled_runs_are_blamed_when_no_other_was_there():
+    """The culprit crashes its worker some seconds after its start."""
+    crashes = []
+    for _ in range(crash_attribution.MAX_SUSPECTED_CRASHES):
+        records = crash_attribution.attribute_crash(
+            [create_run('slow', 1.5, crashes), create_run('other', 4.0)]
+        )
+        crashes.append(records['slow'])
+        if crash_attribution.should_give_up(crashes):
+            break
+    assert len(crashes) <= 3
+
+
+def test_several_suspects_are_no_sole_ones():
+    records = crash_attribution.attribute_crash(
+        [create_run('a', 0.0), create_run('b', 0.1)]
+    )
+    assert not any(record.sole for record in records.values())
+    crashes = [records['a']] * 3
+    assert not crash_attribution.should_give_up(crashes)
+    assert crash_attribution.should_give_up([*crashes, records['a']])
+
+
+def test_members_of_a_gang_are_one_suspect():
+    records = crash_attribution.attribute_crash(
+        [create_run('gang', 0.0), create_run('gang', 0.05)]
+    )
+    assert records['gang'].sole
+
+
+def test_task_is_cleared_by_a_longer_run():
+    record = crash_attribution.CrashRecord(
+        run=1, survived_s=0.4, suspect=True, sole=True
+    )
+    assert crash_attribution.is_suspect([record])
+    assert not crash_attribution.is_cleared([record], 0.5)
+    assert crash_attribution.is_cleared([record], 0.6)
--- /dev/null
+++ b/arbutusrock/scheduling/tests/test_isolation.py
@@ -0,0 +1,78 @@
+"""Where suspects are started when pools are idle, busy or full."""
+
+import types
+
+from arbutusrock.scheduling import isolation
+from arbutusrock.scheduling import placement
+from arbutusrock.scheduling import Resources
+
+
+def create_candidate(name, *, runs, free, settled=True):
+    """Return a worker of 8 cores with ``free`` of them left."""
+    worker = types.SimpleNamespace(
+        worker_id=name,
+        vm=name,
+        free_millicores=free * 1000,
+        free_memory_mb=1000,
+        free_accelerators=0,
+        entry=types.SimpleNamespace(
+            labels=(),
+            rack='',
+            capacity=Resources(cpu=8000, memory_mb=1000),
+        ),
+    )
+    return isolation.IsolationCandidate(
+        worker=worker, runs=runs, settled=settled
+    )
+
+
+REQUEST = placement.PlacementRequest(demand=Resources(cpu=2000))
+
+
+def choose(candidates, waited_s):
+    """Return the names of the chosen workers and of those to hold."""
+    choice = isolation.choose_isolated_workers(
+        candidates, REQUEST, 1, waited_s=waited_s
+    )
+    chosen = choice.workers and [item.vm for item in choice.workers]
+    return chosen, [item.vm for item in choice.hold]
+
+
+def test_empty_worker_is_taken_at_once():
+    candidates = [
+        create_candidate('busy', runs=1, free=3),
+        create_candidate('empty', runs=0, free=8),
+    ]
+    assert choose(candidates, 0.0) == (['empty'], [])
+
+
+def test_suspect_waits_for_an_empty_worker_first():
+    candidates = [create_candidate('busy', runs=1, free=7)]
+    assert choose(candidates, 0.1) == (None, [])
+    assert choose(candidates, 2.0) == (['busy'], [])
+
+
+def test_suspect_is_not_starved_while_tasks_keep_starting():
+    """Each worker always has a task that has just been started."""
+    candidates = [
+        create_candidate('a', runs=3, free=4, settled=False),
+        create_candidate('b', runs=2, free=0, settled=False),
+    ]
+    assert choose(candidates, 2.0) == (None, ['b'])
+
+
+def test_account_does_not_take_a_whole_pool_down():
+    def may_risk(guarded, likely=False):
+        return isolation.may_risk_worker(
+            workers=8, guarded=guarded, likely=likely
+        )
+
+    assert may_risk([False])
+    assert not may_risk([False, False])
+
+
+def test_likely_culprits_do_not_hold_up_other_suspects():
+    assert isolation.may_risk_worker(workers=2, guarded=[True], likely=False)
+    assert not isolation.may_risk_worker(
+        workers=20, guarded=[True], likely=True
+    )
--- a/examples/standins/site/faults.py
+++ b/examples/standins/site/faults.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-__all__ = ['ServiceFaults']
+__all__ = ['ServiceFaults', 'drop_connection']
 
 # An unresponsive service holds calls for longer than any client waits.
 HANG_S = 30.0
@@ -55,15 +55,17 @@
             task = asyncio.ensure_future(self._run_late(request, handler))
             self._delayed_tasks.add(task)
             task.add_done_callback(self._delayed_tasks.discard)
-            return self._drop(request)
+            return drop_connection(request)
         response = await handler(request)
-        return self._drop(request) if self.lose_answers else response
+        return drop_connection(request) if self.lose_answers else response
 
     async def _run_late(self, request, handler):
         await asyncio.sleep(self.execution_delay_s)
         await handler(request)
 
-    @staticmethod
-    def _drop(request):
+
+def drop_connection(request):
+    """Break the connection of a call off, so that it gets no answer."""
+    if request.transport is not None:
         request.transport.abort()
-        return web.Response()
+    return web.Response()
--- a/examples/standins/site/workers.py
+++ b/examples/standins/site/workers.py
@@ -90,6 +90,8 @@
         self.pace_percents = {}
         # Whether all runs fail.
         self.failing = False
+        # Whether the process was killed.
+        self.aborted = False
         self._timers = {}
         self._changed = asyncio.Condition()
 
@@ -109,6 +111,8 @@
         if request.headers['Arbutusrock-Expected-Instance'] != self.worker_id:
             return web.Response(status=421)
         body = await request.json()
+        if self.aborted:
+            return faults.drop_connection(request)
         try:
             self._check_fencing_token(body.get('fenceToken', 0))
             request[BODY_KEY] = body
@@ -276,6 +280,7 @@
 
     def abort_runs(self):
         """End all runs without a completion, as when the process is killed."""
+        self.aborted = True
         for timer in self._timers.values():
             timer.cancel()
         for run_record in self.running.values():
--- a/tests/test_site_crashes.py
+++ b/tests/test_site_crashes.py
@@ -143,7 +143,9 @@
         )
         worker = next(item for item in site.workers.values() if item.running)
         worker.faults.unresponsive = True
-        await wait_until(lambda: not worker.running, what='the lease lapses')
+        await wait_until(
+            lambda worker=worker: not worker.running, what='the lease lapses'
+        )
         worker.faults.clear()
     await wait_state(site, 'completed')
 
