Follow the capacity of workers that shrinks and grows

By reading, a worker that shrank to nothing was started on (LIMIT): its entry was taken for an invalid one, so the last capacity stayed. While the store is silent the shrinking was not seen at all, and pools counted shrunk VMs as whole ones.

A capacity of zero is valid now. A reserved start is dropped when the worker has shrunk meanwhile. VMs below half of the usual size do not count for their pool.

--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -35,6 +35,9 @@
     __slots__ = (
         'entry',
         'runs',
+        'entry_read_at_s',
+        'listed_capacity',
+        'listed_at_s',
         'used_millicores',
         'used_memory_mb',
         'used_accelerators',
@@ -61,6 +64,10 @@
     def __init__(self, *, entry, now_s, inherited_leases_end_at_s=0.0):
         self.entry = entry
         self.runs = {}
+        self.entry_read_at_s = now_s
+        # Capacity in the list of VMs, and when that list was requested.
+        self.listed_capacity = None
+        self.listed_at_s = now_s
         self.used_millicores = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
@@ -114,20 +121,36 @@
         """VM that it runs on; its own id when the VM is not known."""
         return self.entry.vm or self.entry.worker_id
 
+    @property
+    def capacity(self):
+        """Capacity for runs.
+
+        Where the list of VMs is newer than the registration, as while the
+        store is unreachable, the smaller one counts.
+        """
+        registered, listed = self.entry.capacity, self.listed_capacity
+        if listed is None or self.listed_at_s <= self.entry_read_at_s:
+            return registered
+        return Resources(
+            cpu=min(registered.cpu, listed.cpu),
+            memory_mb=min(registered.memory_mb, listed.memory_mb),
+            accelerators=min(registered.accelerators, listed.accelerators),
+        )
+
     @property
     def free_millicores(self):
         """Free capacity in millicores."""
-        return self.entry.capacity.cpu - self.used_millicores
+        return self.capacity.cpu - self.used_millicores
 
     @property
     def free_memory_mb(self):
         """Free memory in megabytes."""
-        return self.entry.capacity.memory_mb - self.used_memory_mb
+        return self.capacity.memory_mb - self.used_memory_mb
 
     @property
     def free_accelerators(self):
         """Number of free accelerators."""
-        return self.entry.capacity.accelerators - self.used_accelerators
+        return self.capacity.accelerators - self.used_accelerators
 
     @property
     def in_service(self):
--- a/arbutusrock/engine/registration_controller.py
+++ b/arbutusrock/engine/registration_controller.py
@@ -6,6 +6,8 @@
 
 import asyncio
 
+import msgspec
+
 from arbutusrock.engine import feeds
 from arbutusrock.engine import fleet as fleet_module
 from arbutusrock.engine import platform_messages
@@ -182,9 +184,20 @@
         if worker.unregistered_since_s is not None:
             LOG.info('a worker is registered again', worker=entry.worker_id)
         worker.unregistered_since_s = None
-        changed = entry.draining != worker.entry.draining
+        resized = entry.capacity != worker.entry.capacity
+        if resized:
+            LOG.info(
+                'the capacity of a worker has changed',
+                worker=entry.worker_id,
+                vm=entry.vm,
+                before=msgspec.structs.astuple(worker.entry.capacity),
+                after=msgspec.structs.astuple(entry.capacity),
+                used_millicores=worker.used_millicores,
+            )
+        drains = entry.draining != worker.entry.draining
         worker.entry = entry
-        if changed:
+        worker.entry_read_at_s = clocks.now_s()
+        if drains or resized:
             self.term.request_dispatch()
 
     def _end_earlier_incarnation(self, entry):
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -507,7 +507,7 @@
 def _find_demand(job, parts, worker):
     """Return the resources of a run: the whole worker for an unknown job."""
     if job is None:
-        return worker.entry.capacity
+        return worker.capacity
     steps = job.plan.steps
     step = (
         steps[parts[2]] if parts[2] < len(steps) else plans.StepPlan(count=1)
--- a/arbutusrock/engine/status.py
+++ b/arbutusrock/engine/status.py
@@ -109,7 +109,7 @@
         pool=name,
         workers=len(workers),
         usable=sum(worker.usable for worker in workers),
-        cores=sum(item.entry.capacity.cpu for item in workers) / 1000,
+        cores=sum(item.capacity.cpu for item in workers) / 1000,
         cores_used=sum(item.used_millicores for item in workers) / 1000,
         runs=sum(len(item.runs) for item in workers),
         waiting_tasks=sum(len(step.waiting) for step in waiting.values()),
--- a/arbutusrock/engine/vm_controller.py
+++ b/arbutusrock/engine/vm_controller.py
@@ -102,6 +102,8 @@
             tracked.order or tracked.missing_since_s is not None
             for tracked in self.vm_registry.vms.values()
         )
+        # Without the store, only the list shows the capacity of workers.
+        busy = busy or not self.term.is_confirmed_at(now_s)
         early = now_s < self.term.began_at_s + 2 * MAX_LIST_AGE_S
         interval_s = BUSY_LIST_INTERVAL_S if busy or early else LIST_INTERVAL_S
         if (
@@ -115,6 +117,11 @@
         if self.vm_registry.listed_at_s is None:
             LOG.info('VMs are listed', vms=len(entries))
         self.vm_registry.update(entries, now_s, self._get_order_duration_s)
+        for entry in entries:
+            worker = self.term.fleet.workers.get(entry.worker_id)
+            if worker is not None and entry.capacity.cpu > 0:
+                worker.listed_capacity = entry.capacity
+                worker.listed_at_s = now_s
 
     def _get_order_duration_s(self, order):
         settings = self.term.settings
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -53,7 +53,7 @@
         pool = worker.entry.pool
         used[pool] = used.get(pool, 0) + worker.used_millicores
         if worker.usable:
-            capacity[pool] = capacity.get(pool, 0) + worker.entry.capacity.cpu
+            capacity[pool] = capacity.get(pool, 0) + worker.capacity.cpu
     return {
         pool: used[pool] / capacity[pool] if capacity.get(pool) else 1.0
         for pool in used
@@ -89,7 +89,7 @@
             id(run.task.step) for run in runs if _is_long_running(run)
         ],
         load=(
-            worker.used_millicores / max(1, worker.entry.capacity.cpu)
+            worker.used_millicores / max(1, worker.capacity.cpu)
             if worker
             else 0.0
         ),
@@ -182,7 +182,7 @@
         idle_s = now_s - tracked.empty_since_s
     return pool_sizing.VMView(
         vm=name,
-        millicores=worker.entry.capacity.cpu,
+        millicores=worker.capacity.cpu,
         movable=movable and worker.in_service and not worker.runs,
         idle_s=idle_s,
     )
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -223,6 +223,10 @@
         return (
             self._is_reserved(run)
             and self.worker.in_service
+            # The capacity may have shrunk since.
+            and self.worker.free_millicores >= 0
+            and self.worker.free_memory_mb >= 0
+            and self.worker.free_accelerators >= 0
             and not self.term.holds_orders
             and not self.term.stopping
         )
--- a/arbutusrock/platform/workers.py
+++ b/arbutusrock/platform/workers.py
@@ -100,7 +100,10 @@
     host, _, port = wire.address.rpartition(':')
     if wire.state not in {'ready', 'draining'} or not port.isdigit():
         return None
-    if not host or not wire.service or wire.capacity.cpu <= 0:
+    if not host or not wire.service:
+        return None
+    capacity = wire.capacity.to_resources()
+    if min(capacity.cpu, capacity.memory_mb, capacity.accelerators) < 0:
         return None
     return platform_messages.WorkerEntry(
         worker_id=worker_id,
@@ -108,7 +111,7 @@
         address=wire.address,
         data_centre=wire.zone,
         draining=wire.state == 'draining',
-        capacity=wire.capacity.to_resources(),
+        capacity=capacity,
         labels=wire.labels,
         vm=wire.machine,
         born_ms=wire.born,
--- a/arbutusrock/scheduling/placement.py
+++ b/arbutusrock/scheduling/placement.py
@@ -98,7 +98,7 @@
 
 def could_fit(worker, request):
     """Return whether a worker would fit a request if it had no runs."""
-    demand, capacity = request.demand, worker.entry.capacity
+    demand, capacity = request.demand, worker.capacity
     return (
         capacity.cpu >= demand.cpu
         and capacity.memory_mb >= demand.memory_mb
--- a/arbutusrock/scheduling/pool_sizing.py
+++ b/arbutusrock/scheduling/pool_sizing.py
@@ -215,7 +215,8 @@
         return PoolPlan()
     missing, surplus, busy_surplus = {}, [], {}
     for pool in sized:
-        excess = len(pool.vms) - compute_target_vms(pool, vm_millicores)
+        full_vms = _count_full_vms(pool, vm_millicores)
+        excess = full_vms - compute_target_vms(pool, vm_millicores)
         if excess < 0:
             missing[pool.name] = -excess
             continue
@@ -250,6 +251,11 @@
     return sizes[len(sizes) // 2] if sizes else 0
 
 
+def _count_full_vms(pool, vm_millicores):
+    """Return the number of VMs whose capacity has not shrunk by over half."""
+    return sum(vm.millicores * 2 >= vm_millicores for vm in pool.vms)
+
+
 def _fill_missing(missing, spare_vms, surplus):
     """Return moves of VMs to the pools that lack most.
 
--- a/arbutusrock/scheduling/tests/test_isolation.py
+++ b/arbutusrock/scheduling/tests/test_isolation.py
@@ -15,11 +15,8 @@
         free_millicores=free * 1000,
         free_memory_mb=1000,
         free_accelerators=0,
-        entry=types.SimpleNamespace(
-            labels=(),
-            rack='',
-            capacity=Resources(cpu=8000, memory_mb=1000),
-        ),
+        capacity=Resources(cpu=8000, memory_mb=1000),
+        entry=types.SimpleNamespace(labels=(), rack=''),
     )
     return isolation.IsolationCandidate(
         worker=worker, runs=runs, settled=settled
--- a/arbutusrock/scheduling/tests/test_pool_sizing.py
+++ b/arbutusrock/scheduling/tests/test_pool_sizing.py
@@ -128,3 +128,16 @@
         for move in pool_sizing.plan_moves(views, max_moves=12).moves
     ]
     assert targets.count('a') == targets.count('b') == 2
+
+
+def test_pool_is_short_of_capacity_when_its_vms_shrink():
+    """Workers report a fraction of their usual capacity for a while."""
+    views = [
+        create_pool('a', 4, needed_millicores=80 * MILLICORES_PER_CORE),
+        pool_sizing.PoolView(name='off', spare=True, vms=create_vms('off', 6)),
+    ]
+    assert not pool_sizing.plan_moves(views, max_moves=12).moves
+    for vm in views[0].vms[:2]:
+        vm.millicores = VM_MILLICORES // 8
+    moves = pool_sizing.plan_moves(views, max_moves=12).moves
+    assert [move.target for move in moves] == ['a', 'a']
--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -163,6 +163,7 @@
     def set_millicores(self, vm, millicores):
         """Change the capacity that the workers of a VM report."""
         self.millicores[vm] = millicores
+        self.vm_service.vms[vm]['capacity'] = self._get_capacity(vm)
         self.capacity_changes.append((time.monotonic(), vm, millicores))
 
     async def stop(self):
