Refuse or bound jobs that end the ownership of node after node

A job is read by each owner in turn, so one that stops an owner stops them all. Found by looking for the cause of the deadly tasks in our own processes; no caller was seen to suffer from it yet.

By reading: a progress row over the size of a row, or a batch of them over that of a transaction, was refused by the store and retried for ever, with the heartbeat behind it (test_large_progress_rows_stop_all_writes, test_job_with_many_due_occurrences_fills_the_memory, test_large_jobs_of_one_account_wait_for_each_other).

Figures have bounds, a job that does not fit a row is refused with 413 at once, an account holds 20,000 tasks in memory at a time, progress rows and batches fit the store's limits (platform.rowBytes is a setting now), and a job row that cannot be decoded is left out with a log line. A node whose ownership fails while it is stopped no longer hangs.

--- a/arbutusrock/engine/gateway.py
+++ b/arbutusrock/engine/gateway.py
@@ -42,13 +42,16 @@
     :param configuration: :class:`configuration_watcher.ConfigurationWatcher`.
     :param elector: :class:`ownership.OwnerElector`, which has the newest
         heartbeat of the owner.
+    :param max_row_bytes: size of the largest row that the store takes.
     """
 
-    def __init__(self, *, store, configuration, elector):
+    def __init__(self, *, store, configuration, elector, max_row_bytes):
         self.store = store
         self.configuration = configuration
         self.elector = elector
-        self.submitter = submitter.Submitter(store=store)
+        self.submitter = submitter.Submitter(
+            store=store, max_row_bytes=max_row_bytes
+        )
         # Final status by job, or None for a job that is only known to exist.
         self._status_cache = OrderedDict()
 
--- a/arbutusrock/engine/job_registry.py
+++ b/arbutusrock/engine/job_registry.py
@@ -5,6 +5,10 @@
 
 __all__ = ['JobRegistry']
 
+# Tasks of one account that are held in memory at once. Further occurrences
+# start when earlier ones have finished.
+MAX_OPEN_TASKS_PER_ACCOUNT = 20_000
+
 
 class JobRegistry:
     """Jobs in memory.
@@ -26,6 +30,8 @@
         self.dirty_jobs = {}
         # Jobs with occurrences that have not started.
         self._scheduled = {}
+        # Number of tasks of the started occurrences of open jobs, by account.
+        self._open_tasks = {}
 
     def add(
         self,
@@ -59,7 +65,7 @@
             while job.job_id in self._scheduled:
                 number = job.next_occurrence
                 due_unix_s = self._get_due_unix_s(job, number)
-                if due_unix_s > wall_s:
+                if due_unix_s > wall_s or not self._has_memory(job):
                     break
                 self._start_occurrence(job, number, due_unix_s, now_s)
 
@@ -70,6 +76,19 @@
         plan = job.plan
         return (plan.start_at_ms + number * plan.interval_ms) / 1000
 
+    def _has_memory(self, job):
+        account = job.submission.account
+        used = self._open_tasks.get(account, 0)
+        return not used or (
+            used + job.task_count <= MAX_OPEN_TASKS_PER_ACCOUNT
+        )
+
+    def _count_tasks(self, job, occurrences):
+        account = job.submission.account
+        self._open_tasks[account] = (
+            self._open_tasks.get(account, 0) + occurrences * job.task_count
+        )
+
     def _start_occurrence(self, job, number, due_unix_s, now_s):
         job.next_occurrence += 1
         if job.next_occurrence >= max(1, job.plan.times):
@@ -82,6 +101,7 @@
             due_unix_s=due_unix_s or job.accepted_unix_s,
         )
         job.occurrences[number] = occurrence
+        self._count_tasks(job, 1)
         for step in occurrence.steps:
             self._restore_step(step)
         self._unblock_steps(occurrence, now_s)
@@ -177,10 +197,16 @@
         prefix = f'{occurrence.number}.'
         progress = job.progress
         progress.finished.append(occurrence.number)
-        for entries in (progress.done, progress.failed_runs):
+        for entries in (
+            progress.done,
+            progress.failed_runs,
+            progress.crashes,
+            progress.unresolved,
+        ):
             for key in [key for key in entries if key.startswith(prefix)]:
                 del entries[key]
         del job.occurrences[occurrence.number]
+        self._count_tasks(job, -1)
         if len(progress.finished) < max(1, job.plan.times):
             return False
         self._end_job(job, plans.JobStatus.COMPLETED, wall_s)
@@ -232,6 +258,7 @@
         self.dirty_jobs[job.job_id] = job
         self._scheduled.pop(job.job_id, None)
         self.open_jobs.pop(job.job_id, None)
+        self._count_tasks(job, -len(job.occurrences))
         for task in job.iterate_tasks():
             self._remove_waiting(task)
 
--- a/arbutusrock/engine/job_state.py
+++ b/arbutusrock/engine/job_state.py
@@ -298,6 +298,11 @@
         """Whether it is completed, failed or cancelled; no run starts."""
         return self.progress.status in plans.JobStatus.ENDED
 
+    @property
+    def task_count(self):
+        """Number of tasks of one occurrence."""
+        return sum(step.count for step in self.plan.steps)
+
     def iterate_tasks(self):
         """Yield all tasks of the occurrences in progress."""
         for occurrence in self.occurrences.values():
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -5,6 +5,8 @@
 
 import asyncio
 
+import msgspec
+
 from arbutusrock.engine import dispatcher
 from arbutusrock.engine import evacuation
 from arbutusrock.engine import feeds
@@ -211,7 +213,23 @@
             or row.key in self.term.job_registry.archived_rows
         ):
             return
-        state = progress_rows.get(row.key)
+        try:
+            self._add_job(row, progress_rows.get(row.key), inherited)
+        except msgspec.DecodeError as exc:
+            # One such row must not end the ownership of each node in turn.
+            LOG.error(
+                'the row of a job cannot be decoded; it is not run',
+                job=row.key,
+                version=row.version,
+                error=str(exc),
+            )
+
+    def _add_job(self, row, state, inherited):
+        """Add the job of a row.
+
+        :param state: its row of progress, or None.
+        :raises msgspec.DecodeError: when one of the rows is not valid.
+        """
         if state is not None:
             self.state_writer.set_version(row.key, state.version)
             if plans.has_ended(state.value):
--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -57,6 +57,7 @@
             store=self.store,
             configuration=self.configuration,
             elector=self.elector,
+            max_row_bytes=settings.store_row_bytes,
         )
         self.stopping = False
         self.leader = None
@@ -92,6 +93,9 @@
                 await asyncio.sleep(FAULT_RETRY_DELAY_S)
             finally:
                 self.leader = None
+            if asyncio.current_task().cancelling():
+                # The error has replaced the cancellation.
+                return
 
     async def _run_leader(self, epoch, version, roster):
         term = term_module.Term(
--- a/arbutusrock/engine/node_settings.py
+++ b/arbutusrock/engine/node_settings.py
@@ -14,6 +14,7 @@
         balancer.
     :param metrics: ``host:port`` of metrics, status and calls between nodes.
     :param store: ``host:port`` of the store.
+    :param store_row_bytes: size of the largest row that the store takes.
     :param vm_service: ``host:port`` of the VM service, or empty where there is
         none.
     :param advice_service: ``host:port`` of the advice service, or empty where
@@ -34,6 +35,7 @@
     metrics: str
     cores: float = 1.0
     store: str
+    store_row_bytes: int = 65536
     vm_service: str = ''
     advice_service: str = ''
     grace_s: float = 6.0
--- a/arbutusrock/engine/plans.py
+++ b/arbutusrock/engine/plans.py
@@ -11,6 +11,7 @@
     'JobStatus',
     'StepPlan',
     'Submission',
+    'encode_progress',
     'decode_progress',
     'decode_submission',
     'encode_row',
@@ -145,6 +146,30 @@
     return _decode_status(data).ended_ms
 
 
+def encode_progress(progress, max_bytes):
+    """Encode a :class:`JobProgress` in at most ``max_bytes``.
+
+    A row that the store does not take would hold up all later writes. What a
+    later owner can do without is left out: checkpoints first, then the failed
+    runs of the tasks that have fewest.
+    """
+    data = encode_row(progress)
+    if len(data) <= max_bytes:
+        return data
+    progress = msgspec.structs.replace(progress, checkpoints={})
+    data = encode_row(progress)
+    failed_runs = sorted(
+        progress.failed_runs.items(), key=lambda item: -len(item[1])
+    )
+    while len(data) > max_bytes and failed_runs:
+        failed_runs = failed_runs[: len(failed_runs) // 2]
+        progress = msgspec.structs.replace(
+            progress, failed_runs=dict(failed_runs)
+        )
+        data = encode_row(progress)
+    return data
+
+
 encode_row = msgspec.msgpack.Encoder().encode
 decode_submission = msgspec.msgpack.Decoder(Submission).decode
 decode_progress = msgspec.msgpack.Decoder(JobProgress).decode
--- a/arbutusrock/engine/submitter.py
+++ b/arbutusrock/engine/submitter.py
@@ -11,6 +11,7 @@
 
 from arbutusrock.engine import plans
 from arbutusrock.engine import rows
+from arbutusrock import errors
 from arbutusrock import logs
 from arbutusrock.utils import clocks
 
@@ -21,6 +22,7 @@
 # Bounds of one transaction: the store takes 100 entries and 1 MB.
 MAX_BATCH_JOBS = 40
 MAX_BATCH_BYTES = 500_000
+DEFAULT_MAX_ROW_BYTES = 65536
 # A job is refused to its callers after this many refused transactions.
 MAX_ATTEMPTS = 3
 RETRY_DELAY_S = 0.03
@@ -82,9 +84,11 @@
     """Stores the jobs that callers submit to this node.
 
     :param store: client of the store.
+    :param max_row_bytes: size of the largest row that the store takes.
     """
 
-    def __init__(self, *, store):
+    def __init__(self, *, store, max_row_bytes=DEFAULT_MAX_ROW_BYTES):
+        self.max_row_bytes = max_row_bytes
         # Ids whose outcome was unknown: a later call with such an id may be
         # refused only by an unknown outcome again.
         self._unknown_ids = OrderedDict()
@@ -102,11 +106,17 @@
 
         :param deadline_at_s: when the caller gives up.
         :returns: :class:`StoreOutcome`.
+        :raises errors.BodyTooLarge: the job does not fit into one row.
         """
+        value = plans.encode_row(submission)
+        if len(value) > self.max_row_bytes:
+            raise errors.BodyTooLarge(
+                f'the job takes {len(value)} bytes, over {self.max_row_bytes}'
+            )
         writer = self._writers[rows.get_job_part(job_id)]
         outcome = await writer.submit(
             job_id,
-            submission,
+            value,
             deadline_at_s=deadline_at_s,
             in_doubt=self.may_be_stored(job_id),
         )
@@ -132,12 +142,12 @@
         self._pending = {}
         self._has_pending = asyncio.Event()
 
-    async def submit(self, job_id, submission, *, deadline_at_s, in_doubt):
+    async def submit(self, job_id, value, *, deadline_at_s, in_doubt):
         job = self._pending.get(job_id)
         if job is None:
             job = _PendingJob(
                 job_id=job_id,
-                value=plans.encode_row(submission),
+                value=value,
                 deadline_at_s=deadline_at_s,
                 in_doubt=in_doubt,
             )
--- /dev/null
+++ b/arbutusrock/engine/tests/test_job_registry.py
@@ -0,0 +1,45 @@
+"""Jobs with more occurrences or tasks than fit into memory."""
+
+import msgspec
+
+from arbutusrock.engine import job_registry
+from arbutusrock.engine import plans
+from arbutusrock.engine.tests import samples
+
+
+def add_job(registry, job_id, *, times, count):
+    submission = samples.create_submission()
+    plan = plans.JobPlan(
+        spec='',
+        steps=(plans.StepPlan(count=count),),
+        times=times,
+        start_at_ms=1.0,
+        interval_ms=0.001,
+    )
+    return registry.add(job_id, msgspec.structs.replace(submission, plan=plan))
+
+
+def test_job_with_many_due_occurrences_fills_the_memory():
+    """All its occurrences are overdue when the owner reads it."""
+    registry = job_registry.JobRegistry()
+    job = add_job(registry, '1' * 16, times=10_000, count=50)
+    registry.start_due_occurrences(1e9, 0.0)
+    assert len(job.occurrences) == 400
+    step = job.occurrences[0].steps[0]
+    for task in step.tasks:
+        registry.mark_done(task, 0.0, 0.0)
+    registry.start_due_occurrences(1e9, 0.0)
+    assert len(job.occurrences) == 400
+    assert job.next_occurrence == 401
+
+
+def test_large_jobs_of_one_account_wait_for_each_other():
+    registry = job_registry.JobRegistry()
+    first = add_job(registry, '1' * 16, times=0, count=20_000)
+    second = add_job(registry, '2' * 16, times=0, count=20_000)
+    registry.start_due_occurrences(1e9, 0.0)
+    assert first.occurrences
+    assert not second.occurrences
+    registry.cancel(first, 0.0)
+    registry.start_due_occurrences(1e9, 0.0)
+    assert second.occurrences
--- a/arbutusrock/engine/tests/test_state_writer.py
+++ b/arbutusrock/engine/tests/test_state_writer.py
@@ -18,6 +18,8 @@
 
     def __init__(self):
         self.written_keys = []
+        self.row_bytes = []
+        self.transaction_bytes = []
         self.conflict = None
 
     async def transact(self, *, expected, puts):
@@ -25,6 +27,9 @@
         if self.conflict is not None:
             raise rows.Conflicted(self.conflict)
         self.written_keys.append([row.key for row in puts])
+        sizes = [len(row.value) for row in puts]
+        self.row_bytes += sizes
+        self.transaction_bytes.append(sum(sizes))
         return len(self.written_keys)
 
 
@@ -162,3 +167,19 @@
     assert max(entries) <= 100
     assert sum(progress) == 100
     assert sum(len(keys) for keys in store.written_keys) == 202
+
+
+async def test_large_progress_rows_stop_all_writes():
+    """The store takes rows of 64 KiB, and transactions of 1 MB."""
+    owner_term, store, writer = create_state_writer()
+    for number in range(40):
+        job_id = f'{number:016x}'
+        add_dirty_job(owner_term, job_id)
+        progress = owner_term.job_registry.jobs[job_id].progress
+        for index in range(3000):
+            progress.failed_runs[f'0.0.{index}'] = [1_000_000_000] * 2
+            progress.checkpoints[f'0.0.{index}'] = 'c' * 20
+    await writer.flush()
+    assert sum(len(keys) for keys in store.written_keys) > 40
+    assert max(store.row_bytes) <= 65536
+    assert max(store.transaction_bytes) * 4 / 3 < 1_000_000
--- a/arbutusrock/platform/job_bodies.py
+++ b/arbutusrock/platform/job_bodies.py
@@ -12,6 +12,11 @@
 MAX_STEPS = 1000
 MAX_TASKS = 20_000
 MAX_SPEC_BYTES = 4000
+# Bounds of figures, so that sums and products over a job stay finite.
+MAX_COUNT = 2**31 - 1
+MAX_OCCURRENCES = 10_000
+MAX_DURATION_MS = 366 * 86_400_000.0
+MAX_UNIX_MS = 1e14
 
 
 class _WireStep(msgspec.Struct):
@@ -86,18 +91,28 @@
         raise errors.InvalidRequest(
             f'steps: must be 1 to {MAX_STEPS}; got {len(wire.steps)}'
         )
-    if wire.times < 0 or (wire.times > 1 and wire.intervalMs <= 0):
+    _check_range('times', wire.times, MAX_OCCURRENCES)
+    _check_range('startAtMs', wire.startAtMs, MAX_UNIX_MS)
+    _check_range('intervalMs', wire.intervalMs, MAX_DURATION_MS)
+    if wire.times > 1 and wire.intervalMs <= 0:
         raise errors.InvalidRequest(
-            'times must not be negative; intervalMs must be positive '
-            'when times is over 1'
+            'intervalMs must be positive when times is over 1'
         )
     tasks = 0
     for number, step in enumerate(wire.steps):
         tasks += max(step.count, 0)
-        if step.count < 1 or min(step.cpu, step.memMb, step.gpus) < 0:
+        if step.count < 1:
             raise errors.InvalidRequest(
-                f'steps[{number}]: count must be at least 1; cpu, memMb '
-                'and gpus must not be negative'
+                f'steps[{number}].count: must be at least 1'
+            )
+        for name in ('count', 'cpu', 'memMb', 'gpus', 'antiAffinity'):
+            _check_range(
+                f'steps[{number}].{name}', getattr(step, name), MAX_COUNT
+            )
+        _check_range(f'steps[{number}].mayMiss', step.mayMiss, MAX_COUNT)
+        for name in ('estimateMs', 'targetMs'):
+            _check_range(
+                f'steps[{number}].{name}', getattr(step, name), MAX_DURATION_MS
             )
         if any(not 0 <= earlier < number for earlier in step.after):
             raise errors.InvalidRequest(
@@ -109,6 +124,13 @@
         )
 
 
+def _check_range(name, value, max_value):
+    if not 0 <= value <= max_value:
+        raise errors.InvalidRequest(
+            f'{name}: must be from 0 to {max_value:g}; got {value:g}'
+        )
+
+
 def _to_step(wire):
     return plans.StepPlan(
         count=wire.count,
--- a/arbutusrock/platform/settings_file.py
+++ b/arbutusrock/platform/settings_file.py
@@ -94,6 +94,7 @@
         cores=get_number('limits.cpuShare', 1.0)
         * get_number('limits.cores', 1),
         store=fields.get_address('platform.address'),
+        store_row_bytes=int(get_number('platform.rowBytes', 65536, 1024)),
         vm_service=fields.values.get('cloudApi.address', ''),
         advice_service=fields.values.get('advice', ''),
         grace_s=get_number('bounds.graceS', 6),
--- a/examples/standins/site/store.py
+++ b/examples/standins/site/store.py
@@ -9,6 +9,10 @@
 
 __all__ = ['MetadataStore']
 
+# A row holds at most 64 KiB, which base64 makes longer by a third.
+MAX_VALUE_CHARACTERS = 65536 // 3 * 4 + 4
+MAX_TRANSACTION_BYTES = 1_000_000
+
 
 class MetadataStore:
     """Rows in memory, with transactions, range reads and change feeds."""
@@ -31,7 +35,10 @@
 
     def create_app(self):
         """Return the aiohttp application."""
-        app = web.Application(middlewares=[self.faults.apply])
+        app = web.Application(
+            middlewares=[self.faults.apply],
+            client_max_size=MAX_TRANSACTION_BYTES,
+        )
         app.router.add_post('/api/rows-tx', self.transact)
         app.router.add_get('/api/rows-get', self.read)
         app.router.add_get('/api/rows-feed', self.feed)
@@ -69,6 +76,10 @@
         body = await request.json()
         if self.transaction_s and not await self._wait_turn(body):
             return web.Response(status=429)
+        if any(
+            len(item['value']) > MAX_VALUE_CHARACTERS for item in body['puts']
+        ):
+            return web.Response(status=400)
         row_keys = [_get_row_key(item) for item in body['expected']]
         for row_key, item in zip(row_keys, body['expected'], strict=True):
             value, version = self.rows.get(row_key, (None, 0))
