Bound how much of a pool the tasks of one account take down at once

By reading, in review of the fix: likely culprits of an account waited for each other one at a time however large the pool, and the first starts of its other tasks had no bound.

Suspects and likely culprits of an account may each be on a quarter of a pool's workers; while most of the recent culprits are of one account, its new tasks are confined to a quarter too until they have settled.

--- a/arbutusrock/engine/crash_tracker.py
+++ b/arbutusrock/engine/crash_tracker.py
@@ -13,9 +13,10 @@
 from arbutusrock.engine import vm_views
 from arbutusrock import logs
 from arbutusrock.scheduling import crash_attribution
+from arbutusrock.scheduling import isolation
 from arbutusrock.utils import clocks
 
-__all__ = ['CrashTracker']
+__all__ = ['CrashTracker', 'get_survived_s']
 
 # Tasks of one job whose crashes or runs are kept, which bounds its row.
 MAX_TASKS_PER_JOB = 100
@@ -39,6 +40,8 @@
         self.on_give_up = on_give_up
         # Worker that was taken as gone, and when, by VM.
         self._gone_workers = {}
+        # By account, when each task was last the only suspect in a crash.
+        self.culprits = {}
 
     def is_durable(self, task):
         """Return whether the crashes under a task are stored."""
@@ -133,7 +136,7 @@
         task, guarded = run.task, run.worker.guarded_run is run
         if task is None or not (guarded or task.crashes):
             return
-        survived_s = _get_survived_s(run)
+        survived_s = get_survived_s(run)
         if not crash_attribution.is_cleared(task.crashes, survived_s):
             return
         if guarded:
@@ -264,6 +267,8 @@
         self._request_flush(unit)
         if not record.suspect:
             return
+        if record.sole:
+            self._record_culprit(unit)
         LOG.info(
             'a worker has crashed under a task',
             task=unit.name,
@@ -277,6 +282,22 @@
         if crash_attribution.should_give_up(crashes):
             self.on_give_up(unit)
 
+    def _record_culprit(self, unit):
+        now_s = clocks.now_s()
+        account = unit.step.job.submission.account
+        culprits = {
+            name: at_s
+            for name, at_s in self.culprits.get(account, {}).items()
+            if at_s > now_s - isolation.CONFINEMENT_S
+        }
+        self.culprits[account] = {**culprits, unit.name: now_s}
+        if isolation.is_confined(self.culprits, account, now_s):
+            LOG.info(
+                'new tasks of an account are confined to a part of its pools',
+                account=account,
+                culprits=len(self.culprits[account]),
+            )
+
 
 def _find_live_runs(worker):
     """Return the runs of a worker whose start order was sent."""
@@ -294,7 +315,7 @@
             crash_attribution.CrashedRun(
                 number=run.number,
                 unit=run.task.unit,
-                survived_s=_get_survived_s(run),
+                survived_s=get_survived_s(run),
                 crashes=run.task.crashes,
             )
             for run in runs
@@ -302,7 +323,7 @@
     )
 
 
-def _get_survived_s(run):
+def get_survived_s(run):
     """Return how long a run has been seen running by its worker's answers."""
     if run.confirmed_at_s is None or run.state is job_state.RunState.IN_DOUBT:
         return 0.0
--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -141,7 +141,11 @@
             if any(_is_at_least(demand, other) for other in unplaced_demands):
                 continue
             before = len(step.waiting)
-            if not self._start_step(step, candidates, suspect_vms, now_s):
+            allowed = self.guarded_starter.limit_workers(step, candidates)
+            if (
+                not self._start_step(step, allowed, suspect_vms, now_s)
+                and allowed is candidates
+            ):
                 unplaced_demands.append(demand)
             if len(step.waiting) < before:
                 max_free = _find_max_free(candidates)
--- a/arbutusrock/engine/guarded_starts.py
+++ b/arbutusrock/engine/guarded_starts.py
@@ -1,5 +1,6 @@
 """Starts tasks that may crash their worker, each apart from other tasks."""
 
+from arbutusrock.engine import crash_tracker
 from arbutusrock.engine import job_state
 from arbutusrock import logs
 from arbutusrock.scheduling import crash_attribution
@@ -37,6 +38,10 @@
     return worker.guarded_run is None and worker.held_until_s <= now_s
 
 
+def _is_settled(run):
+    return crash_attribution.is_settled(crash_tracker.get_survived_s(run))
+
+
 class GuardedStarter:
     """Starts suspects where a crash costs least and tells who caused it.
 
@@ -97,32 +102,57 @@
             runs=len(worker.runs),
             settled=all(
                 run.state is job_state.RunState.STOPPING
-                or (
-                    run.confirmed_at_s is not None
-                    and crash_attribution.is_settled(
-                        worker.clock_read_at_s - run.confirmed_at_s
-                    )
-                    and not (run.task and run.task.crashes)
-                )
+                or (_is_settled(run) and not (run.task and run.task.crashes))
                 for run in worker.runs.values()
             ),
         )
 
-    def _fits_account(self, step, task):
-        """Return whether the account may risk one more worker of the pool."""
-        job = step.job
-        pool_workers = [
+    def limit_workers(self, step, workers):
+        """Return the workers that the new tasks of a step may get.
+
+        All of them, unless its account is confined.
+        """
+        account = step.job.submission.account
+        culprits = self.crash_tracker.culprits
+        if account not in culprits or not isolation.is_confined(
+            culprits, account, clocks.now_s()
+        ):
+            return workers
+        pool_workers = self._find_pool_workers(step)
+        risked, own_runs = set(), {}
+        for worker in pool_workers:
+            for run in worker.runs.values():
+                if run.account != account:
+                    continue
+                own_runs[worker.worker_id] = (
+                    own_runs.get(worker.worker_id, 0) + 1
+                )
+                if not _is_settled(run):
+                    risked.add(worker.worker_id)
+        return isolation.limit_workers(
+            workers,
+            pool_size=len(pool_workers),
+            risked=risked,
+            own_runs=own_runs,
+        )
+
+    def _find_pool_workers(self, step):
+        return [
             worker
             for worker in self.term.fleet.find_pool_workers(
-                job.submission.pool
+                step.job.submission.pool
             )
             if not worker.ended
         ]
+
+    def _fits_account(self, step, task):
+        """Return whether the account may risk one more worker of the pool."""
+        pool_workers = self._find_pool_workers(step)
         guarded = [
             worker.guarded_run
             for worker in pool_workers
             if worker.guarded_run is not None
-            and worker.guarded_run.account == job.submission.account
+            and worker.guarded_run.account == step.job.submission.account
         ]
         return isolation.may_risk_worker(
             workers=len(pool_workers),
--- a/arbutusrock/scheduling/isolation.py
+++ b/arbutusrock/scheduling/isolation.py
@@ -7,8 +7,10 @@
 and shows its cause. Under overload no worker becomes empty by itself, so one
 is held until its newest tasks have settled.
 
-An account may risk a part of a pool at once, and one worker more for a task
-that was the only suspect in a crash before.
+An account may risk a part of a pool at once with suspects, and as much with
+tasks that were the only suspect in a crash before. While most of these tasks
+are of one account, its other new tasks may be on no more workers either until
+they have settled, so that it does not take the pool down for all accounts.
 """
 
 from arbutusrock.scheduling import placement
@@ -17,6 +19,8 @@
     'Choice',
     'IsolationCandidate',
     'choose_isolated_workers',
+    'is_confined',
+    'limit_workers',
     'may_risk_worker',
 ]
 
@@ -25,6 +29,10 @@
 MAX_WAIT_S = 1.0
 # Part of the workers of a pool on which an account may have suspects at once.
 MAX_RISKED_FRACTION = 0.25
+# Tasks of an account that must have been the only suspect in a crash lately
+# before its new tasks are confined to a part of the pool.
+MIN_CULPRITS = 3
+CONFINEMENT_S = 10.0
 
 
 class IsolationCandidate:
@@ -108,6 +116,47 @@
         not cleared, even if it does not answer: whether the task is likely.
     :param likely: whether the task was the only suspect in a crash.
     """
-    if likely:
-        return not any(guarded)
-    return guarded.count(False) < max(1, int(workers * MAX_RISKED_FRACTION))
+    return guarded.count(likely) < _get_max_risked(workers)
+
+
+def _get_max_risked(workers):
+    return max(1, int(workers * MAX_RISKED_FRACTION))
+
+
+def is_confined(culprits, account, now_s):
+    """Return whether new tasks of an account get only a part of a pool.
+
+    That is so while most of the recent culprits are its own. Where several
+    accounts have culprits alike, confining all of them protects none.
+
+    :param culprits: by account, when each of its tasks was last the only
+        suspect in a crash, by task.
+    """
+    counts = {
+        name: sum(at_s > now_s - CONFINEMENT_S for at_s in times.values())
+        for name, times in culprits.items()
+    }
+    own = counts.get(account, 0)
+    return own >= MIN_CULPRITS and 2 * own > sum(counts.values())
+
+
+def limit_workers(workers, *, pool_size, risked, own_runs):
+    """Return the workers that new tasks of a confined account may get.
+
+    Workers that have its tasks already come first, so that it risks its own
+    work rather than that of others.
+
+    :param workers: workers that may get runs.
+    :param pool_size: number of workers of the pool.
+    :param risked: ids of the workers of the pool that have a task of the
+        account that has not settled, including those that do not answer.
+    :param own_runs: number of runs of the account by worker id.
+    """
+    others = [item for item in workers if item.worker_id not in risked]
+    others.sort(
+        key=lambda item: (-own_runs.get(item.worker_id, 0), item.worker_id)
+    )
+    more = max(0, _get_max_risked(pool_size) - len(risked))
+    return [item for item in workers if item.worker_id in risked] + others[
+        :more
+    ]
