Send a request that breaks its upstreams off to three of them at most

The same cause in the product's own interface: a request whose upstream breaks off while it runs it was sent to five upstreams in a row, without a pause. Fails before: test_one_request_breaks_upstream_after_upstream (5 of 3).

--- a/arbutusrock/jobs/runner.py
+++ b/arbutusrock/jobs/runner.py
@@ -11,6 +11,8 @@
 __all__ = ['RetryBudget', 'Runner']
 
 MAX_TRIES = 5
+# Upstreams that may break off while they run a request: it may be the cause.
+MAX_UNKNOWN_OUTCOMES = 3
 NOT_RUN_RETRY_AFTER_S = 1.0
 RETRY_RATIO = 0.1
 MAX_SAVED_RETRIES = 20.0
@@ -79,7 +81,7 @@
             ran.
         """
         self.budget.record_request()
-        tries = 0
+        tries, unknown_outcomes = 0, 0
         while True:
             tries += 1
             vm = await self.dispatcher.acquire(work)
@@ -96,7 +98,11 @@
                 case upstream_client.Unknown():
                     self.health.record_failure(vm, outcome.reason)
                     self._release_unknown(vm, work, outcome)
-                    if not work.idempotent:
+                    unknown_outcomes += 1
+                    if (
+                        not work.idempotent
+                        or unknown_outcomes >= MAX_UNKNOWN_OUTCOMES
+                    ):
                         raise errors.OutcomeUnknown(outcome.reason)
             self._check_retry(work, outcome, tries)
             work.tried_vms.add(vm.vm)
