--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -109,7 +109,7 @@
         self.crashes = []
         self.crash_recovery_s = CRASH_RECOVERY_S
         # VM to the capacity of its workers in millicores, where it is not that
-        # of ``cores``; and (instant, VM, millicores) of each change.
+        # of ``cores``; and (instant, worker, millicores) of each change.
         self.millicores = {}
         self.capacity_changes = []
         self.workers = {}
@@ -164,7 +164,8 @@
         """Change the capacity that the workers of a VM report."""
         self.millicores[vm] = millicores
         self.vm_service.vms[vm]['capacity'] = self._get_capacity(vm)
-        self.capacity_changes.append((time.monotonic(), vm, millicores))
+        worker_id = self.vm_service.vms[vm]['id']
+        self.capacity_changes.append((time.monotonic(), worker_id, millicores))
 
     async def stop(self):
         """Stop all nodes, workers and services."""
@@ -260,6 +261,8 @@
             address = await self.map_address(vm, address)
         self.workers[vm] = worker
         self.vm_service.vms[vm]['id'] = worker_id
+        if vm in self.millicores:
+            self.set_millicores(vm, self.millicores[vm])
         tasks = [
             asyncio.ensure_future(worker.enforce_lease()),
             asyncio.ensure_future(self._report(vm, pool, worker, address)),
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,9 +20,27 @@
 # task (``quotaOverage``).
 QUOTA_OVERAGE_FACTOR = 1.1
 MAX_ATTEMPTS = 3
+# A task is started less than this many times more after as many workers have
+# crashed under it.
+MAX_CRASHES_BEFORE_STARTS = 3
+# A capacity that has shrunk counts this much later (``contactMs`` and one
+# report).
+CAPACITY_GRACE_S = 3.3
+# A job may fail once this many workers have crashed under a task of it.
+MIN_CRASHES_TO_FAIL = 2
 
 
-def find_violations(*, ledger, jobs, calls, fault_intervals, limits, orders):
+def find_violations(
+    *,
+    ledger,
+    jobs,
+    calls,
+    fault_intervals,
+    limits,
+    orders,
+    crashes=(),
+    capacity_changes=(),
+):
     """Yield a line for each violated guarantee.
 
     The first word of a line is the kind of the violation.
@@ -36,6 +54,9 @@
     :param limits: ``(millicores of a worker, millicores of the account)``.
     :param orders: ``(order, VM, holder, fencing token)`` of each order that
         the VM service executed, in order of execution.
+    :param crashes: the run of each crash of a worker by a task.
+    :param capacity_changes: ``(instant, worker id, millicores)`` of each
+        change of the capacity of a worker.
     """
     runs_by_job = {}
     for run in ledger:
@@ -44,12 +65,13 @@
     yield from _check_runs(ledger)
     for job in jobs:
         runs = runs_by_job.get(job.job_id, [])
-        yield from _check_outcome(job, runs)
+        yield from _check_outcome(job, runs, crashes)
         yield from _check_step_order(job, runs)
         yield from _check_cancel(job, runs, fault_intervals)
     for job_id in runs_by_job.keys() - jobs_by_id.keys():
         yield f'UNASKED {job_id}: has runs but was never submitted'
-    yield from _check_capacity(ledger, jobs_by_id, limits)
+    yield from _check_capacity(ledger, jobs_by_id, limits, capacity_changes)
+    yield from _check_crashes(ledger, crashes)
     yield from _check_calls(calls, fault_intervals)
     yield from _check_fencing(orders)
 
@@ -85,7 +107,23 @@
             )
 
 
-def _check_outcome(job, runs):
+def _check_crashes(ledger, crashes):
+    crashed_at_s = {}
+    for run in crashes:
+        crashed_at_s.setdefault(run.task, []).append(run.ended_at_s)
+    for task, instants in crashed_at_s.items():
+        if len(instants) < MAX_CRASHES_BEFORE_STARTS:
+            continue
+        third_at_s = sorted(instants)[MAX_CRASHES_BEFORE_STARTS - 1]
+        starts = sum(
+            run.task == task and run.started_at_s > third_at_s
+            for run in ledger
+        )
+        if starts >= MAX_CRASHES_BEFORE_STARTS:
+            yield f'BUDGET {task}: {starts} starts after three crashes'
+
+
+def _check_outcome(job, runs, crashes):
     job_id = job.job_id
     accepted = job.accepted_at_s is not None
     if (
@@ -118,7 +156,11 @@
         for run in runs:
             if run.outcome == 'failed':
                 failures[run.task] = failures.get(run.task, 0) + 1
-        if max(failures.values(), default=0) < MAX_ATTEMPTS:
+        crash_count = sum(run.task.startswith(job_id) for run in crashes)
+        if (
+            max(failures.values(), default=0) < MAX_ATTEMPTS
+            and crash_count < MIN_CRASHES_TO_FAIL
+        ):
             yield f'LOST {job_id}: failed before a task used all attempts'
     final_states = {'completed', 'failed'} & set(states)
     if job.cancel_sent_at_s is None and not final_states:
@@ -167,7 +209,20 @@
             yield f'UNASKED {run.task}: still runs after its job was cancelled'
 
 
-def _check_capacity(ledger, jobs_by_id, limits):
+def _get_capacity(changes, worker_id, millicores, now_s):
+    """Return the largest capacity of a worker that still counts."""
+    levels = [(0.0, millicores)] + [
+        (at_s, level) for at_s, other, level in changes if other == worker_id
+    ]
+    ends_s = [at_s for at_s, _ in levels[1:]] + [now_s]
+    return max(
+        level
+        for (at_s, level), end_s in zip(levels, ends_s, strict=True)
+        if at_s <= now_s and end_s >= now_s - CAPACITY_GRACE_S
+    )
+
+
+def _check_capacity(ledger, jobs_by_id, limits, capacity_changes):
     worker_millicores, account_millicores = limits
     events = []
     for run in ledger:
@@ -182,7 +237,12 @@
     for _, millicores, run in sorted(events, key=lambda item: item[:2]):
         total += millicores
         used[run.worker_id] = used.get(run.worker_id, 0) + millicores
-        if millicores > 0 and used[run.worker_id] > worker_millicores:
+        if millicores > 0 and used[run.worker_id] > _get_capacity(
+            capacity_changes,
+            run.worker_id,
+            worker_millicores,
+            run.started_at_s,
+        ):
             yield f'LIMIT {run.worker_id}: {used[run.worker_id]} millicores'
         if (
             millicores > 0
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -53,6 +53,8 @@
             for number in range(1, nodes + 1)
         ]
         self.worker_links = {}
+        # Number of faults by which new jobs have a task that crashes workers.
+        self.deadly_count = 0
         # [kind, begin, end] of each fault, on the steady clock; the end is
         # None while the fault is active.
         self.fault_intervals = []
@@ -132,6 +134,10 @@
                 self.wave_deadlines[number] = (
                     time.monotonic() + WAVE_DURATION_S
                 )
+            case 'deadly tasks':
+                self.deadly_count += 1
+                await asyncio.sleep(fault.duration_s)
+                self.deadly_count -= 1
             case _ if kind.startswith('store link'):
                 await self._inject_link_fault(
                     self._pick_node(fault).store_link, fault
@@ -216,6 +222,13 @@
                 worker.failing = True
                 await asyncio.sleep(fault.duration_s)
                 worker.failing = False
+            case 'worker shrinks':
+                fraction = (fault.target_selector * 7) % 1.0
+                self.site.set_millicores(
+                    vm, int(CORES_PER_VM * 1000 * fraction)
+                )
+                await asyncio.sleep(fault.duration_s)
+                self.site.set_millicores(vm, CORES_PER_VM * 1000)
             case _:
                 await self._inject_link_fault(self.worker_links[vm], fault)
 
--- a/soak/load_generator.py
+++ b/soak/load_generator.py
@@ -18,6 +18,8 @@
 POLL_INTERVAL_S = 0.4
 # Fraction of the jobs that are cancelled.
 CANCELLED_FRACTION = 0.1
+# Fraction of the jobs with a deadly task while there are any.
+DEADLY_FRACTION = 0.1
 # Submitters run side by side; each pauses 0 to 2 times the mean interval after
 # a job.
 SUBMITTER_COUNT = 3
@@ -54,6 +56,7 @@
         'accepted_at_s',
         'cancel_sent_at_s',
         'cancelled_at_s',
+        'deadly',
         'observed_states',
     )
 
@@ -67,6 +70,8 @@
         self.accepted_at_s = None
         self.cancel_sent_at_s = None
         self.cancelled_at_s = None
+        # Whether its first task crashes each worker that starts it.
+        self.deadly = False
         # (instant of the poll, instant of its answer, state) of each poll.
         self.observed_states = []
 
@@ -77,11 +82,14 @@
     :param nodes: list of :class:`soak.daemons.Daemon`.
     :param seed: seed for job sizes, choice of nodes and pauses.
     :param pools: names of the pools that jobs are submitted to.
+    :param draws_deadly_jobs: returns whether some of the jobs have a task now
+        that crashes its workers.
     """
 
-    def __init__(self, *, nodes, seed, pools):
+    def __init__(self, *, nodes, seed, pools, draws_deadly_jobs):
         self.nodes = nodes
         self.pools = pools
+        self.draws_deadly_jobs = draws_deadly_jobs
         self.rng = random.Random(seed)  # noqa: S311
         self.jobs = []
         self.calls = []
@@ -125,8 +133,13 @@
 
         Then cancel it, or poll its state until it is finished.
         """
-        spec = json.dumps({'ms': self.rng.randint(20, 600)})
-        body = {'spec': spec, 'steps': job.steps}
+        behaviour = {'ms': self.rng.randint(20, 600)}
+        job.deadly = (
+            self.draws_deadly_jobs() and self.rng.random() < DEADLY_FRACTION
+        )
+        if job.deadly:
+            behaviour.update(crash=[0], crash_ms=self.rng.choice([5, 200]))
+        body = {'spec': json.dumps(behaviour), 'steps': job.steps}
         cancel = self.rng.random() < CANCELLED_FRACTION
         while job.accepted_at_s is None:
             status = await self._call(job, 'POST', body)
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -37,14 +37,15 @@
         self.logs = logs
 
 
-async def run_seed(seed, *, seconds, nodes):
+async def run_seed(seed, *, seconds, nodes, kind_set='all'):
     """Run the load and the faults of one seed and check the guarantees.
 
     :param seconds: duration of the load, in which all faults start.
     :param nodes: number of node processes.
+    :param kind_set: one of :data:`schedule.KIND_SETS`.
     :returns: :class:`Result`.
     """
-    faults = schedule.draw_faults(seed, seconds)
+    faults = schedule.draw_faults(seed, seconds, kind_set)
     with tempfile.TemporaryDirectory(prefix='soak-') as folder:
         soak_cluster = cluster.SoakCluster(
             nodes=nodes, folder=pathlib.Path(folder)
@@ -52,7 +53,10 @@
         try:
             await soak_cluster.start()
             generator = load_generator.LoadGenerator(
-                nodes=soak_cluster.nodes, seed=seed, pools=['alpha', 'beta']
+                nodes=soak_cluster.nodes,
+                seed=seed,
+                pools=['alpha', 'beta'],
+                draws_deadly_jobs=lambda: soak_cluster.deadly_count > 0,
             )
             await _run_load_and_faults(
                 soak_cluster, generator, faults, seconds
@@ -117,6 +121,8 @@
                 cluster.UPPER_LIMIT_MILLICORES,
             ),
             orders=soak_cluster.site.vm_service.orders,
+            crashes=soak_cluster.site.crashes,
+            capacity_changes=soak_cluster.site.capacity_changes,
         )
     )
     if soak_cluster.site.vm_service.peak_down > 1:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -2,7 +2,7 @@
 
 import random
 
-__all__ = ['Fault', 'TARGET_BY_KIND', 'draw_faults']
+__all__ = ['Fault', 'KIND_SETS', 'TARGET_BY_KIND', 'draw_faults']
 
 # Time before the first fault, in which the system may start.
 WARM_UP_S = 2.0
@@ -43,10 +43,21 @@
     'worker link reset': 'worker',
     'worker carries out late': 'worker',
     'worker fails all': 'worker',
+    'worker shrinks': 'worker',
+    'deadly tasks': 'load',
     'configuration': 'operator',
     'wave': 'operator',
 }
 
+# Kinds of faults that a seed draws from, by the name of the set. Seeds that
+# failed keep the set of their time, as it decides on their faults.
+KIND_SETS = {
+    'all': sorted(TARGET_BY_KIND),
+    'first': sorted(
+        TARGET_BY_KIND.keys() - {'worker shrinks', 'deadly tasks'}
+    ),
+}
+
 
 class Fault:
     """One fault of the schedule.
@@ -70,9 +81,11 @@
         return f'{self.at_s:.1f} s {self.kind} for {self.duration_s:.1f} s'
 
 
-def draw_faults(seed, seconds):
+def draw_faults(seed, seconds, kind_set='all'):
     """Return the faults of a seed, ordered by start.
 
+    :param kind_set: one of :data:`KIND_SETS`.
+
     >>> first = [str(fault) for fault in draw_faults(1, 30)]
     >>> first == [str(fault) for fault in draw_faults(1, 30)]
     True
@@ -80,7 +93,7 @@
     draw = random.Random(seed)  # noqa: S311
     # A seed uses few kinds, each several times: a series of one kind exposes
     # other errors than single faults do.
-    kinds = draw.sample(sorted(TARGET_BY_KIND), draw.randint(2, 5))
+    kinds = draw.sample(KIND_SETS[kind_set], draw.randint(2, 5))
     faults, at_s = [], WARM_UP_S
     while at_s < seconds:
         faults.append(
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -194,3 +194,35 @@
     assert find_kinds([COMPLETED_RUN], orders=stale) == ['ONE']
     two_holders = [*valid_orders, ('move', 'm1', 'n1', 4)]
     assert find_kinds([COMPLETED_RUN], orders=two_holders) == ['ONE']
+
+
+def create_crashes(count):
+    return [
+        create_run_record(
+            started_at_s=11.0 + number,
+            ended_at_s=11.5 + number,
+            outcome='lost',
+        )
+        for number in range(count)
+    ]
+
+
+def test_starts_of_deadly_task_are_reported():
+    states = [(20.0, 20.1, 'failed')]
+    crashes = create_crashes(6)
+    jobs = [create_job(states=states)]
+    assert find_kinds(crashes, jobs, crashes=crashes) == ['BUDGET']
+    assert not find_kinds(crashes[:5], jobs, crashes=crashes[:5])
+
+
+def test_job_that_failed_after_one_crash_is_reported():
+    crashes = create_crashes(1)
+    jobs = [create_job(states=[(20.0, 20.1, 'failed')])]
+    assert find_kinds(crashes, jobs, crashes=crashes) == ['LOST']
+
+
+def test_start_on_shrunk_worker_is_reported():
+    changes = [(1.0, 'w1', 2000)]
+    assert find_kinds([COMPLETED_RUN], capacity_changes=changes) == ['LIMIT']
+    changes = [(10.0, 'w1', 2000)]
+    assert not find_kinds([COMPLETED_RUN], capacity_changes=changes)
