Keep suspects until all members of a gang, and what falls silent, is known

A gang was cleared by a member on another worker while the owner did not know yet that the worker of the deadly one had crashed, so its crashes were never counted up. Suspects were not stored when the lost answer of a start was seen before the renewal failed, so that an owner killed then took its knowledge with it. Releasing a large gang that was reserved recursed once for each member, which ends the ownership.

All members must outlive the crashes; suspects are stored with the first failed renewal that finds none stored; a reserved run that is stopped is removed by its link. Each has a test in engine/tests/test_crash_tracker.py that fails before. Counters crash_suspects and deadly_tasks.

--- a/arbutusrock/engine/crash_tracker.py
+++ b/arbutusrock/engine/crash_tracker.py
@@ -139,6 +139,8 @@
         survived_s = get_survived_s(run)
         if not crash_attribution.is_cleared(task.crashes, survived_s):
             return
+        if task.step.plan.gang and not _is_gang_cleared(task.step):
+            return
         if guarded:
             run.worker.guarded_run = None
             self.term.request_dispatch()
@@ -267,6 +269,7 @@
         self._request_flush(unit)
         if not record.suspect:
             return
+        self.term.metrics.count('crash_suspects')
         if record.sole:
             self._record_culprit(unit)
         LOG.info(
@@ -280,6 +283,7 @@
             crashes=len(crashes),
         )
         if crash_attribution.should_give_up(crashes):
+            self.term.metrics.count('deadly_tasks')
             self.on_give_up(unit)
 
     def _record_culprit(self, unit):
@@ -309,6 +313,20 @@
     ]
 
 
+def _is_gang_cleared(step):
+    """Return whether a run of each member has outlived all crashes.
+
+    The worker of one of them may have crashed while the others run on.
+    """
+    return all(
+        any(
+            crash_attribution.is_cleared(task.crashes, get_survived_s(run))
+            for run in task.runs
+        )
+        for task in step.tasks
+    )
+
+
 def _attribute(runs):
     return crash_attribution.attribute_crash(
         [
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -48,12 +48,12 @@
         """Order a run to stop, unless it is being stopped already."""
         if run.state is job_state.RunState.STOPPING:
             return
-        if run.state is job_state.RunState.RESERVED:
-            # No order was sent.
-            self.release_reservation(run)
-            return
+        reserved = run.state is job_state.RunState.RESERVED
         run.state = job_state.RunState.STOPPING
         run.stop_reason = reason
+        if reserved:
+            # No order was sent, and none will be; the link removes the run.
+            return
         link = self.links.get(run.worker.worker_id)
         if link is not None:
             link.send_stop(run)
--- /dev/null
+++ b/arbutusrock/engine/tests/test_crash_tracker.py
@@ -0,0 +1,142 @@
+"""What the owner stores of crashes, and when a suspect is cleared."""
+
+import types
+
+import msgspec
+
+from arbutusrock.engine import fleet
+from arbutusrock.engine import job_state
+from arbutusrock.engine import plans
+from arbutusrock.engine import platform_messages
+from arbutusrock.engine import run_controller
+from arbutusrock.engine.tests import samples
+from arbutusrock.engine import worker_link
+from arbutusrock.scheduling import crash_attribution
+
+JOB = '0' * 16
+
+
+def create_controller():
+    """Return a controller without a store, with workers i-0 and i-1."""
+    term = samples.create_term(epoch=1)
+    state_writer = types.SimpleNamespace(
+        flushes_completed=0, get_next_flush_number=lambda: 1
+    )
+    controller = run_controller.RunController(
+        term=term, state_writer=state_writer
+    )
+    for number in range(2):
+        entry = platform_messages.WorkerEntry(
+            worker_id=f'i-{number}',
+            pool='p',
+            address='h:1',
+            vm=f'm-{number}',
+            born_ms=100,
+        )
+        worker = fleet.WorkerState(entry=entry, now_s=0.0)
+        term.fleet.workers[entry.worker_id] = worker
+    return controller
+
+
+def start_runs(controller, *, gang=False, number=1):
+    """Start a task on each worker; return the runs."""
+    term = controller.term
+    plan = plans.JobPlan(spec='', steps=(plans.StepPlan(count=2, gang=gang),))
+    submission = msgspec.structs.replace(
+        samples.create_submission(), plan=plan
+    )
+    job = term.job_registry.add(JOB, submission)
+    term.job_registry.start_due_occurrences(1e9, 0.0)
+    runs = []
+    for task, worker in zip(
+        job.occurrences[0].steps[0].tasks,
+        term.fleet.workers.values(),
+        strict=True,
+    ):
+        run = job_state.Run(
+            number=number,
+            name=task.name,
+            task=task,
+            account='a',
+            worker=worker,
+            demand=plan.steps[0].demand,
+            now_s=10.0,
+        )
+        term.fleet.add_run(run)
+        term.job_registry.mark_active(task)
+        run.state, run.confirmed_at_s = job_state.RunState.RUNNING, 10.0
+        worker.clock_read_at_s = 10.0
+        runs.append(run)
+    return runs
+
+
+def test_suspects_are_not_stored_when_start_was_not_answered_first():
+    """The lost answer of the start shows the crash before the renewal does."""
+    controller = create_controller()
+    run, _ = start_runs(controller)
+    run.worker.unresponsive = True
+    run.worker.clock_ms, run.worker.lease_until_ms = 0.0, 1e12
+    link = worker_link.WorkerLink(
+        term=controller.term,
+        run_controller=controller,
+        worker=run.worker,
+        client=None,
+        spawn=None,
+    )
+    link._handle_failed_renewal(
+        platform_messages.OrderReply(
+            outcome=platform_messages.OrderOutcome.UNKNOWN
+        )
+    )
+    progress = run.task.step.job.progress
+    assert progress.unresolved['0.0.0'][0].worker_id == 'i-0'
+
+
+def test_gang_is_cleared_by_members_on_other_workers():
+    """The worker of one member is silent while the other one runs on."""
+    controller = create_controller()
+    crashed, other = start_runs(controller, gang=True)
+    crashes = crashed.task.step.job.progress.crashes
+    crashes['0.0.0'] = [crash_attribution.CrashRecord(run=0, suspect=True)]
+    other.worker.clock_read_at_s = 12.0
+    controller.crash_tracker.record_progress(other)
+    assert crashes
+    crashed.worker.clock_read_at_s = 12.0
+    controller.crash_tracker.record_progress(other)
+    assert not crashes
+
+
+def test_release_of_large_gang_recurses():
+    """Each member that is released stops the others."""
+    controller = create_controller()
+    runs = start_runs(controller, gang=True)
+    for run in runs:
+        run.state = job_state.RunState.RESERVED
+    controller.release_reservation(runs[0])
+    assert runs[1].state is job_state.RunState.STOPPING
+    assert runs[1].worker.runs
+
+
+def test_worker_that_is_lost_for_good_counts_as_crash():
+    controller = create_controller()
+    run, _ = start_runs(controller)
+    progress = run.task.step.job.progress
+    controller.handle_lease_expiry(run.worker)
+    controller.end_incarnation(run.worker, fleet.IncarnationEnd.UNREGISTERED)
+    assert not progress.crashes
+    entry = msgspec.structs.replace(run.worker.entry, worker_id='i-9')
+    controller.crash_tracker.resolve_vm(entry)
+    assert progress.crashes['0.0.0'][0].sole
+    assert not progress.unresolved
+
+
+def test_worker_that_is_cut_off_counts_as_crash():
+    controller = create_controller()
+    run, _ = start_runs(controller)
+    progress = run.task.step.job.progress
+    controller.handle_lease_expiry(run.worker)
+    assert progress.unresolved
+    controller.end_incarnation(run.worker, fleet.IncarnationEnd.UNREGISTERED)
+    controller.crash_tracker.resolve_vm(run.worker.entry)
+    assert not progress.crashes
+    assert not progress.unresolved
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -159,8 +159,9 @@
                 outcome=reply.outcome.value,
                 runs=len(worker.runs),
             )
-            self.run_controller.crash_tracker.record_silence(worker)
         worker.unresponsive = True
+        if not worker.unresolved:
+            self.run_controller.crash_tracker.record_silence(worker)
         if worker.is_lease_expired(clocks.now_s()):
             self.run_controller.handle_lease_expiry(worker)
 
@@ -210,18 +211,16 @@
                 order = self._create_order(run, spec, ticket)
                 await self._start(run, order)
                 return
-        if self._is_reserved(run):
+        if self._has_run(run):
             self.run_controller.release_reservation(run)
 
-    def _is_reserved(self, run):
-        return (
-            self.worker.runs.get((run.name, run.number)) is run
-            and run.state is job_state.RunState.RESERVED
-        )
+    def _has_run(self, run):
+        return self.worker.runs.get((run.name, run.number)) is run
 
     def _may_start_reserved(self, run):
         return (
-            self._is_reserved(run)
+            self._has_run(run)
+            and run.state is job_state.RunState.RESERVED
             and self.worker.in_service
             # The capacity may have shrunk since.
             and self.worker.free_millicores >= 0
