Bound how long an unproven suspect waits, and hold only workers that may take it

A run that a new owner adopts counted as just started, so each lasting task on a rack that went dark after a change of the owner was a suspect. A suspect waited for isolation without end, while its account's places were taken by workers that did not answer. And the worker that was held for it could be one that may take no other task of the step.

Adopted runs count as settled, a suspect that was never the only one waits two seconds at most (longer only while its crashes are not stored), and held are workers that may take it. Tests that fail before: test_adopted_run_is_blamed_before_newer_ones, test_unproven_suspect_waits_for_isolation_without_end, test_worker_is_held_that_may_not_take_the_suspect.

--- a/arbutusrock/engine/crash_tracker.py
+++ b/arbutusrock/engine/crash_tracker.py
@@ -345,7 +345,8 @@
     """Return how long a run has been seen running by its worker's answers."""
     if run.confirmed_at_s is None or run.state is job_state.RunState.IN_DOUBT:
         return 0.0
-    return max(0.0, run.worker.clock_read_at_s - run.confirmed_at_s)
+    seen_s = run.worker.clock_read_at_s - run.confirmed_at_s
+    return run.survived_before_s + max(0.0, seen_s)
 
 
 def _create_entry(run):
--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -171,7 +171,7 @@
         for task in list(step.waiting.values()):
             if task.name in unwanted_runs and not step.plan.speculative:
                 continue
-            if guarded_starts.is_suspect(task):
+            if self.guarded_starter.must_isolate(task, now_s):
                 continue
             if not self._fits_account_limit(step, 1):
                 return True
@@ -198,7 +198,8 @@
         count = len(step.waiting)
         unwanted_runs = self.term.fleet.unwanted_runs
         if any(
-            task.name in unwanted_runs or guarded_starts.is_suspect(task)
+            task.name in unwanted_runs
+            or self.guarded_starter.must_isolate(task, now_s)
             for task in step.tasks
         ):
             return True
@@ -233,7 +234,7 @@
             (step, tasks)
             for step in steps
             if step.job.progress.crashes or step.job.progress.unresolved
-            for tasks in self._find_suspects(step)
+            for tasks in self._find_suspects(step, now_s)
         ]
         groups.sort(
             key=lambda group: (
@@ -261,12 +262,12 @@
                 if worker in candidates:
                     candidates.remove(worker)
 
-    def _find_suspects(self, step):
-        """Return the waiting suspects of a step, those of a gang together."""
+    def _find_suspects(self, step, now_s):
+        """Return the suspects of a step to isolate, a gang's together."""
         suspects = [
             task
             for task in step.waiting.values()
-            if guarded_starts.is_suspect(task)
+            if self.guarded_starter.must_isolate(task, now_s)
         ]
         unwanted_runs = self.term.fleet.unwanted_runs
         if step.plan.gang:
--- a/arbutusrock/engine/guarded_starts.py
+++ b/arbutusrock/engine/guarded_starts.py
@@ -7,7 +7,11 @@
 from arbutusrock.scheduling import isolation
 from arbutusrock.utils import clocks
 
-__all__ = ['GuardedStarter', 'is_available', 'is_suspect']
+__all__ = [
+    'GuardedStarter',
+    'is_available',
+    'is_suspect',
+]
 
 # A worker that is held for a suspect gets no other runs for this time.
 HOLD_S = 1.0
@@ -15,7 +19,7 @@
 
 
 def is_suspect(task):
-    """Return whether a task must be started apart from others.
+    """Return whether a task may crash the worker that starts it.
 
     That is so after a crash that it may have caused, and while it is not
     known whether the worker of an earlier run has crashed.
@@ -54,6 +58,17 @@
         self.term = term
         self.crash_tracker = crash_tracker
 
+    def must_isolate(self, task, now_s):
+        """Return whether a waiting task must be started apart from others."""
+        if not is_suspect(task):
+            return False
+        waited_s = now_s - task.queued_at_s
+        return (
+            is_likely(task)
+            or waited_s < isolation.MAX_ISOLATION_WAIT_S
+            or not self.crash_tracker.is_durable(task)
+        )
+
     def choose_workers(self, step, tasks, workers, request):
         """Return a worker for each task, or None if they have to wait.
 
--- a/arbutusrock/engine/job_state.py
+++ b/arbutusrock/engine/job_state.py
@@ -82,6 +82,7 @@
         'state',
         'ordered_at_s',
         'confirmed_at_s',
+        'survived_before_s',
         'stop_answered_at_s',
         'stop_reason',
         'percent',
@@ -102,6 +103,8 @@
         self.state = RunState.ORDERED
         self.ordered_at_s = now_s
         self.confirmed_at_s = None
+        # How long it is known to have been running when it was confirmed.
+        self.survived_before_s = 0.0
         self.stop_answered_at_s = None
         self.stop_reason = ''
         self.percent = 0.0
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -11,6 +11,7 @@
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine import term as term_module
 from arbutusrock import logs
+from arbutusrock.scheduling import crash_attribution
 from arbutusrock.utils import clocks
 
 __all__ = ['RunController']
@@ -425,6 +426,8 @@
         if adopted:
             run.state = job_state.RunState.RUNNING
             run.confirmed_at_s = now_s
+            # It has outlived the change of the owner.
+            run.survived_before_s = crash_attribution.SETTLED_S
             self.term.job_registry.mark_active(task)
         else:
             LOG.info(
--- a/arbutusrock/engine/tests/test_crash_tracker.py
+++ b/arbutusrock/engine/tests/test_crash_tracker.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from arbutusrock.engine import fleet
+from arbutusrock.engine import guarded_starts
 from arbutusrock.engine import job_state
 from arbutusrock.engine import plans
 from arbutusrock.engine import platform_messages
@@ -140,3 +141,37 @@
     controller.crash_tracker.resolve_vm(run.worker.entry)
     assert not progress.crashes
     assert not progress.unresolved
+
+
+def test_adopted_run_is_blamed_before_newer_ones():
+    """Its worker crashes just after a change of the owner."""
+    controller = create_controller()
+    adopted, newer = start_runs(controller)
+    adopted.survived_before_s = crash_attribution.SETTLED_S
+    worker = adopted.worker
+    controller.term.fleet.remove_run(newer)
+    newer.worker = worker
+    controller.term.fleet.add_run(newer)
+    controller.end_incarnation(worker, fleet.IncarnationEnd.REPLACED)
+    crashes = adopted.task.step.job.progress.crashes
+    assert not crashes['0.0.0'][0].suspect
+    assert crashes['0.0.1'][0].sole
+
+
+def test_unproven_suspect_waits_for_isolation_without_end():
+    """An account's slots may be taken for long by workers that are silent."""
+    controller = create_controller()
+    run, _ = start_runs(controller)
+    task = run.task
+    starter = guarded_starts.GuardedStarter(
+        term=controller.term, crash_tracker=controller.crash_tracker
+    )
+    crashes = task.step.job.progress.crashes
+    crashes['0.0.0'] = [crash_attribution.CrashRecord(run=1, suspect=True)]
+    task.queued_at_s = 100.0
+    assert starter.must_isolate(task, 100.5)
+    assert not starter.must_isolate(task, 103.0)
+    crashes['0.0.0'] = [
+        crash_attribution.CrashRecord(run=1, suspect=True, sole=True)
+    ]
+    assert starter.must_isolate(task, 103.0)
--- a/arbutusrock/scheduling/isolation.py
+++ b/arbutusrock/scheduling/isolation.py
@@ -16,6 +16,7 @@
 from arbutusrock.scheduling import placement
 
 __all__ = [
+    'MAX_ISOLATION_WAIT_S',
     'Choice',
     'IsolationCandidate',
     'choose_isolated_workers',
@@ -27,6 +28,9 @@
 # A suspect waits this long for an empty worker before it starts beside
 # other tasks.
 MAX_WAIT_S = 1.0
+# A suspect that was never the only one in a crash waits this long to be
+# started apart; afterwards it starts like any other task.
+MAX_ISOLATION_WAIT_S = 2.0
 # Part of the workers of a pool on which an account may have suspects at once.
 MAX_RISKED_FRACTION = 0.25
 # Tasks of an account that must have been the only suspect in a crash lately
--- a/arbutusrock/scheduling/placement.py
+++ b/arbutusrock/scheduling/placement.py
@@ -97,10 +97,15 @@
 
 
 def could_fit(worker, request):
-    """Return whether a worker would fit a request if it had no runs."""
+    """Return whether a worker fits a request once other tasks have ended.
+
+    Those of the same step are not waited for, as they may last.
+    """
     demand, capacity = request.demand, worker.capacity
+    max_runs = request.most_per_worker
     return (
-        capacity.cpu >= demand.cpu
+        (not max_runs or request.runs_by_vm.get(worker.vm, 0) < max_runs)
+        and capacity.cpu >= demand.cpu
         and capacity.memory_mb >= demand.memory_mb
         and capacity.accelerators >= demand.accelerators
         and (not request.label or request.label in worker.entry.labels)
--- a/arbutusrock/scheduling/tests/test_isolation.py
+++ b/arbutusrock/scheduling/tests/test_isolation.py
@@ -58,6 +58,21 @@
     assert choose(candidates, 2.0) == (None, ['b'])
 
 
+def test_worker_is_held_that_may_not_take_the_suspect():
+    """The step may have one task on a worker, and the idlest one has it."""
+    candidates = [
+        create_candidate('a', runs=1, free=7, settled=False),
+        create_candidate('b', runs=5, free=2, settled=False),
+    ]
+    request = placement.PlacementRequest(
+        demand=Resources(cpu=2000), most_per_worker=1, runs_by_vm={'a': 1}
+    )
+    choice = isolation.choose_isolated_workers(
+        candidates, request, 1, waited_s=2.0
+    )
+    assert [item.vm for item in choice.hold] == ['b']
+
+
 def test_account_does_not_take_a_whole_pool_down():
     def may_risk(guarded, likely=False):
         return isolation.may_risk_worker(
