Never blame a lasting task that a new owner has adopted

A lasting task that is adopted counts as running for long. Fails before: test_adopted_lasting_task_is_blamed_for_crash.

--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -426,8 +426,13 @@
         if adopted:
             run.state = job_state.RunState.RUNNING
             run.confirmed_at_s = now_s
-            # It has outlived the change of the owner.
-            run.survived_before_s = crash_attribution.SETTLED_S
+            # It has outlived the change of the owner; one that lasts may have
+            # been running for long.
+            run.survived_before_s = (
+                crash_attribution.MAX_SUSPECT_AGE_S
+                if task.step.plan.long_running
+                else crash_attribution.SETTLED_S
+            )
             self.term.job_registry.mark_active(task)
         else:
             LOG.info(
--- a/arbutusrock/engine/tests/test_run_controller.py
+++ b/arbutusrock/engine/tests/test_run_controller.py
@@ -43,8 +43,8 @@
     controller.handle_renewal(worker, reply, clocks.now_s())
 
 
-def add_job(term):
-    step = plans.StepPlan(count=1, demand=Resources(cpu=5000))
+def add_job(term, **fields):
+    step = plans.StepPlan(count=1, demand=Resources(cpu=5000), **fields)
     submission = plans.Submission(
         queue='q',
         pool='p',
@@ -79,3 +79,12 @@
     handle_report(controller, worker)
     assert worker.has_answered
     assert worker.free_millicores == 0
+
+
+def test_adopted_lasting_task_is_blamed_for_crash():
+    """It may have been running for hours under earlier owners."""
+    term, controller, worker = create_controller()
+    add_job(term, long_running=True)
+    handle_report(controller, worker)
+    controller.end_incarnation(worker, fleet.IncarnationEnd.REPLACED)
+    assert not term.job_registry.jobs[JOB].progress.crashes
--- a/arbutusrock/scheduling/crash_attribution.py
+++ b/arbutusrock/scheduling/crash_attribution.py
@@ -15,6 +15,7 @@
 import msgspec
 
 __all__ = [
+    'MAX_SUSPECT_AGE_S',
     'SETTLED_S',
     'CrashRecord',
     'CrashedRun',
