--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,7 +21,7 @@
     seeds: int = 10,
     seconds: float = 25.0,
     nodes: int = 4,
-    kinds: str = 'all',
+    kind_set: str = 'all',
     keep: str = '',
 ):
     """Run seeds one after another and check the guarantees of the system.
@@ -31,7 +31,7 @@
     :param seeds: number of seeds to run.
     :param seconds: duration of the load for each seed.
     :param nodes: number of node processes.
-    :param kinds: set of kinds of faults to draw from, ``all`` or ``first``.
+    :param kind_set: set of kinds of faults to draw from, ``all`` or ``first``.
     :param keep: folder for faults, violations and logs of failed seeds; empty
         to keep nothing.
     :returns: 1 when a guarantee was violated, else 0.
@@ -46,7 +46,7 @@
         seed = (first or fresh) + number
         result = asyncio.run(
             runner.run_seed(
-                seed, seconds=seconds, nodes=nodes, kind_set=kinds
+                seed, seconds=seconds, nodes=nodes, kind_set=kind_set
             )
         )
         kinds = ', '.join(sorted({fault.kind for fault in result.faults}))
