Learn no durations from runs that an earlier owner started

Cause: a new owner counted the time from its adoption of a run as the run's duration. One such run sets the ratio of observed to declared duration of its queue to the lower bound, 0.2, as it is the first observation; with a weight of .05 the 20 next ones leave it at .7. The demand of all late and planned work is too low by as much, right after a takeover, when the backlog is largest. Class: a time that starts with what this owner knows, used as one that starts with the event. Looked for elsewhere: siblings' durations in the search for slow runs were extrapolated from the time since adoption, so that new runs looked slow and were stopped or doubled after a takeover. Age and stall of the run itself err to the safe side and stay. Why it works: the start of a run is known only by the answer to its order; both places now ask for it. Two tests fail without the change (0.2 for 1.0).

--- a/arbutusrock/engine/job_state.py
+++ b/arbutusrock/engine/job_state.py
@@ -81,6 +81,7 @@
         'demand',
         'state',
         'ordered_at_s',
+        'started_at_s',
         'confirmed_at_s',
         'survived_before_s',
         'stop_answered_at_s',
@@ -102,6 +103,10 @@
         self.demand = demand
         self.state = RunState.ORDERED
         self.ordered_at_s = now_s
+        # When its start order was answered; None when it is not known when
+        # the run started.
+        self.started_at_s = None
+        # Since when it is known to run, or that it may.
         self.confirmed_at_s = None
         # How long it is known to have been running when it was confirmed.
         self.survived_before_s = 0.0
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -101,7 +101,7 @@
             case platform_messages.OrderOutcome.DONE:
                 if run.state is not job_state.RunState.STOPPING:
                     run.state = job_state.RunState.RUNNING
-                run.confirmed_at_s = now_s
+                run.started_at_s = run.confirmed_at_s = now_s
                 if run.task is not None:
                     run.task.step.job.started = True
                 return
@@ -319,11 +319,11 @@
         """Record the duration of a task, for estimates and its siblings.
 
         A run that resumed from a checkpoint has done a part only, and does
-        not count.
+        not count; nor does one that an earlier owner started.
         """
-        if run is None or run.confirmed_at_s is None or task.checkpoint:
+        if run is None or run.started_at_s is None or task.checkpoint:
             return
-        task.run_duration_s = now_s - run.confirmed_at_s
+        task.run_duration_s = now_s - run.started_at_s
         task.completed_on_vm = run.worker.vm
         job = task.step.job
         self.term.duration_estimator.record_task(
--- a/arbutusrock/engine/straggler_controller.py
+++ b/arbutusrock/engine/straggler_controller.py
@@ -95,7 +95,8 @@
     """Return durations of the other tasks of a run's step on other VMs.
 
     The VM of the run itself may be what is slow. The duration of a task that
-    is still running is extrapolated from its progress.
+    is still running is extrapolated from its progress, if it is known when
+    it started.
     """
     durations_s = []
     for task in run.task.step.tasks:
@@ -108,10 +109,10 @@
             worker = other.worker
             if (
                 worker.vm == run.worker.vm
-                or other.confirmed_at_s is None
+                or other.started_at_s is None
                 or other.percent <= 0
             ):
                 continue
-            age_s = worker.last_reply_at_s - other.confirmed_at_s
+            age_s = worker.last_reply_at_s - other.started_at_s
             durations_s.append(age_s * 100 / other.percent)
     return durations_s
--- a/arbutusrock/engine/tests/test_run_controller.py
+++ b/arbutusrock/engine/tests/test_run_controller.py
@@ -6,6 +6,7 @@
 from arbutusrock.engine import plans
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine import run_controller
+from arbutusrock.engine import straggler_controller
 from arbutusrock.engine.tests import samples
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
@@ -43,8 +44,8 @@
     controller.handle_renewal(worker, reply, clocks.now_s())
 
 
-def add_job(term, **fields):
-    step = plans.StepPlan(count=1, demand=Resources(cpu=5000), **fields)
+def add_job(term, count=1, **fields):
+    step = plans.StepPlan(count=count, demand=Resources(cpu=5000), **fields)
     submission = plans.Submission(
         queue='q',
         pool='p',
@@ -88,3 +89,35 @@
     handle_report(controller, worker)
     controller.end_incarnation(worker, fleet.IncarnationEnd.REPLACED)
     assert not term.job_registry.jobs[JOB].progress.crashes
+
+
+def test_adopted_run_does_not_shorten_learned_durations():
+    """Its start is not known to the new owner, only the rest of it is seen."""
+    term, controller, worker = create_controller()
+    add_job(term, estimate_ms=1000)
+    handle_report(controller, worker)
+    completion = platform_messages.CompletionReport(
+        number=1,
+        task=f'{JOB}.0.0.0',
+        run=1_000_001,
+        kind=platform_messages.CompletionKind.DONE,
+    )
+    reply = platform_messages.RenewalReply(
+        clock_ms=1001.0, born_ms=0, running=(), ended=(completion,)
+    )
+    controller.handle_renewal(worker, reply, clocks.now_s())
+    assert term.job_registry.jobs[JOB].ended
+    assert term.duration_estimator.get_duration_ratio('q', 'other') == 1.0
+
+
+def test_adopted_run_does_not_make_its_siblings_look_slow():
+    """Its progress over the time since its adoption is no speed."""
+    term, controller, worker = create_controller()
+    add_job(term, count=2)
+    handle_report(controller, worker)
+    (adopted,) = worker.runs.values()
+    adopted.confirmed_at_s -= 1.0
+    other = types.SimpleNamespace(
+        task=adopted.task, worker=types.SimpleNamespace(vm='m-2')
+    )
+    assert straggler_controller.find_sibling_durations(other) == []
