Give overdue jobs more VMs the longer they are late

Evidence: in the logs of both the pools have one or two VMs of eight for the last 11 s, five are switched off, and the lines on pools say 1 to 4 cores needed while jobs wait with 13 to 25 s of age. Cause: the work of late jobs was spread over ten seconds from now, anew in each pass. The end moves on with the clock; where the estimate is too low (crashes and lost runs are no part of it, a ratio is bounded by 5), one VM is 'enough' for ever. Why it works: the time for it is now what is left of those ten seconds, at least one, so the need rises until the work is done. Jobs that can be in time get VMs first. While a VM of the pool is idle, late jobs wait for something else (limit, label) and bring none.

--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -250,8 +250,12 @@
             if estimate.long_running:
                 continue
             age_s = wall_s - occurrence.due_unix_s
-            view.needed_millicores += pool_sizing.compute_need(
-                work_left_millicore_s=estimate.work_left_core_s * 1000,
-                critical_path_left_s=estimate.critical_path_left_s,
-                time_left_s=estimate.objective_s - age_s,
+            outlook = {
+                'work_left_millicore_s': estimate.work_left_core_s * 1000,
+                'critical_path_left_s': estimate.critical_path_left_s,
+                'time_left_s': estimate.objective_s - age_s,
+            }
+            view.needed_millicores += pool_sizing.compute_need(**outlook)
+            view.overdue_millicores += pool_sizing.compute_overdue_need(
+                **outlook
             )
--- a/arbutusrock/scheduling/pool_sizing.py
+++ b/arbutusrock/scheduling/pool_sizing.py
@@ -15,6 +15,7 @@
     'VMMove',
     'VMView',
     'compute_need',
+    'compute_overdue_need',
     'compute_target_vms',
     'get_median_vm_millicores',
     'plan_duration',
@@ -33,6 +34,8 @@
 # Time over which the work of late jobs is spread. Their value does not pay for
 # more VMs, but all accepted jobs are to be done soon after a burst or outage.
 LATE_DURATION_S = 10.0
+# Time over which the work of a job is spread that has been late for that long.
+OVERDUE_DURATION_S = 1.0
 # A VM is switched off after this idle time: a move there and back costs as
 # much as about two seconds in a pool. Off-peak the time is shorter, since the
 # VM is not needed again soon.
@@ -68,6 +71,8 @@
     :param long_running_millicores: demand of the tasks that run until they
         are cancelled.
     :param needed_millicores: what the jobs need to be completed in time.
+    :param overdue_millicores: what jobs that have been late for some time
+        need beyond that. VMs for it come last.
     :param expected_millicores: forecast of the demand of jobs when a VM
         ordered now has arrived.
     :param used_millicores: what the tasks of the pool use now.
@@ -82,6 +87,7 @@
         'vms',
         'long_running_millicores',
         'needed_millicores',
+        'overdue_millicores',
         'expected_millicores',
         'used_millicores',
         'long_running_vms',
@@ -97,6 +103,7 @@
         vms=(),
         long_running_millicores=0,
         needed_millicores=0.0,
+        overdue_millicores=0.0,
         expected_millicores=0.0,
         used_millicores=0,
         long_running_vms=0,
@@ -108,6 +115,7 @@
         self.vms = list(vms)
         self.long_running_millicores = long_running_millicores
         self.needed_millicores = needed_millicores
+        self.overdue_millicores = overdue_millicores
         self.expected_millicores = expected_millicores
         self.used_millicores = used_millicores
         self.long_running_vms = long_running_vms
@@ -169,6 +177,30 @@
     )
 
 
+def compute_overdue_need(
+    *, work_left_millicore_s, critical_path_left_s, time_left_s
+):
+    """Return the millicores that a late job needs beyond its normal need.
+
+    They rise with its lateness, so that it is completed soon, whatever was
+    wrong with the estimate of its work.
+
+    >>> def need(time_left_s):
+    ...     return compute_overdue_need(
+    ...         work_left_millicore_s=8000, critical_path_left_s=1,
+    ...         time_left_s=time_left_s)
+    >>> need(time_left_s=1), need(time_left_s=-4), need(time_left_s=-60)
+    (0.0, 800.0, 7200.0)
+    """
+    late_s = critical_path_left_s - time_left_s
+    if late_s <= 0:
+        return 0.0
+    left_s = max(OVERDUE_DURATION_S, LATE_DURATION_S - late_s)
+    usual_s = max(critical_path_left_s, LATE_DURATION_S)
+    planned_s = max(critical_path_left_s, left_s)
+    return work_left_millicore_s / planned_s - work_left_millicore_s / usual_s
+
+
 def plan_duration(*, critical_path_left_s, time_left_s):
     """Return the time over which the work of a job is spread."""
     return max(
@@ -176,9 +208,13 @@
     )
 
 
-def compute_target_vms(pool, vm_millicores):
+def compute_target_vms(pool, vm_millicores, *, with_overdue=True):
     """Return how many VMs of size ``vm_millicores`` a pool should have.
 
+    :param with_overdue: count what overdue jobs need, too. While a VM of the
+        pool is idle they wait for something else, such as their account's
+        limit, and get no VMs.
+
     >>> idle = PoolView(
     ...     name='a', long_running_millicores=15000, long_running_vms=1)
     >>> compute_target_vms(idle, 32000)
@@ -194,6 +230,8 @@
     job_millicores = max(
         pool.needed_millicores * GROWTH_FACTOR, pool.expected_millicores
     )
+    if with_overdue and not _has_idle_vm(pool):
+        job_millicores += pool.overdue_millicores * GROWTH_FACTOR
     needed = math.ceil(
         (pool.long_running_millicores + job_millicores)
         / (vm_millicores * FILL_FRACTION)
@@ -202,6 +240,10 @@
     return max(needed, min_vms)
 
 
+def _has_idle_vm(pool):
+    return any(vm.movable and vm.idle_s > 0 for vm in pool.vms)
+
+
 def plan_moves(pools, *, max_moves):
     """Return a :class:`PoolPlan` that moves the pools towards their targets.
 
@@ -213,12 +255,17 @@
     vm_millicores = get_median_vm_millicores(pools)
     if not vm_millicores:
         return PoolPlan()
-    missing, surplus, busy_surplus = {}, [], {}
+    missing, overdue, surplus, busy_surplus = {}, {}, [], {}
     for pool in sized:
         full_vms = _count_full_vms(pool, vm_millicores)
-        excess = full_vms - compute_target_vms(pool, vm_millicores)
+        target = compute_target_vms(pool, vm_millicores)
+        excess = full_vms - target
         if excess < 0:
-            missing[pool.name] = -excess
+            target_in_time = compute_target_vms(
+                pool, vm_millicores, with_overdue=False
+            )
+            missing[pool.name] = max(0, target_in_time - full_vms)
+            overdue[pool.name] = -excess - missing[pool.name]
             continue
         idle = sorted(
             (vm for vm in pool.vms if vm.movable),
@@ -228,7 +275,9 @@
         if excess > len(idle):
             busy_surplus[pool.name] = excess - len(idle)
     spare_vms = [(vm, pool) for pool in spare for vm in pool.vms if vm.movable]
-    moves = _fill_missing(missing, spare_vms, surplus)
+    sources = sorted(surplus, key=lambda item: -item[0].idle_s) + spare_vms
+    moves = _fill_missing(missing, sources)
+    moves += _fill_missing(overdue, sources[len(moves) :])
     if spare and len(moves) < max_moves:
         taken = {move.vm for move in moves}
         moves += [
@@ -256,18 +305,17 @@
     return sum(vm.millicores * 2 >= vm_millicores for vm in pool.vms)
 
 
-def _fill_missing(missing, spare_vms, surplus):
+def _fill_missing(missing, sources):
     """Return moves of VMs to the pools that lack most.
 
-    Idle VMs of other pools come before VMs that are switched off. The counts
-    in ``missing`` are reduced by the moves.
+    The counts in ``missing`` are reduced by the moves, and VMs are taken in
+    the order of ``sources``.
 
     :param missing: by pool, number of VMs that it lacks.
-    :param spare_vms: pairs of a switched-off VM and its pool.
-    :param surplus: pairs of an idle VM and its pool.
+    :param sources: pairs of a VM and its pool; idle VMs of other pools come
+        before VMs that are switched off.
     """
     moves = []
-    sources = sorted(surplus, key=lambda item: -item[0].idle_s) + spare_vms
     for vm, pool in sources:
         name = max(missing, key=missing.get, default=None)
         if name is None or missing[name] <= 0:
--- a/arbutusrock/scheduling/tests/test_pool_sizing.py
+++ b/arbutusrock/scheduling/tests/test_pool_sizing.py
@@ -141,3 +141,52 @@
         vm.millicores = VM_MILLICORES // 8
     moves = pool_sizing.plan_moves(views, max_moves=12).moves
     assert [move.target for move in moves] == ['a', 'a']
+
+
+def test_late_jobs_are_finished_although_estimates_are_too_short():
+    """Guards against one busy VM per pool while the others are switched off.
+
+    The work of late jobs was spread over ten seconds anew in each pass, so
+    that what was left of it never was due.
+    """
+    vm_cores, estimate_factor, step_s = 8, 1 / 3, 0.5
+    left_core_s, late_s = 300.0, 0.0
+    while left_core_s > 0 and late_s < 30:
+        outlook = {
+            'work_left_millicore_s': left_core_s * estimate_factor * 1000,
+            'critical_path_left_s': 0.1,
+            'time_left_s': 0.1 - late_s - 1e-6,
+        }
+        view = pool_sizing.PoolView(
+            name='a',
+            needed_millicores=pool_sizing.compute_need(**outlook),
+            overdue_millicores=pool_sizing.compute_overdue_need(**outlook),
+        )
+        vms = pool_sizing.compute_target_vms(view, vm_cores * 1000)
+        left_core_s -= vms * vm_cores * step_s
+        late_s += step_s
+    assert late_s <= 14.0
+
+
+def test_in_time_jobs_get_vms_before_late_ones():
+    views = [
+        create_pool('late', 1, overdue_millicores=900 * MILLICORES_PER_CORE),
+        create_pool('soon', 1, needed_millicores=50 * MILLICORES_PER_CORE),
+        pool_sizing.PoolView(name='off', spare=True, vms=create_vms('off', 3)),
+    ]
+    plan = pool_sizing.plan_moves(views, max_moves=12)
+    targets = [move.target for move in plan.moves]
+    assert targets.count('soon') == 2
+    assert targets.count('late') == 1
+    assert plan.unmet == 0
+
+
+def test_overdue_jobs_that_wait_for_other_things_bring_no_vms():
+    """The limit of their account may keep them waiting for ever."""
+    overdue_millicores = 900 * MILLICORES_PER_CORE
+    full = create_pool('a', 2, overdue_millicores=overdue_millicores)
+    idle = create_pool(
+        'a', 2, overdue_millicores=overdue_millicores, idle_s=0.5
+    )
+    assert pool_sizing.compute_target_vms(full, VM_MILLICORES) > 2
+    assert pool_sizing.compute_target_vms(idle, VM_MILLICORES) <= 2
