--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -12,6 +12,8 @@
 # Margin after the computed end of a lease, for delays of timers and of the
 # network.
 LEASE_MARGIN_S = 0.3
+# Runs that a log line about their worker names, the newest first.
+MAX_LOGGED_RUNS = 20
 
 
 class IncarnationEnd(enum.Enum):
@@ -137,6 +139,26 @@
             accelerators=min(registered.accelerators, listed.accelerators),
         )
 
+    def describe_runs(self):
+        """Return its newest runs for a log line.
+
+        :returns: for each run its task, its number, its state, and how long
+            it had been running at the last answer of the worker (s); None
+            when the start was not confirmed.
+        """
+        runs = sorted(self.runs.values(), key=lambda run: -run.ordered_at_s)
+        return [
+            [
+                run.name,
+                run.number,
+                run.state.value,
+                None
+                if run.confirmed_at_s is None
+                else round(self.clock_read_at_s - run.confirmed_at_s, 3),
+            ]
+            for run in runs[:MAX_LOGGED_RUNS]
+        ]
+
     @property
     def free_millicores(self):
         """Free capacity in millicores."""
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -22,8 +22,6 @@
 # Time for which a new owner defers the reports of a worker that names a job
 # whose row it has not loaded yet.
 JOB_LOAD_GRACE_S = 2.0
-# Runs that a log line about their worker names, the newest first.
-MAX_LOGGED_RUNS = 20
 LOG = logs.get_log('runs')
 
 
@@ -185,7 +183,7 @@
             vm=worker.vm,
             reason=cause.value,
             runs=len(worker.runs),
-            tasks=_describe_runs(worker),
+            tasks=worker.describe_runs(),
         )
         self.crash_tracker.record_end(worker, cause)
         self._requeue_runs(worker)
@@ -205,7 +203,7 @@
             worker=worker.worker_id,
             silent_s=round(clocks.now_s() - worker.last_reply_at_s, 2),
             runs=len(worker.runs),
-            tasks=_describe_runs(worker),
+            tasks=worker.describe_runs(),
         )
         self.crash_tracker.record_silence(worker)
         self._requeue_runs(worker)
@@ -491,27 +489,6 @@
                     self._remove_and_requeue(run)
 
 
-def _describe_runs(worker):
-    """Return the newest runs of a worker for a log line.
-
-    :returns: for each run its task, its number, its state, and how long it
-        had been running at the last answer of the worker (s); None when the
-        start was not confirmed.
-    """
-    runs = sorted(worker.runs.values(), key=lambda run: -run.ordered_at_s)
-    return [
-        [
-            run.name,
-            run.number,
-            run.state.value,
-            None
-            if run.confirmed_at_s is None
-            else round(worker.clock_read_at_s - run.confirmed_at_s, 3),
-        ]
-        for run in runs[:MAX_LOGGED_RUNS]
-    ]
-
-
 def _find_demand(job, parts, worker):
     """Return the resources of a run: the whole worker for an unknown job."""
     if job is None:
