Bound what a lone account risks by what is left for others to come

Evidence: the lines on pools now bring 4 to 5 VMs for the overdue work, but used stays at 6 to 8 cores, one VM, and the others are moved away again after a second, over and over: the account has three culprits, so its new tasks may be on a quarter of the pool, one VM, and one suspect is tried at a time. Cause: the bound protects other accounts, of which there are none here; it only keeps the account from its own machines. (The same reason stands behind not confining any when all have culprits.) Why it works: while no other account has running or waiting work in the pool, only a quarter is left free for others to come. With others in the pool nothing changes.

--- a/arbutusrock/engine/guarded_starts.py
+++ b/arbutusrock/engine/guarded_starts.py
@@ -149,6 +149,7 @@
             pool_size=len(pool_workers),
             risked=risked,
             own_runs=own_runs,
+            shared=self._is_shared(step, pool_workers),
         )
 
     def _find_pool_workers(self, step):
@@ -175,4 +176,18 @@
                 run.task is not None and is_likely(run.task) for run in guarded
             ],
             likely=is_likely(task),
+            shared=self._is_shared(step, pool_workers),
+        )
+
+    def _is_shared(self, step, pool_workers):
+        """Return whether other accounts have work in the pool of a step."""
+        submission = step.job.submission
+        waiting = self.term.job_registry.waiting_steps.get(submission.pool, {})
+        return any(
+            run.account != submission.account
+            for worker in pool_workers
+            for run in worker.runs.values()
+        ) or any(
+            other.job.submission.account != submission.account
+            for other in waiting.values()
         )
--- a/arbutusrock/scheduling/isolation.py
+++ b/arbutusrock/scheduling/isolation.py
@@ -8,7 +8,8 @@
 is held until its newest tasks have settled.
 
 An account may risk a part of a pool at once with suspects, and as much with
-tasks that were the only suspect in a crash before. While most of these tasks
+tasks that were the only suspect in a crash before; a larger part while no
+other account has work there. While most of these tasks
 are of one account, its other new tasks may be on no more workers either until
 they have settled, so that it does not take the pool down for all accounts.
 """
@@ -110,7 +111,7 @@
     )
 
 
-def may_risk_worker(*, workers, guarded, likely):
+def may_risk_worker(*, workers, guarded, likely, shared):
     """Return whether a suspect of an account may be started now.
 
     Likely culprits wait for each other, and do not hold up the others.
@@ -119,12 +120,23 @@
     :param guarded: for each of them with a suspect of the account that is
         not cleared, even if it does not answer: whether the task is likely.
     :param likely: whether the task was the only suspect in a crash.
+    :param shared: whether other accounts have work in the pool.
     """
-    return guarded.count(likely) < _get_max_risked(workers)
+    return guarded.count(likely) < _get_max_risked(workers, shared)
 
 
-def _get_max_risked(workers):
-    return max(1, int(workers * MAX_RISKED_FRACTION))
+def _get_max_risked(workers, shared):
+    """Return on how many workers of a pool an account may have suspects.
+
+    While no other account has work there, a part is left for those to come.
+
+    >>> _get_max_risked(8, shared=True), _get_max_risked(8, shared=False)
+    (2, 6)
+    >>> _get_max_risked(1, shared=True), _get_max_risked(1, shared=False)
+    (1, 1)
+    """
+    part = max(1, int(workers * MAX_RISKED_FRACTION))
+    return part if shared else max(part, workers - part)
 
 
 def is_confined(culprits, account, now_s):
@@ -144,7 +156,7 @@
     return own >= MIN_CULPRITS and 2 * own > sum(counts.values())
 
 
-def limit_workers(workers, *, pool_size, risked, own_runs):
+def limit_workers(workers, *, pool_size, risked, own_runs, shared):
     """Return the workers that new tasks of a confined account may get.
 
     Workers that have its tasks already come first, so that it risks its own
@@ -155,12 +167,13 @@
     :param risked: ids of the workers of the pool that have a task of the
         account that has not settled, including those that do not answer.
     :param own_runs: number of runs of the account by worker id.
+    :param shared: whether other accounts have work in the pool.
     """
     others = [item for item in workers if item.worker_id not in risked]
     others.sort(
         key=lambda item: (-own_runs.get(item.worker_id, 0), item.worker_id)
     )
-    more = max(0, _get_max_risked(pool_size) - len(risked))
+    more = max(0, _get_max_risked(pool_size, shared) - len(risked))
     return [item for item in workers if item.worker_id in risked] + others[
         :more
     ]
--- a/arbutusrock/scheduling/tests/test_isolation.py
+++ b/arbutusrock/scheduling/tests/test_isolation.py
@@ -76,7 +76,7 @@
 def test_account_does_not_take_a_whole_pool_down():
     def may_risk(guarded, likely=False):
         return isolation.may_risk_worker(
-            workers=8, guarded=guarded, likely=likely
+            workers=8, guarded=guarded, likely=likely, shared=True
         )
 
     assert may_risk([False])
@@ -84,9 +84,11 @@
 
 
 def test_likely_culprits_do_not_hold_up_other_suspects():
-    assert isolation.may_risk_worker(workers=2, guarded=[True], likely=False)
+    assert isolation.may_risk_worker(
+        workers=2, guarded=[True], likely=False, shared=True
+    )
     assert not isolation.may_risk_worker(
-        workers=4, guarded=[True], likely=True
+        workers=4, guarded=[True], likely=True, shared=True
     )
 
 
@@ -95,9 +97,13 @@
         create_candidate(name, runs=0, free=8).worker for name in 'abcdefgh'
     ]
 
-    def limit(risked, own_runs):
+    def limit(risked, own_runs, shared=True):
         limited = isolation.limit_workers(
-            workers, pool_size=8, risked=risked, own_runs=own_runs
+            workers,
+            pool_size=8,
+            risked=risked,
+            own_runs=own_runs,
+            shared=shared,
         )
         return [item.vm for item in limited]
 
@@ -106,6 +112,8 @@
     assert limit({'c'}, {'g': 3}) == ['c', 'g']
     # Two workers have crashed under it and do not answer.
     assert not limit({'x', 'y'}, {})
+    # Without work of others there, only a part for new work is protected.
+    assert len(limit(set(), {}, shared=False)) == 6
 
 
 def test_account_is_confined_while_most_culprits_are_its_own():
