Keep late writes from turning a completed wave into an open one

Evidence: the owner n3 logged 'a wave is completed' and stored it; five writes of the status before it were not answered, as the link was reset. The stand-in carries such writes out two seconds later, after the newer one, and the status is 'open' for ever: the owner knows it as reported. Cause: the status row was written without a condition, unlike the rows of jobs and of the owner. Why it works: each write names the version of the row that it follows, so that an earlier one is refused once a newer one is there; at a conflict the present version is taken and the write repeated. A test with a store that carries a call out late fails without the change.

--- a/arbutusrock/engine/tests/test_wave_controller.py
+++ b/arbutusrock/engine/tests/test_wave_controller.py
@@ -1,9 +1,11 @@
 """When a wave is completed, and when a VM counts as empty."""
 
+import contextlib
 import types
 
 from arbutusrock.engine import fleet
 from arbutusrock.engine import platform_messages
+from arbutusrock.engine import rows
 from arbutusrock.engine import vm_registry
 from arbutusrock.engine import vm_views
 from arbutusrock.engine import wave_controller
@@ -38,6 +40,54 @@
     return controller
 
 
+class LateStore:
+    """Keeps one row; a call without an answer is carried out later."""
+
+    def __init__(self):
+        self.value, self.version = None, 0
+        self.silent = True
+        self.late_calls = []
+
+    async def transact(self, *, puts, expected=()):
+        if self.silent:
+            self.late_calls.append((expected, puts))
+            raise rows.StoreSilent('no answer')
+        for row in expected:
+            if row.version != self.version:
+                raise rows.Conflicted(
+                    [rows.Row(table='', key='', version=self.version)]
+                )
+        self.value, self.version = puts[0].value, self.version + 1
+        return self.version
+
+
+async def test_status_of_completed_wave_outlives_late_writes():
+    """A write that was not answered may be carried out seconds later."""
+    controller = create_wave_controller(vm_registry.VMRegistry())
+    store = controller.store = LateStore()
+    controller.encode_wave_status = lambda *, number, completed: completed
+    record = wave_controller.WaveRecord(began_ms=0.0)
+    await controller._report_wave(3, record)
+    store.silent = False
+    record.completed = True
+    await controller._report_wave(3, record)
+    for expected, puts in store.late_calls:
+        with contextlib.suppress(rows.Conflicted):
+            await store.transact(expected=expected, puts=puts)
+    assert store.value is True
+
+
+async def test_status_of_wave_is_written_over_an_earlier_owners():
+    controller = create_wave_controller(vm_registry.VMRegistry())
+    store = controller.store = LateStore()
+    store.silent, store.version = False, 7
+    controller.encode_wave_status = lambda *, number, completed: completed
+    record = wave_controller.WaveRecord(began_ms=0.0, completed=True)
+    await controller._report_wave(3, record)
+    await controller._report_wave(3, record)
+    assert store.value is True
+
+
 def test_wave_is_not_completed_while_vm_moves():
     """A VM that is being moved to another pool is still part of the wave.
 
--- a/arbutusrock/engine/wave_controller.py
+++ b/arbutusrock/engine/wave_controller.py
@@ -69,6 +69,8 @@
         # lacked them was requested.
         self._absent_since_s = {}
         self._reported_waves = {}
+        # Version of the status row of each wave, as far as known.
+        self._status_versions = {}
 
     @property
     def misses_vms(self):
@@ -228,7 +230,9 @@
     async def _report_wave(self, number, record):
         """Write for the operator whether a wave is completed.
 
-        A write that fails is repeated in the next pass.
+        A write that fails is repeated in the next pass. It depends on the
+        version of the row, so that an earlier one that was not answered
+        changes nothing if it is carried out later.
         """
         if self._reported_waves.get(number) == record.completed:
             return
@@ -239,12 +243,19 @@
             value=self.encode_wave_status(
                 number=number, completed=record.completed
             ),
+            version=self._status_versions.get(number, 0),
         )
         try:
-            await self.store.transact(puts=[row])
+            version = await self.store.transact(expected=[row], puts=[row])
+        except rows.Conflicted as exc:
+            self._status_versions[number] = max(
+                (found.version for found in exc.rows), default=0
+            )
+            return
         except (rows.StoreRefused, rows.StoreSilent) as exc:
             LOG.info(
                 'the status of a wave could not be written', error=str(exc)
             )
             return
+        self._status_versions[number] = version
         self._reported_waves[number] = record.completed
--- a/arbutusrock/scheduling/pool_sizing.py
+++ b/arbutusrock/scheduling/pool_sizing.py
@@ -212,8 +212,8 @@
     """Return how many VMs of size ``vm_millicores`` a pool should have.
 
     :param with_overdue: count what overdue jobs need, too. While a VM of the
-        pool is idle they wait for something else, such as their account's
-        limit, and get no VMs.
+        pool is idle they wait for something else, such as workers that may
+        not run them, and get no VMs.
 
     >>> idle = PoolView(
     ...     name='a', long_running_millicores=15000, long_running_vms=1)
--- a/arbutusrock/scheduling/tests/test_pool_sizing.py
+++ b/arbutusrock/scheduling/tests/test_pool_sizing.py
@@ -182,7 +182,7 @@
 
 
 def test_overdue_jobs_that_wait_for_other_things_bring_no_vms():
-    """The limit of their account may keep them waiting for ever."""
+    """A label that no worker has may keep them waiting for ever."""
     overdue_millicores = 900 * MILLICORES_PER_CORE
     full = create_pool('a', 2, overdue_millicores=overdue_millicores)
     idle = create_pool(
