--- a/arbutusrock/engine/peers.py
+++ b/arbutusrock/engine/peers.py
@@ -63,11 +63,10 @@
                 # the parts that need an answer.
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            self.addresses = {
-                item.key: item.value.decode()
-                for item in found
-                if item.key != self.node
-            }
+            addresses = {item.key: item.value.decode() for item in found}
+            # A late write of an earlier process of this node may follow.
+            written = addresses.pop(self.node, '') == self._own_address
+            self.addresses = addresses
             await asyncio.sleep(REFRESH_INTERVAL_S)
 
     def choose(self, excluded):
