--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -143,7 +143,18 @@
     await fleet.call_api(
         'POST', '/v1/waves', data='{"wave": "night", "rack": "rack-1"}'
     )
+
+    async def is_known_everywhere():
+        replies = [
+            await fleet.try_call_api(
+                'GET', '/v1/objects/wave/night', at=daemon
+            )
+            for daemon in daemons
+        ]
+        return all(reply.status == 200 for reply in replies)
+
     # One daemon is killed during the wave.
+    await invariants.wait_for(is_known_everywhere)
     await invariants.wait_for(lambda: any(snapshots))
     daemons[0].kill()
 
