Start the test of shares once all requests wait

Its window of starts stands for 'while both teams wait', but 300 requests were sent at once and the first 60 starts take 0.4 s: on a busy machine the second team's requests arrive later than that, and an idle share goes to the other. A third team now holds all slots until the status shows that 150 requests of each team wait.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -106,7 +106,11 @@
 @pytest.mark.asyncio
 async def test_full_pool_is_divided_by_shares(fleet):
     """Teams start tasks by their shares; others use an idle share."""
-    teams = [('auction', 3.0, 100), ('herd', 1.0, 100)]
+    teams = [
+        ('auction', 3.0, 100),
+        ('herd', 1.0, 100),
+        ('other', 1.0, 100),
+    ]
     (daemon,) = await harness.start_fleet(
         fleet, daemons=1, workers=2, teams=teams
     )
@@ -115,12 +119,27 @@
     assert {reply.status for reply in alone} == {200}
     ledger = await fleet.read_ledger()
     assert get_peak_concurrency(ledger) == 16
+    # Another team holds all slots until all requests of both teams wait.
+    held = asyncio.create_task(
+        send_concurrently(load, [daemon], 16, team='other', run_s=3.0)
+    )
+    await invariants.wait_for(lambda: has_running(fleet, 16))
     done = len(ledger)
-    await asyncio.gather(
-        send_concurrently(load, [daemon], 150, team='auction', run_s=0.1),
-        send_concurrently(load, [daemon], 150, team='herd', run_s=0.1),
+    both = [
+        asyncio.create_task(
+            send_concurrently(load, [daemon], 150, team=team, run_s=0.1)
+        )
+        for team in ('auction', 'herd')
+    ]
+    await invariants.wait_for(
+        lambda: has_waiting(fleet, {'auction': 150, 'herd': 150})
     )
-    ledger = (await fleet.read_ledger())[done:]
+    await asyncio.gather(held, *both)
+    ledger = [
+        entry
+        for entry in (await fleet.read_ledger())[done:]
+        if not entry.team.endswith('other')
+    ]
     # While both teams wait, they start tasks at a ratio of three to one.
     both = ledger[60:160]
     auction = sum(1 for entry in both if entry.team.endswith('auction'))
@@ -128,6 +147,19 @@
     await invariants.assert_invariants(fleet, load.replies)
 
 
+async def has_running(fleet, count):
+    """Return whether the status shows ``count`` running tasks."""
+    status = await fleet.call_api('GET', '/v1/status')
+    return sum(pool['running'] for pool in status['pools']) == count
+
+
+async def has_waiting(fleet, expected):
+    """Return whether as many requests wait, by team, as ``expected``."""
+    status = await fleet.call_api('GET', '/v1/status')
+    waiting = {team['team']: team['urgent'] for team in status['teams']}
+    return all(waiting[team] == count for team, count in expected.items())
+
+
 def get_peak_concurrency(ledger):
     """Return the maximum number of tasks that ran at once."""
     events = [(e.start_s, 1) for e in ledger]
