Pass idle permits on while the free ones of the store are out of reach

Cause: a member in need is counted against the permits that nobody holds, limit minus held. With the store down these are in its row and can't be had, so the members that hold idle ones keep them, and the others' requests wait for the whole outage. Which member holds how many when the store fails is chance.

--- a/arbutusrock/contracts/permits.py
+++ b/arbutusrock/contracts/permits.py
@@ -277,8 +277,12 @@
             return team.local_permits + min(missing, free)
         return team.local_permits
 
-    def _compute_quota(self, name):
-        """Return the maximum number of permits to use here now."""
+    def _compute_quota(self, name, *, held_only=False):
+        """Return the maximum number of permits to use here now.
+
+        :param held_only: divide only what live members hold: the free permits
+            of the row are out of reach while the store is unresponsive.
+        """
         team = self._get_team(name)
         own_id = self.members.member_id
         needs = [
@@ -296,6 +300,8 @@
                     permit_division.get_member_need(peer_id, link.demand, name)
                 )
         limit = self.configuration.get_limit(name)
+        if held_only:
+            limit = min(limit, sum(need.permits for need in needs))
         return permit_division.compute_quota(limit, own_id, needs)
 
     def get_oldest_age_s(self, name):
@@ -370,7 +376,7 @@
         them unusable until the store is back, but never creates one.
         """
         team = self._get_team(name)
-        quota = self._compute_quota(name)
+        quota = self._compute_quota(name, held_only=True)
         team.quota = min(quota, team.local_permits)
         spare = team.local_permits - max(quota, team.running)
         for peer_id, unmet in self._list_unmet(name):
--- a/arbutusrock/contracts/tests/test_permits.py
+++ b/arbutusrock/contracts/tests/test_permits.py
@@ -335,6 +335,32 @@
     asyncio.run(run())
 
 
+def test_idle_permits_reach_a_peer_while_the_store_is_down():
+    """The free permits of the row, ten here, can't be had then.
+
+    The holder kept its idle ones, as if the peer could take the free ones; the
+    peer's requests waited for the whole outage.
+    """
+
+    async def run():
+        cluster = FakeCluster(12)
+        holder, waiting = cluster.nodes['a'], cluster.nodes['b']
+        holder.set_need(TEAM_NAME, 2)
+        await holder._try_reconcile(TEAM_NAME)
+        holder.set_need(TEAM_NAME, 0)
+        waiting.set_need(TEAM_NAME, 2)
+        cluster.store.down = True
+        cluster.exchange_digests()
+        await holder._try_reconcile(TEAM_NAME)
+        while cluster.messages:
+            cluster.deliver(0)
+        assert waiting.get_local_permits(TEAM_NAME) == 2
+        assert waiting.try_acquire(TEAM_NAME)
+        cluster.check_invariants()
+
+    asyncio.run(run())
+
+
 def test_check_invariants_detects_excess_permits():
     """Guards against a check that passes whatever the members hold."""
 
