--- a/arbutusrock/scheduling/pool_sizing.py
+++ b/arbutusrock/scheduling/pool_sizing.py
@@ -34,7 +34,7 @@
 # Time over which the work of late jobs is spread. Their value does not pay for
 # more VMs, but all accepted jobs are to be done soon after a burst or outage.
 LATE_DURATION_S = 10.0
-# Time over which the work of a job is spread that has been late for that long.
+# Shortest such time, for jobs that have been late for LATE_DURATION_S.
 OVERDUE_DURATION_S = 1.0
 # A VM is switched off after this idle time: a move there and back costs as
 # much as about two seconds in a pool. Off-peak the time is shorter, since the
@@ -182,8 +182,9 @@
 ):
     """Return the millicores that a late job needs beyond its normal need.
 
-    They rise with its lateness, so that it is completed soon, whatever was
-    wrong with the estimate of its work.
+    :func:`compute_need` spreads its work over the same time in each pass. Here
+    the time ends LATE_DURATION_S after the job became late, so that the need
+    rises until the job is completed, even if its work was underestimated.
 
     >>> def need(time_left_s):
     ...     return compute_overdue_need(
