End no serving job for two crashes under the same task

Cause: a fault of our crash attribution: machines that are lost together look like as many deadly tasks, and two such losses suffice. A serving job pays most, as it ends as a whole. Its test fails without the change. What remains: losses of several machines are not told from crashes by their number, so a job of other kinds can still be failed by two of them.

--- a/arbutusrock/engine/crash_tracker.py
+++ b/arbutusrock/engine/crash_tracker.py
@@ -282,7 +282,9 @@
             sole=record.sole,
             crashes=len(crashes),
         )
-        if crash_attribution.should_give_up(crashes):
+        if crash_attribution.should_give_up(
+            crashes, lasting=unit.step.plan.long_running
+        ):
             self.term.metrics.count('deadly_tasks')
             self.on_give_up(unit)
 
--- a/arbutusrock/engine/tests/test_crash_tracker.py
+++ b/arbutusrock/engine/tests/test_crash_tracker.py
@@ -39,10 +39,10 @@
     return controller
 
 
-def start_runs(controller, *, gang=False, number=1):
+def start_runs(controller, *, number=1, **fields):
     """Start a task on each worker; return the runs."""
     term = controller.term
-    plan = plans.JobPlan(spec='', steps=(plans.StepPlan(count=2, gang=gang),))
+    plan = plans.JobPlan(spec='', steps=(plans.StepPlan(count=2, **fields),))
     submission = msgspec.structs.replace(
         samples.create_submission(), plan=plan
     )
@@ -175,3 +175,19 @@
         crash_attribution.CrashRecord(run=1, suspect=True, sole=True)
     ]
     assert starter.must_isolate(task, 103.0)
+
+
+def test_two_lost_racks_do_not_end_a_serving_job():
+    """A crash of the same task twice stopped all runs of its step.
+
+    Each time its worker was lost with its rack, a moment after the start.
+    """
+    controller = create_controller()
+    runs = start_runs(controller, long_running=True)
+    job = runs[0].task.step.job
+    for run in runs:
+        crash = crash_attribution.CrashRecord(run=7, suspect=True, sole=True)
+        job.progress.crashes[run.task.progress_key] = [crash]
+        controller.end_incarnation(run.worker, fleet.IncarnationEnd.REPLACED)
+    assert all(len(run.task.crashes) == 2 for run in runs)
+    assert not job.ended
--- a/arbutusrock/scheduling/crash_attribution.py
+++ b/arbutusrock/scheduling/crash_attribution.py
@@ -131,10 +131,16 @@
     return sum(crash.sole for crash in crashes)
 
 
-def should_give_up(crashes):
-    """Return whether a task is not to be started again."""
+def should_give_up(crashes, *, lasting=False):
+    """Return whether a task is not to be started again.
+
+    :param lasting: it runs until it is cancelled. Its job has served for long,
+        and its other tasks end with it, so more evidence is asked for: workers
+        that are lost together may be lost under the same task twice.
+    """
+    max_sole = MAX_SUSPECTED_CRASHES if lasting else MAX_SOLE_CRASHES
     return (
-        count_sole_crashes(crashes) >= MAX_SOLE_CRASHES
+        count_sole_crashes(crashes) >= max_sole
         or sum(crash.suspect for crash in crashes) >= MAX_SUSPECTED_CRASHES
     )
 
