Call one piece where the crash handling had written it again

The size of a row had a third default, in the submitter. - The need of overdue jobs derived the usual need again: it subtracts compute_need. - Four crashes as the only suspect are four as a suspect, so a lasting task needs one condition, not two. - How long a run was seen running is a property of the run. - The workers of a pool, and whose work it has, were looked up for each suspect: PoolState finds them once in a pass. - A clock read and a log that nothing used are gone. Two tests built the same controller: samples.create_run_controller.

--- a/arbutusrock/engine/crash_tracker.py
+++ b/arbutusrock/engine/crash_tracker.py
@@ -16,7 +16,7 @@
 from arbutusrock.scheduling import isolation
 from arbutusrock.utils import clocks
 
-__all__ = ['CrashTracker', 'get_survived_s']
+__all__ = ['CrashTracker']
 
 # Tasks of one job whose crashes or runs are kept, which bounds its row.
 MAX_TASKS_PER_JOB = 100
@@ -136,8 +136,7 @@
         task, guarded = run.task, run.worker.guarded_run is run
         if task is None or not (guarded or task.crashes):
             return
-        survived_s = get_survived_s(run)
-        if not crash_attribution.is_cleared(task.crashes, survived_s):
+        if not crash_attribution.is_cleared(task.crashes, run.survived_s):
             return
         if task.step.plan.gang and not _is_gang_cleared(task.step):
             return
@@ -151,7 +150,7 @@
                 task=task.name,
                 run=run.number,
                 worker=run.worker.worker_id,
-                survived_s=round(survived_s, 3),
+                survived_s=round(run.survived_s, 3),
             )
             del task.step.job.progress.crashes[task.unit.progress_key]
             self._request_flush(task)
@@ -322,7 +321,7 @@
     """
     return all(
         any(
-            crash_attribution.is_cleared(task.crashes, get_survived_s(run))
+            crash_attribution.is_cleared(task.crashes, run.survived_s)
             for run in task.runs
         )
         for task in step.tasks
@@ -335,7 +334,7 @@
             crash_attribution.CrashedRun(
                 number=run.number,
                 unit=run.task.unit,
-                survived_s=get_survived_s(run),
+                survived_s=run.survived_s,
                 crashes=run.task.crashes,
             )
             for run in runs
@@ -343,14 +342,6 @@
     )
 
 
-def get_survived_s(run):
-    """Return how long a run has been seen running by its worker's answers."""
-    if run.confirmed_at_s is None or run.state is job_state.RunState.IN_DOUBT:
-        return 0.0
-    seen_s = run.worker.clock_read_at_s - run.confirmed_at_s
-    return run.survived_before_s + max(0.0, seen_s)
-
-
 def _create_entry(run):
     """Return the entry of the worker of a stored run."""
     return platform_messages.WorkerEntry(
--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -12,7 +12,6 @@
 from arbutusrock import logs
 from arbutusrock.scheduling import ordering
 from arbutusrock.scheduling import placement
-from arbutusrock.scheduling import quotas
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
 
@@ -97,16 +96,21 @@
         workers = {pool: [] for pool in waiting}
         for worker in term.fleet.workers.values():
             pool = worker.entry.pool
-            if pool in waiting and worker.usable:
+            if pool in waiting and not worker.ended:
                 workers[pool].append(worker)
         for pool, steps in waiting.items():
-            if workers[pool]:
-                self._dispatch_pool(
-                    pool, list(steps.values()), workers[pool], now_s
-                )
+            self._dispatch_pool(
+                pool, list(steps.values()), workers[pool], now_s
+            )
 
-    def _dispatch_pool(self, pool, steps, workers, now_s):
+    def _dispatch_pool(self, pool, steps, pool_workers, now_s):
         term = self.term
+        workers = [item for item in pool_workers if item.usable]
+        if not workers:
+            return
+        pool_state = guarded_starts.PoolState(
+            workers=pool_workers, waiting_steps=steps
+        )
         vms = [worker.vm for worker in workers]
         excluded = term.vm_health.find_excluded(vms, now_s)
         suspect_vms = {
@@ -126,7 +130,9 @@
             for step in steps
             if self._may_start(step, inherited_runs_possible)
         ]
-        self._start_suspects(steps, workers, candidates, suspect_vms)
+        self._start_suspects(
+            pool_state, steps, workers, candidates, suspect_vms, now_s
+        )
         max_free = _find_max_free(candidates)
         # Skipped before the sort: under overload few steps fit anywhere.
         steps = [step for step in steps if _may_fit(step, max_free)]
@@ -141,7 +147,9 @@
             if any(_is_at_least(demand, other) for other in unplaced_demands):
                 continue
             before = len(step.waiting)
-            allowed = self.guarded_starter.limit_workers(step, candidates)
+            allowed = self.guarded_starter.limit_workers(
+                pool_state, step.job.submission.account, candidates
+            )
             if (
                 not self._start_step(step, allowed, suspect_vms, now_s)
                 and allowed is candidates
@@ -222,14 +230,16 @@
             self._start_run(task, worker, number, now_s)
         return True
 
-    def _start_suspects(self, steps, workers, candidates, suspect_vms):
+    def _start_suspects(
+        self, pool_state, steps, workers, candidates, suspect_vms, now_s
+    ):
         """Start tasks that may crash their worker, the least likely first.
 
+        :param pool_state: :class:`guarded_starts.PoolState`.
         :param workers: workers of the pool, with those that are held.
         :param candidates: workers for other tasks; one that a suspect gets
             is removed.
         """
-        now_s = clocks.now_s()
         groups = [
             (step, tasks)
             for step in steps
@@ -247,7 +257,7 @@
             if not self._fits_account_limit(step, len(tasks)):
                 continue
             chosen = self.guarded_starter.choose_workers(
-                step,
+                pool_state,
                 tasks,
                 workers,
                 self._create_placement_request(
@@ -298,11 +308,6 @@
 
     def _fits_account_limit(self, step, count):
         """Return whether ``count`` more tasks fit the account's limit."""
-        account = self.term.configuration.current.accounts.get(
-            step.job.submission.account
-        )
-        if account is None:
-            return True
         demand = step.plan.demand
         if count > 1:
             demand = Resources(
@@ -310,8 +315,9 @@
                 memory_mb=demand.memory_mb * count,
                 accelerators=demand.accelerators * count,
             )
-        used = self.term.fleet.get_usage(account.name)
-        return quotas.fits_limit(used, demand, account.upper_limit)
+        return self.term.fits_account_limit(
+            step.job.submission.account, demand
+        )
 
     def _start_run(self, task, worker, number, now_s, guarded=False):
         job = task.step.job
--- a/arbutusrock/engine/guarded_starts.py
+++ b/arbutusrock/engine/guarded_starts.py
@@ -1,21 +1,19 @@
 """Starts tasks that may crash their worker, each apart from other tasks."""
 
-from arbutusrock.engine import crash_tracker
 from arbutusrock.engine import job_state
-from arbutusrock import logs
 from arbutusrock.scheduling import crash_attribution
 from arbutusrock.scheduling import isolation
 from arbutusrock.utils import clocks
 
 __all__ = [
     'GuardedStarter',
+    'PoolState',
     'is_available',
     'is_suspect',
 ]
 
 # A worker that is held for a suspect gets no other runs for this time.
 HOLD_S = 1.0
-LOG = logs.get_log('crashes')
 
 
 def is_suspect(task):
@@ -42,8 +40,30 @@
     return worker.guarded_run is None and worker.held_until_s <= now_s
 
 
-def _is_settled(run):
-    return crash_attribution.is_settled(crash_tracker.get_survived_s(run))
+class PoolState:
+    """The workers of a pool, and whose work it has, during one pass.
+
+    :param workers: all workers of the pool, including those that get no runs
+        now.
+    :param waiting_steps: its steps with waiting tasks.
+    """
+
+    __slots__ = ('workers', '_waiting_steps', '_accounts')
+
+    def __init__(self, *, workers, waiting_steps):
+        self.workers = workers
+        self._waiting_steps = waiting_steps
+        self._accounts = None
+
+    def is_shared(self, account):
+        """Return whether accounts other than ``account`` have work there."""
+        if self._accounts is None:
+            self._accounts = {
+                run.account
+                for worker in self.workers
+                for run in worker.runs.values()
+            } | {step.job.submission.account for step in self._waiting_steps}
+        return bool(self._accounts - {account})
 
 
 class GuardedStarter:
@@ -69,11 +89,12 @@
             or not self.crash_tracker.is_durable(task)
         )
 
-    def choose_workers(self, step, tasks, workers, request):
+    def choose_workers(self, pool, tasks, workers, request):
         """Return a worker for each task, or None if they have to wait.
 
         Workers that it would take once they have fewer runs are held.
 
+        :param pool: :class:`PoolState`.
         :param tasks: a suspect, or all tasks of a gang.
         :param workers: workers of the pool that may get runs.
         :param request: :class:`arbutusrock.scheduling.placement.
@@ -83,7 +104,7 @@
         if not (
             self.crash_tracker.is_durable(tasks[0])
             and self.term.is_confirmed_at(now_s)
-            and self._fits_account(step, tasks[0])
+            and self._fits_account(pool, tasks[0])
         ):
             return None
         choice = isolation.choose_isolated_workers(
@@ -117,77 +138,59 @@
             runs=len(worker.runs),
             settled=all(
                 run.state is job_state.RunState.STOPPING
-                or (_is_settled(run) and not (run.task and run.task.crashes))
+                or (
+                    crash_attribution.is_settled(run.survived_s)
+                    and not (run.task and run.task.crashes)
+                )
                 for run in worker.runs.values()
             ),
         )
 
-    def limit_workers(self, step, workers):
-        """Return the workers that the new tasks of a step may get.
+    def limit_workers(self, pool, account, workers):
+        """Return the workers that new tasks of an account may get.
 
-        All of them, unless its account is confined.
+        All of them, unless it is confined.
+
+        :param pool: :class:`PoolState`.
         """
-        account = step.job.submission.account
         culprits = self.crash_tracker.culprits
         if account not in culprits or not isolation.is_confined(
             culprits, account, clocks.now_s()
         ):
             return workers
-        pool_workers = self._find_pool_workers(step)
         risked, own_runs = set(), {}
-        for worker in pool_workers:
+        for worker in pool.workers:
             for run in worker.runs.values():
                 if run.account != account:
                     continue
                 own_runs[worker.worker_id] = (
                     own_runs.get(worker.worker_id, 0) + 1
                 )
-                if not _is_settled(run):
+                if not crash_attribution.is_settled(run.survived_s):
                     risked.add(worker.worker_id)
         return isolation.limit_workers(
             workers,
-            pool_size=len(pool_workers),
+            pool_size=len(pool.workers),
             risked=risked,
             own_runs=own_runs,
-            shared=self._is_shared(step, pool_workers),
+            shared=pool.is_shared(account),
         )
 
-    def _find_pool_workers(self, step):
-        return [
-            worker
-            for worker in self.term.fleet.find_pool_workers(
-                step.job.submission.pool
-            )
-            if not worker.ended
-        ]
-
-    def _fits_account(self, step, task):
+    @staticmethod
+    def _fits_account(pool, task):
         """Return whether the account may risk one more worker of the pool."""
-        pool_workers = self._find_pool_workers(step)
+        account = task.step.job.submission.account
         guarded = [
             worker.guarded_run
-            for worker in pool_workers
+            for worker in pool.workers
             if worker.guarded_run is not None
-            and worker.guarded_run.account == step.job.submission.account
+            and worker.guarded_run.account == account
         ]
         return isolation.may_risk_worker(
-            workers=len(pool_workers),
+            workers=len(pool.workers),
             guarded=[
                 run.task is not None and is_likely(run.task) for run in guarded
             ],
             likely=is_likely(task),
-            shared=self._is_shared(step, pool_workers),
-        )
-
-    def _is_shared(self, step, pool_workers):
-        """Return whether other accounts have work in the pool of a step."""
-        submission = step.job.submission
-        waiting = self.term.job_registry.waiting_steps.get(submission.pool, {})
-        return any(
-            run.account != submission.account
-            for worker in pool_workers
-            for run in worker.runs.values()
-        ) or any(
-            other.job.submission.account != submission.account
-            for other in waiting.values()
+            shared=pool.is_shared(account),
         )
--- a/arbutusrock/engine/job_state.py
+++ b/arbutusrock/engine/job_state.py
@@ -121,6 +121,14 @@
         self.load = 0.0
         self.pace_percent = 100
 
+    @property
+    def survived_s(self):
+        """How long its worker's answers have shown it running."""
+        if self.confirmed_at_s is None or self.state is RunState.IN_DOUBT:
+            return 0.0
+        seen_s = self.worker.clock_read_at_s - self.confirmed_at_s
+        return self.survived_before_s + max(0.0, seen_s)
+
 
 class Task:
     """One task of a step."""
--- a/arbutusrock/engine/rows.py
+++ b/arbutusrock/engine/rows.py
@@ -25,9 +25,12 @@
     'TABLE_REPORTS',
     'TABLE_WAVES',
     'TABLE_WORKERS',
+    'count_batch_rows',
     'get_job_part',
 ]
 
+# Bytes of values in one transaction; the store takes 1 MB in base64.
+MAX_BATCH_BYTES = 500_000
 OWNER_PART = 'unit-1'
 # A slow store takes about five transactions a second on a part; all nodes
 # together need up to 30 a second.
@@ -53,6 +56,20 @@
     return JOB_PARTS[zlib.crc32(job_id.encode()) % len(JOB_PARTS)]
 
 
+def count_batch_rows(found, max_rows):
+    """Return how many of the first rows fit into one transaction.
+
+    :param found: rows or others with a ``value``; the first one always fits.
+    :param max_rows: most rows of their kind in a transaction.
+    """
+    size = 0
+    for count, row in enumerate(found[:max_rows]):
+        size += len(row.value)
+        if count and size > MAX_BATCH_BYTES:
+            return count
+    return min(len(found), max_rows)
+
+
 class Row:
     """One row, or a condition on its version.
 
--- a/arbutusrock/engine/state_writer.py
+++ b/arbutusrock/engine/state_writer.py
@@ -29,8 +29,6 @@
 # Rows of each kind in one transaction; the store takes 100 entries, and a
 # progress row counts twice, as it is expected and written.
 MAX_BATCH_ROWS = 30
-# Bytes of progress rows in one transaction; the store takes 1 MB in base64.
-MAX_BATCH_BYTES = 500_000
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 0.5
 LOG = logs.get_log('journal')
@@ -130,7 +128,7 @@
         self._queued_rows.clear()
         first = True
         while first or progress or queued_rows:
-            count = _count_batch_rows(progress)
+            count = rows.count_batch_rows(progress, MAX_BATCH_ROWS)
             batch, progress = progress[:count], progress[count:]
             others, queued_rows = (
                 queued_rows[:MAX_BATCH_ROWS],
@@ -271,16 +269,6 @@
             worker.flush_done.set()
 
 
-def _count_batch_rows(found):
-    """Return how many of the first rows fit into one transaction."""
-    size = 0
-    for count, row in enumerate(found[:MAX_BATCH_ROWS]):
-        size += len(row.value)
-        if count and size > MAX_BATCH_BYTES:
-            return count
-    return min(len(found), MAX_BATCH_ROWS)
-
-
 def build_roster(fleet):
     """Return the workers that may hold runs: (pool, VM) by worker id."""
     return {
--- a/arbutusrock/engine/submitter.py
+++ b/arbutusrock/engine/submitter.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import OrderedDict
 import enum
+import itertools
 
 from arbutusrock.engine import plans
 from arbutusrock.engine import rows
@@ -19,10 +20,8 @@
 
 # Time in which jobs are collected into one transaction.
 BATCH_DELAY_S = 0.004
-# Bounds of one transaction: the store takes 100 entries and 1 MB.
+# Jobs in one transaction; the store takes 100 entries.
 MAX_BATCH_JOBS = 40
-MAX_BATCH_BYTES = 500_000
-DEFAULT_MAX_ROW_BYTES = 65536
 # A job is refused to its callers after this many refused transactions.
 MAX_ATTEMPTS = 3
 RETRY_DELAY_S = 0.03
@@ -87,7 +86,7 @@
     :param max_row_bytes: size of the largest row that the store takes.
     """
 
-    def __init__(self, *, store, max_row_bytes=DEFAULT_MAX_ROW_BYTES):
+    def __init__(self, *, store, max_row_bytes):
         self.max_row_bytes = max_row_bytes
         # Ids whose outcome was unknown: a later call with such an id may be
         # refused only by an unknown outcome again.
@@ -182,14 +181,10 @@
         while True:
             await self._has_pending.wait()
             await asyncio.sleep(BATCH_DELAY_S)
-            batch, size = [], 0
-            for job in self._pending.values():
-                size += len(job.value)
-                if len(batch) == MAX_BATCH_JOBS or (
-                    batch and size > MAX_BATCH_BYTES
-                ):
-                    break
-                batch.append(job)
+            pending = list(
+                itertools.islice(self._pending.values(), MAX_BATCH_JOBS)
+            )
+            batch = pending[: rows.count_batch_rows(pending, MAX_BATCH_JOBS)]
             if batch:
                 await self._write(batch)
             for job in batch:
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -7,6 +7,7 @@
 from arbutusrock.scheduling import admission
 from arbutusrock.scheduling import estimates
 from arbutusrock.scheduling import forecast
+from arbutusrock.scheduling import quotas
 from arbutusrock.scheduling import vm_health
 from arbutusrock.utils import clocks
 
@@ -139,6 +140,13 @@
         """
         return self.is_confirmed_at(job.read_at_s)
 
+    def fits_account_limit(self, name, demand):
+        """Return whether an account may use ``demand`` more."""
+        account = self.configuration.current.accounts.get(name)
+        return account is None or quotas.fits_limit(
+            self.fleet.get_usage(name), demand, account.upper_limit
+        )
+
     def request_dispatch(self):
         """Have the dispatcher look at waiting tasks soon."""
         self.dispatch_due.set()
--- a/arbutusrock/engine/tests/samples.py
+++ b/arbutusrock/engine/tests/samples.py
@@ -2,12 +2,14 @@
 
 import types
 
+from arbutusrock.engine import fleet
 from arbutusrock.engine import node_settings
 from arbutusrock.engine import plans
+from arbutusrock.engine import run_controller
 from arbutusrock.engine import term as term_module
 from arbutusrock import metrics
 
-__all__ = ['create_submission', 'create_term']
+__all__ = ['create_run_controller', 'create_submission', 'create_term']
 
 SETTINGS = node_settings.NodeSettings(
     name='n1',
@@ -40,3 +42,18 @@
         configuration=types.SimpleNamespace(current=None),
         metrics=metrics.Metrics(),
     )
+
+
+def create_run_controller(entries, *, epoch):
+    """Return a controller without a store, with a worker for each entry."""
+    term = create_term(epoch=epoch)
+    for entry in entries:
+        term.fleet.workers[entry.worker_id] = fleet.WorkerState(
+            entry=entry, now_s=0.0
+        )
+    return run_controller.RunController(
+        term=term,
+        state_writer=types.SimpleNamespace(
+            flushes_completed=0, get_next_flush_number=lambda: 1
+        ),
+    )
--- a/arbutusrock/engine/tests/test_crash_tracker.py
+++ b/arbutusrock/engine/tests/test_crash_tracker.py
@@ -1,7 +1,5 @@
 """What the owner stores of crashes, and when a suspect is cleared."""
 
-import types
-
 import msgspec
 
 from arbutusrock.engine import fleet
@@ -9,7 +7,6 @@
 from arbutusrock.engine import job_state
 from arbutusrock.engine import plans
 from arbutusrock.engine import platform_messages
-from arbutusrock.engine import run_controller
 from arbutusrock.engine.tests import samples
 from arbutusrock.engine import worker_link
 from arbutusrock.scheduling import crash_attribution
@@ -19,24 +16,17 @@
 
 def create_controller():
     """Return a controller without a store, with workers i-0 and i-1."""
-    term = samples.create_term(epoch=1)
-    state_writer = types.SimpleNamespace(
-        flushes_completed=0, get_next_flush_number=lambda: 1
-    )
-    controller = run_controller.RunController(
-        term=term, state_writer=state_writer
-    )
-    for number in range(2):
-        entry = platform_messages.WorkerEntry(
+    entries = [
+        platform_messages.WorkerEntry(
             worker_id=f'i-{number}',
             pool='p',
             address='h:1',
             vm=f'm-{number}',
             born_ms=100,
         )
-        worker = fleet.WorkerState(entry=entry, now_s=0.0)
-        term.fleet.workers[entry.worker_id] = worker
-    return controller
+        for number in range(2)
+    ]
+    return samples.create_run_controller(entries, epoch=1)
 
 
 def start_runs(controller, *, number=1, **fields):
--- a/arbutusrock/engine/tests/test_run_controller.py
+++ b/arbutusrock/engine/tests/test_run_controller.py
@@ -15,10 +15,6 @@
 
 
 def create_controller():
-    term = samples.create_term(epoch=2)
-    state_writer = types.SimpleNamespace(
-        flushes_completed=0, get_next_flush_number=lambda: 1
-    )
     entry = platform_messages.WorkerEntry(
         worker_id='i-1',
         pool='p',
@@ -26,12 +22,8 @@
         vm='m',
         capacity=Resources(cpu=8000, memory_mb=8000),
     )
-    worker = fleet.WorkerState(entry=entry, now_s=0.0)
-    term.fleet.workers['i-1'] = worker
-    controller = run_controller.RunController(
-        term=term, state_writer=state_writer
-    )
-    return term, controller, worker
+    controller = samples.create_run_controller([entry], epoch=2)
+    return controller.term, controller, controller.term.fleet.workers['i-1']
 
 
 def handle_report(controller, worker):
--- a/arbutusrock/engine/tests/test_submitter.py
+++ b/arbutusrock/engine/tests/test_submitter.py
@@ -35,8 +35,14 @@
         raise rows.StoreSilent('lost')
 
 
+def create_submitter(store):
+    return submitter.Submitter(
+        store=store, max_row_bytes=samples.SETTINGS.store_row_bytes
+    )
+
+
 async def submit_job(store, wait_s):
-    job_submitter = submitter.Submitter(store=store)
+    job_submitter = create_submitter(store)
     running = asyncio.ensure_future(job_submitter.run())
     try:
         return await job_submitter.submit(
@@ -61,7 +67,7 @@
 
 
 async def test_submit_refuses_job_never_sent():
-    job_submitter = submitter.Submitter(store=HangingStore())
+    job_submitter = create_submitter(HangingStore())
     # The writers do not run, as if the part still waited for another batch.
     outcome = await job_submitter.submit(
         JOB_ID, samples.create_submission(), deadline_at_s=clocks.now_s()
@@ -82,7 +88,7 @@
 
 @pytest.mark.parametrize('wait_s', [0.0, 0.1])
 async def test_submit_last_caller_withdraws_unsent_job(wait_s):
-    job_submitter = submitter.Submitter(store=HangingStore())
+    job_submitter = create_submitter(HangingStore())
     deadline_at_s = clocks.now_s()
     first, second = await asyncio.gather(
         job_submitter.submit(
@@ -117,7 +123,7 @@
 
 
 async def submit_in_turn(store, spans_s):
-    job_submitter = submitter.Submitter(store=store)
+    job_submitter = create_submitter(store)
     running = asyncio.ensure_future(job_submitter.run())
     outcomes = []
     try:
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -9,7 +9,6 @@
 from arbutusrock.engine import occurrence_estimates
 from arbutusrock.scheduling import consolidation
 from arbutusrock.scheduling import pool_sizing
-from arbutusrock.scheduling import quotas
 from arbutusrock.scheduling import wave_selection
 from arbutusrock.utils import clocks
 
@@ -257,19 +256,11 @@
                 'time_left_s': estimate.objective_s - age_s,
             }
             view.needed_millicores += pool_sizing.compute_need(**outlook)
-            if _fits_account_limit(term, job):
+            account = job.submission.account
+            if any(
+                term.fits_account_limit(account, step.demand)
+                for step in job.plan.steps
+            ):
                 view.overdue_millicores += pool_sizing.compute_overdue_need(
                     **outlook
                 )
-
-
-def _fits_account_limit(term, job):
-    """Return whether the limit of an account allows some task of a job."""
-    name = job.submission.account
-    account = term.configuration.current.accounts.get(name)
-    return account is None or any(
-        quotas.fits_limit(
-            term.fleet.get_usage(name), step.demand, account.upper_limit
-        )
-        for step in job.plan.steps
-    )
--- a/arbutusrock/scheduling/crash_attribution.py
+++ b/arbutusrock/scheduling/crash_attribution.py
@@ -9,7 +9,8 @@
 started again where no other suspect is. A task is given up once it was the
 only suspect in several crashes; one that then runs for longer than before is
 cleared. So a task whose worker crashed for another reason is given up only if
-that happens to it again and again, each time within a moment of its start.
+that happens to it again, soon after a start, before a run of it has outlived
+the crash before.
 """
 
 import msgspec
@@ -33,7 +34,8 @@
 SETTLED_S = 0.15
 # A run that was seen running for this long is never blamed.
 MAX_SUSPECT_AGE_S = 10.0
-# Crashes in which a task was the only suspect, after which it is given up.
+# Crashes in which a task was the only suspect, after which it is given up
+# unless it lasts.
 MAX_SOLE_CRASHES = 2
 # Crashes in which a task was one of several suspects, after which it is given
 # up too. A task may be started twice after three crashes, and one crash may
@@ -138,11 +140,9 @@
         and its other tasks end with it, so more evidence is asked for: workers
         that are lost together may be lost under the same task twice.
     """
-    max_sole = MAX_SUSPECTED_CRASHES if lasting else MAX_SOLE_CRASHES
-    return (
-        count_sole_crashes(crashes) >= max_sole
-        or sum(crash.suspect for crash in crashes) >= MAX_SUSPECTED_CRASHES
-    )
+    if sum(crash.suspect for crash in crashes) >= MAX_SUSPECTED_CRASHES:
+        return True
+    return not lasting and count_sole_crashes(crashes) >= MAX_SOLE_CRASHES
 
 
 def is_cleared(crashes, survived_s):
--- a/arbutusrock/scheduling/isolation.py
+++ b/arbutusrock/scheduling/isolation.py
@@ -9,9 +9,9 @@
 
 An account may risk a part of a pool at once with suspects, and as much with
 tasks that were the only suspect in a crash before; a larger part while no
-other account has work there. While most of these tasks
-are of one account, its other new tasks may be on no more workers either until
-they have settled, so that it does not take the pool down for all accounts.
+other account has work there. While most of these tasks are of one account, its
+other new tasks may be on no more workers either until they have settled, so
+that it does not take the pool down for all accounts.
 """
 
 from arbutusrock.scheduling import placement
--- a/arbutusrock/scheduling/placement.py
+++ b/arbutusrock/scheduling/placement.py
@@ -86,6 +86,14 @@
         return False
     if worker.free_accelerators - accelerators < demand.accelerators:
         return False
+    return _may_run_on(worker, request, runs)
+
+
+def _may_run_on(worker, request, runs=0):
+    """Return whether a worker may take a request, whatever is free on it.
+
+    :param runs: number of runs of the same step that it gets besides.
+    """
     if request.label and request.label not in worker.entry.labels:
         return False
     if request.allowed is not None and worker.worker_id not in request.allowed:
@@ -102,14 +110,11 @@
     Those of the same step are not waited for, as they may last.
     """
     demand, capacity = request.demand, worker.capacity
-    max_runs = request.most_per_worker
     return (
-        (not max_runs or request.runs_by_vm.get(worker.vm, 0) < max_runs)
-        and capacity.cpu >= demand.cpu
+        capacity.cpu >= demand.cpu
         and capacity.memory_mb >= demand.memory_mb
         and capacity.accelerators >= demand.accelerators
-        and (not request.label or request.label in worker.entry.labels)
-        and (request.allowed is None or worker.worker_id in request.allowed)
+        and _may_run_on(worker, request)
     )
 
 
--- a/arbutusrock/scheduling/pool_sizing.py
+++ b/arbutusrock/scheduling/pool_sizing.py
@@ -196,10 +196,14 @@
     late_s = critical_path_left_s - time_left_s
     if late_s <= 0:
         return 0.0
-    left_s = max(OVERDUE_DURATION_S, LATE_DURATION_S - late_s)
-    usual_s = max(critical_path_left_s, LATE_DURATION_S)
-    planned_s = max(critical_path_left_s, left_s)
-    return work_left_millicore_s / planned_s - work_left_millicore_s / usual_s
+    planned_s = max(
+        critical_path_left_s, LATE_DURATION_S - late_s, OVERDUE_DURATION_S
+    )
+    return work_left_millicore_s / planned_s - compute_need(
+        work_left_millicore_s=work_left_millicore_s,
+        critical_path_left_s=critical_path_left_s,
+        time_left_s=time_left_s,
+    )
 
 
 def plan_duration(*, critical_path_left_s, time_left_s):
