Share how permits move between members in a row and in memory

The permits of a lost member and those that peers send were moved in the row by two pieces of code (permit_rows.move_held now), and the needs of the live peers were collected twice.

--- a/arbutusrock/contracts/permit_rows.py
+++ b/arbutusrock/contracts/permit_rows.py
@@ -12,6 +12,7 @@
     'PermitRow',
     'drop_orphans',
     'get_row_key',
+    'move_held',
     'plan_limit',
 ]
 
@@ -34,6 +35,22 @@
         return self.limit - sum(self.held.values())
 
 
+def move_held(row, counts, receiver):
+    """Return a row in which permits of other members are the receiver's.
+
+    :param counts: number of permits to move by member id.
+
+    >>> move_held(PermitRow(limit=4, held={'a': 2, 'b': 1}), {'b': 1}, 'a')
+    PermitRow(limit=4, held={'a': 3})
+    """
+    held = dict(row.held)
+    for sender, count in counts.items():
+        held[sender] = held.get(sender, 0) - count
+        held[receiver] = held.get(receiver, 0) + count
+    held = {member: count for member, count in held.items() if count}
+    return msgspec.structs.replace(row, held=held)
+
+
 async def plan_limit(platform, name, limit):
     """Return the condition and the write that set a team's limit.
 
--- a/arbutusrock/contracts/permits.py
+++ b/arbutusrock/contracts/permits.py
@@ -86,13 +86,9 @@
             await self._refresh(name, team)
             if team.row is None or member_id not in team.row.held:
                 return
-            held = dict(team.row.held)
-            held[member_id] -= 1
-            if not held[member_id]:
-                del held[member_id]
-            own_id = self.members.member_id
-            held[own_id] = held.get(own_id, 0) + 1
-            row = msgspec.structs.replace(team.row, held=held)
+            row = permit_rows.move_held(
+                team.row, {member_id: 1}, self.members.member_id
+            )
             if await self._commit_row(name, team, row):
                 team.local_permits += 1
                 return
@@ -293,17 +289,24 @@
                 oldest_s=self.get_oldest_age_s(name),
             )
         ]
-        for peer_id in self.members.find_live():
-            link = self.members.peers.links.get(peer_id)
-            if link is not None:
-                needs.append(
-                    permit_division.get_member_need(peer_id, link.demand, name)
-                )
+        needs += (need for need, _ in self._iterate_peer_needs(name))
         limit = self.configuration.get_limit(name)
         if held_only:
             limit = min(limit, sum(need.permits for need in needs))
         return permit_division.compute_quota(limit, own_id, needs)
 
+    def _iterate_peer_needs(self, name):
+        """Yield the need of each live peer, and the link that tells it."""
+        for peer_id in self.members.find_live():
+            link = self.members.peers.links.get(peer_id)
+            if link is not None:
+                yield (
+                    permit_division.get_member_need(
+                        peer_id, link.demand, name
+                    ),
+                    link,
+                )
+
     def get_oldest_age_s(self, name):
         """Return the oldest request's waiting time; set by the daemon."""
         return 0.0
@@ -402,14 +405,11 @@
 
     def _list_unmet(self, name):
         """Return ``(peer, unmet need)`` of peers in need, largest first."""
-        found = []
-        for peer_id in self.members.find_live():
-            link = self.members.peers.links.get(peer_id)
-            if link is None or (link.digest and link.digest.stopping):
-                continue
-            peer = permit_division.get_member_need(peer_id, link.demand, name)
-            if peer.unmet:
-                found.append((peer_id, peer.unmet))
+        found = [
+            (peer.member, peer.unmet)
+            for peer, link in self._iterate_peer_needs(name)
+            if peer.unmet and not (link.digest and link.digest.stopping)
+        ]
         return sorted(found, key=lambda item: (-item[1], item[0]))
 
     def handle_permits_given(self, message):
@@ -421,10 +421,7 @@
         self._seen_transfers.append(message.gift)
         name = configuration_module.TeamName(message.customer, message.team)
         team = self._get_team(name)
-        team.local_permits += message.count
-        team.received[message.sender] = (
-            team.received.get(message.sender, 0) + message.count
-        )
+        team.add_received(message.sender, message.count)
         team.quota = self._compute_quota(name)
         self.request_reconcile(name)
         for handler in self.on_permits_added:
@@ -441,22 +438,11 @@
 
         :returns: whether the write took effect.
         """
-        held = dict(team.row.held)
-        own_id = self.members.member_id
         settled = dict(team.received)
-        for sender, count in settled.items():
-            held[sender] = held.get(sender, 0) - count
-            held[own_id] = held.get(own_id, 0) + count
-        held = {k: v for k, v in held.items() if v}
-        row = msgspec.structs.replace(team.row, held=held)
+        row = permit_rows.move_held(team.row, settled, self.members.member_id)
         if not await self._commit_row(name, team, row):
             return False
-        for sender, count in settled.items():
-            remaining = team.received[sender] - count
-            if remaining:
-                team.received[sender] = remaining
-            else:
-                del team.received[sender]
+        team.remove_received(settled)
         return True
 
     def _reconcile_sent(self, team, recorded):
--- a/arbutusrock/contracts/team_permits.py
+++ b/arbutusrock/contracts/team_permits.py
@@ -44,3 +44,15 @@
         # Whether a write got no answer, or lost to another one: the row may
         # then count more permits for this member than it holds.
         self.write_unconfirmed = False
+
+    def add_received(self, sender, count):
+        """Add permits that a peer sent."""
+        self.local_permits += count
+        self.received[sender] = self.received.get(sender, 0) + count
+
+    def remove_received(self, settled):
+        """Remove received permits that are in the row now, by sender."""
+        for sender, count in settled.items():
+            self.received[sender] -= count
+            if not self.received[sender]:
+                del self.received[sender]
--- a/arbutusrock/contracts/tests/test_permits.py
+++ b/arbutusrock/contracts/tests/test_permits.py
@@ -311,6 +311,18 @@
     assert cluster.read_row().held == {'a': cluster.limit}
 
 
+async def create_idle_holder(limit, held):
+    """Return a cluster in which a holds idle permits and b needs two."""
+    cluster = FakeCluster(limit)
+    holder, waiting = cluster.nodes['a'], cluster.nodes['b']
+    holder.set_need(TEAM_NAME, held)
+    await holder._try_reconcile(TEAM_NAME)
+    holder.set_need(TEAM_NAME, 0)
+    waiting.set_need(TEAM_NAME, 2)
+    cluster.exchange_digests()
+    return cluster, holder, waiting
+
+
 def test_conflict_while_permits_are_given_up_loses_none():
     """Another member's write comes first, as when all give up at once.
 
@@ -319,13 +331,7 @@
     """
 
     async def run():
-        cluster = FakeCluster(4)
-        holder, waiting = cluster.nodes['a'], cluster.nodes['b']
-        holder.set_need(TEAM_NAME, 4)
-        await holder._try_reconcile(TEAM_NAME)
-        holder.set_need(TEAM_NAME, 0)
-        waiting.set_need(TEAM_NAME, 2)
-        cluster.exchange_digests()
+        cluster, holder, waiting = await create_idle_holder(4, held=4)
         cluster.store.conflict_next = True
         for _ in range(3):
             for node in (holder, waiting):
@@ -343,14 +349,8 @@
     """
 
     async def run():
-        cluster = FakeCluster(12)
-        holder, waiting = cluster.nodes['a'], cluster.nodes['b']
-        holder.set_need(TEAM_NAME, 2)
-        await holder._try_reconcile(TEAM_NAME)
-        holder.set_need(TEAM_NAME, 0)
-        waiting.set_need(TEAM_NAME, 2)
+        cluster, holder, waiting = await create_idle_holder(12, held=2)
         cluster.store.down = True
-        cluster.exchange_digests()
         await holder._try_reconcile(TEAM_NAME)
         while cluster.messages:
             cluster.deliver(0)
