--- a/soak/load_generator.py
+++ b/soak/load_generator.py
@@ -56,7 +56,6 @@
         'accepted_at_s',
         'cancel_sent_at_s',
         'cancelled_at_s',
-        'deadly',
         'observed_states',
     )
 
@@ -70,8 +69,6 @@
         self.accepted_at_s = None
         self.cancel_sent_at_s = None
         self.cancelled_at_s = None
-        # Whether its first task crashes each worker that starts it.
-        self.deadly = False
         # (instant of the poll, instant of its answer, state) of each poll.
         self.observed_states = []
 
@@ -134,10 +131,7 @@
         Then cancel it, or poll its state until it is finished.
         """
         behaviour = {'ms': self.rng.randint(20, 600)}
-        job.deadly = (
-            self.draws_deadly_jobs() and self.rng.random() < DEADLY_FRACTION
-        )
-        if job.deadly:
+        if self.draws_deadly_jobs() and self.rng.random() < DEADLY_FRACTION:
             behaviour.update(crash=[0], crash_ms=self.rng.choice([5, 200]))
         body = {'spec': json.dumps(behaviour), 'steps': job.steps}
         cancel = self.rng.random() < CANCELLED_FRACTION
--- a/tests/site_checks.py
+++ b/tests/site_checks.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     'JOB',
+    'OTHER_JOB',
     'check_ledger',
     'find_violations',
     'open_site',
@@ -22,6 +23,7 @@
 
 WAIT_S = 20.0
 JOB = '00000000000000a1'
+OTHER_JOB = '00000000000000b2'
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -7,12 +7,11 @@
 from examples.standins.site.site import create_step
 from examples.standins.site.workers import RunRecord
 from tests import site_checks
+from tests.site_checks import JOB
+from tests.site_checks import OTHER_JOB
 from tests.site_checks import start_nodes
 from tests.site_checks import wait_state
 
-JOB = site_checks.JOB
-OTHER_JOB = '00000000000000b2'
-
 
 @pytest.fixture
 async def site():
--- a/tests/test_site_capacity.py
+++ b/tests/test_site_capacity.py
@@ -8,11 +8,11 @@
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
+from tests.site_checks import OTHER_JOB
 from tests.site_checks import start_nodes
 from tests.site_checks import wait_state
 from tests.site_checks import wait_until
 
-OTHER_JOB = '00000000000000b2'
 # The registrations of all workers are read again within this time.
 REPORT_S = 1.0
 
--- a/tests/test_site_crashes.py
+++ b/tests/test_site_crashes.py
@@ -8,12 +8,12 @@
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
+from tests.site_checks import OTHER_JOB
 from tests.site_checks import start_nodes
 from tests.site_checks import wait_owner
 from tests.site_checks import wait_state
 from tests.site_checks import wait_until
 
-OTHER_JOB = '00000000000000b2'
 # A task that crashes workers may be started three times more after three of
 # them have crashed under it, less one.
 MAX_CRASHES = 5
@@ -35,6 +35,13 @@
     return {record.task for record in site.crashes}
 
 
+async def submit_until_failed(site, step, spec):
+    """Submit a job of one step; check that it fails after few crashes."""
+    await site.submit('alpha', JOB, [step], spec=spec)
+    await wait_state(site, 'failed')
+    assert len(site.crashes) <= MAX_CRASHES
+
+
 async def test_one_task_crashes_worker_after_worker(site):
     await start_nodes(site, 1)
     await site.submit(
@@ -94,24 +101,15 @@
 
 async def test_gang_crashes_worker_after_worker(site):
     await start_nodes(site, 1)
-    await site.submit(
-        'alpha',
-        JOB,
-        [create_step(3, gang=True)],
-        spec=create_deadly_spec(2, ms=400),
+    await submit_until_failed(
+        site, create_step(3, gang=True), create_deadly_spec(2, ms=400)
     )
-    await wait_state(site, 'failed')
-    assert len(site.crashes) <= MAX_CRASHES
 
 
 async def test_lasting_task_crashes_worker_after_worker(site):
     await start_nodes(site, 1)
     step = create_step(3, longRunning=True, mayMiss=1)
-    await site.submit(
-        'alpha', JOB, [step], spec=create_deadly_spec(2, lasts=1)
-    )
-    await wait_state(site, 'failed')
-    assert len(site.crashes) <= MAX_CRASHES
+    await submit_until_failed(site, step, create_deadly_spec(2, lasts=1))
 
 
 async def test_task_crashes_workers_after_a_while(site):
--- a/tests/test_site_hostile_jobs.py
+++ b/tests/test_site_hostile_jobs.py
@@ -5,10 +5,10 @@
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
+from tests.site_checks import OTHER_JOB
 from tests.site_checks import start_nodes
 from tests.site_checks import wait_state
 
-OTHER_JOB = '00000000000000b2'
 HUGE = 10**30
 # Fields that differ from those of a usual job, or of its step.
 HOSTILE_JOBS = {
