--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -7,10 +7,10 @@
 import asyncio
 
 from arbutusrock.engine import guarded_starts
+from arbutusrock.engine import job_ranks
 from arbutusrock.engine import job_state
-from arbutusrock.engine import occurrence_estimates
+from arbutusrock.engine import placement_requests
 from arbutusrock import logs
-from arbutusrock.scheduling import ordering
 from arbutusrock.scheduling import placement
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
@@ -29,8 +29,6 @@
 # Occurrences start this much later than they are due, as the clocks of workers
 # and callers may be behind the clock of this node.
 CLOCK_MARGIN_S = 0.05
-# Ranks of jobs are cached for this time.
-RANK_TTL_S = 0.2
 LOG = logs.get_log('dispatch')
 
 
@@ -51,8 +49,7 @@
         self.guarded_starter = guarded_starts.GuardedStarter(
             term=term, crash_tracker=crash_tracker
         )
-        self._ranks = {}
-        self._ranks_cleared_at_s = 0.0
+        self._ranker = job_ranks.JobRanker(term=term)
 
     async def run(self):
         """Make passes until the ownership ends."""
@@ -85,9 +82,7 @@
         term.job_registry.start_due_occurrences(
             clocks.wall_time_s() - CLOCK_MARGIN_S, now_s
         )
-        if now_s - self._ranks_cleared_at_s > RANK_TTL_S:
-            self._ranks.clear()
-            self._ranks_cleared_at_s = now_s
+        self._ranker.begin_pass(now_s)
         waiting = {
             pool: steps
             for pool, steps in term.job_registry.waiting_steps.items()
@@ -133,18 +128,25 @@
         self._start_suspects(
             pool_state, steps, workers, candidates, suspect_vms, now_s
         )
-        max_free = _find_max_free(candidates)
+        max_free = placement_requests.find_max_free(candidates)
         # Skipped before the sort: under overload few steps fit anywhere.
-        steps = [step for step in steps if _may_fit(step, max_free)]
-        steps.sort(key=lambda step: self._rank(step, now_s))
+        steps = [
+            step
+            for step in steps
+            if placement_requests.may_fit(step, max_free)
+        ]
+        steps.sort(key=lambda step: self._ranker.rank(step))
         # Demands for which no worker had free capacity in this pass; steps
         # that demand as much or more are skipped.
         unplaced_demands = []
         for step in steps:
-            if not _may_fit(step, max_free):
+            if not placement_requests.may_fit(step, max_free):
                 continue
-            demand = _get_placement_demand(step)
-            if any(_is_at_least(demand, other) for other in unplaced_demands):
+            demand = placement_requests.get_demand(step)
+            if any(
+                placement_requests.is_at_least(demand, other)
+                for other in unplaced_demands
+            ):
                 continue
             before = len(step.waiting)
             allowed = self.guarded_starter.limit_workers(
@@ -156,7 +158,7 @@
             ):
                 unplaced_demands.append(demand)
             if len(step.waiting) < before:
-                max_free = _find_max_free(candidates)
+                max_free = placement_requests.find_max_free(candidates)
 
     def _may_start(self, step, inherited_runs_possible):
         inherited = inherited_runs_possible and step.job.inherited
@@ -183,8 +185,8 @@
                 continue
             if not self._fits_account_limit(step, 1):
                 return True
-            request = self._create_placement_request(
-                step, task, suspect_vms, allowed
+            request = placement_requests.create_request(
+                self.term, step, task, suspect_vms, allowed
             )
             eligible = placement.find_eligible_workers(
                 workers, task.deprioritized_vms, now_s - task.queued_at_s
@@ -215,8 +217,8 @@
             step, count
         ):
             return True
-        request = self._create_placement_request(
-            step, step.tasks[0], suspect_vms, allowed
+        request = placement_requests.create_request(
+            self.term, step, step.tasks[0], suspect_vms, allowed
         )
         chosen = placement.choose_gang_workers(
             workers, request, count, same_rack=step.plan.same_rack
@@ -249,7 +251,7 @@
         groups.sort(
             key=lambda group: (
                 len(group[1][0].crashes),
-                self._rank(group[0], now_s),
+                self._ranker.rank(group[0]),
             )
         )
         for step, tasks in groups:
@@ -260,8 +262,8 @@
                 pool_state,
                 tasks,
                 workers,
-                self._create_placement_request(
-                    step, tasks[0], suspect_vms, allowed
+                placement_requests.create_request(
+                    self.term, step, tasks[0], suspect_vms, allowed
                 ),
             )
             if chosen is None:
@@ -290,22 +292,6 @@
             if task.name not in unwanted_runs or step.plan.speculative
         ]
 
-    def _create_placement_request(self, step, task, suspect_vms, allowed):
-        if step.plan.long_running:
-            # VMs that are to be drained are a last choice, as the task would
-            # have to move again.
-            suspect_vms = suspect_vms | self.term.vms_to_drain
-        return placement.PlacementRequest(
-            demand=_get_placement_demand(step),
-            label=step.plan.label,
-            data_rack=step.plan.data_rack,
-            most_per_worker=step.plan.most_per_worker,
-            runs_by_vm=step.runs_by_vm,
-            deprioritized_vms=task.deprioritized_vms,
-            allowed=allowed,
-            suspect_vms=suspect_vms,
-        )
-
     def _fits_account_limit(self, step, count):
         """Return whether ``count`` more tasks fit the account's limit."""
         demand = step.plan.demand
@@ -385,8 +371,8 @@
             and not term.vm_health.is_suspect(worker.vm, now_s)
         ]
         allowed = self.ticket_cache.get_allowed_ids(step, workers, now_s)
-        request = self._create_placement_request(
-            step, task, frozenset(), allowed
+        request = placement_requests.create_request(
+            self.term, step, task, frozenset(), allowed
         )
         return placement.choose_worker(workers, request)
 
@@ -407,72 +393,3 @@
         number = self.term.create_run_number()
         self._start_run(task, worker, number, clocks.now_s())
         return True
-
-    def _rank(self, step, now_s):
-        job = step.job
-        rank = self._ranks.get(job.job_id)
-        if rank is None:
-            rank = ordering.rank_job(self._create_job_snapshot(job, step))
-            self._ranks[job.job_id] = rank
-        return rank
-
-    def _create_job_snapshot(self, job, step):
-        submission, estimator = job.submission, self.term.duration_estimator
-        queue = self.term.configuration.current.queues.get(submission.queue)
-        estimate = occurrence_estimates.estimate_occurrence(
-            estimator, step.occurrence
-        )
-        return ordering.JobSnapshot(
-            serving=step.plan.long_running and not step.plan.fills,
-            excess=job.excess,
-            urgency=queue.urgency if queue else 0,
-            age_s=clocks.wall_time_s() - step.occurrence.due_unix_s,
-            objective_s=estimate.objective_s,
-            critical_path_left_s=estimate.critical_path_left_s,
-            work_core_s=estimate.work_core_s,
-            work_left_core_s=estimate.work_left_core_s,
-            mean_work_core_s=estimator.get_mean_work(submission.queue),
-        )
-
-
-def _get_placement_demand(step):
-    """Return the demand that counts for placement.
-
-    Filling tasks use left-over cores, so their cores are left out.
-    """
-    demand = step.plan.demand
-    if not step.plan.fills:
-        return demand
-    return Resources(
-        memory_mb=demand.memory_mb, accelerators=demand.accelerators
-    )
-
-
-def _find_max_free(workers):
-    """Return the maximum free amount of each resource over all workers."""
-    return Resources(
-        cpu=max((item.free_millicores for item in workers), default=0),
-        memory_mb=max((item.free_memory_mb for item in workers), default=0),
-        accelerators=max(
-            (item.free_accelerators for item in workers), default=0
-        ),
-    )
-
-
-def _may_fit(step, max_free):
-    """Return False if no worker has enough of some resource for a task."""
-    demand = step.plan.demand
-    return (
-        (step.plan.fills or demand.cpu <= max_free.cpu)
-        and demand.memory_mb <= max_free.memory_mb
-        and demand.accelerators <= max_free.accelerators
-    )
-
-
-def _is_at_least(demand, other):
-    """Return whether no resource in ``demand`` is less than in ``other``."""
-    return (
-        demand.cpu >= other.cpu
-        and demand.memory_mb >= other.memory_mb
-        and demand.accelerators >= other.accelerators
-    )
