Replace an owner at once when its process has ended

Change: each node keeps a connection to the owner; a break followed by two refusals means that the process is gone, and the unit is claimed at once, with the conditions of each claim.

--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -51,7 +51,10 @@
             store=self.store, decode=adapter.decode_operator_row
         )
         self.elector = ownership_module.OwnerElector(
-            store=self.store, node=settings.name, cores=settings.cores
+            store=self.store,
+            node=settings.name,
+            cores=settings.cores,
+            find_address=lambda name: self.peers.addresses.get(name),
         )
         self.gateway = gateway_module.Gateway(
             store=self.store,
@@ -70,6 +73,10 @@
     async def _follow_peers(self):
         await self.peers.run()
 
+    @mode.Service.task
+    async def _monitor_owner(self):
+        await self.elector.monitor.run()
+
     @mode.Service.task
     async def _store_submissions(self):
         await self.gateway.submitter.run()
--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from arbutusrock.engine import feeds
+from arbutusrock.engine import owner_monitor as owner_monitor_module
 from arbutusrock.engine import rows
 from arbutusrock.engine import state_writer
 from arbutusrock import logs
@@ -72,11 +73,18 @@
     :param store: client of the store.
     :param node: name of this node.
     :param cores: processor time that this process may use (cores).
+    :param find_address: returns the address of a node by its name, or None;
+        the process of the owner is monitored there.
     """
 
-    def __init__(self, *, store, node, cores=1.0):
+    def __init__(
+        self, *, store, node, cores=1.0, find_address=lambda _name: None
+    ):
         self.store = store
         self.node = node
+        self.monitor = owner_monitor_module.OwnerMonitor(
+            find_address=find_address
+        )
         # Nodes with few cores let the others claim first.
         self.claim_delay_s = MAX_CLAIM_DELAY_S * max(
             0.0, 1 - cores / NO_DELAY_CORES
@@ -109,13 +117,13 @@
         unresponsive_s = 0.0
         while True:
             if self._claim is None or self._claim.released:
-                jitter_s = random.uniform(  # noqa: S311
-                    0, UNOWNED_CLAIM_JITTER_S
-                )
-                await asyncio.sleep(self.claim_delay_s + jitter_s)
+                await self._delay_claim()
                 reason = 'nobody owns the unit'
             elif self._claim.node == self.node:
                 reason = 'an earlier process of this node owned the unit'
+            elif self.monitor.has_ended:
+                await self._delay_claim()
+                reason = 'the process of the owner has ended'
             elif unresponsive_s > threshold_s:
                 reason = 'the owner is unresponsive'
             else:
@@ -130,7 +138,7 @@
                 WATCH_TIMEOUT_S,
                 max(MIN_WATCH_TIMEOUT_S, threshold_s - unresponsive_s),
             )
-            version, no_heartbeat = await self._watch(version, wait_s)
+            version, no_heartbeat = await self._watch_owner(version, wait_s)
             # A store that does not answer says nothing about the owner.
             unresponsive_s = (
                 unresponsive_s + clocks.now_s() - began_at_s
@@ -138,6 +146,32 @@
                 else 0.0
             )
 
+    async def _delay_claim(self):
+        """Wait so that the nodes claim one after another."""
+        jitter_s = random.uniform(0, UNOWNED_CLAIM_JITTER_S)  # noqa: S311
+        await asyncio.sleep(self.claim_delay_s + jitter_s)
+
+    async def _watch_owner(self, version, wait_s):
+        """Watch the owner's rows until its process ends, if that is first.
+
+        :returns: ``(version, no_heartbeat)`` as :meth:`_watch` does.
+        """
+        if self.monitor.has_ended:
+            return version, False
+        watching = asyncio.ensure_future(self._watch(version, wait_s))
+        ended = asyncio.ensure_future(self.monitor.wait_until_ended())
+        try:
+            await asyncio.wait(
+                {watching, ended}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            ended.cancel()
+            if not watching.done():
+                watching.cancel()
+        if watching.done():
+            return watching.result()
+        return version, False
+
     def _get_ownership(self):
         version = self._versions[state_writer.KEY_CLAIM]
         return self._claim.epoch, version, self._roster
@@ -167,7 +201,7 @@
                         released=claim.released,
                         version=row.version,
                     )
-                self._claim = claim
+                self._record_claim(claim)
                 return not claim.released
             case state_writer.KEY_ROSTER:
                 self._roster = _decode_roster(row.value)
@@ -178,6 +212,11 @@
             case _:
                 return False
 
+    def _record_claim(self, claim):
+        self._claim = claim
+        other = not claim.released and claim.node != self.node
+        self.monitor.follow(claim.node if other else None, claim.epoch)
+
     async def _watch(self, version, wait_s):
         """Wait for changed rows, at most for ``wait_s``.
 
@@ -241,7 +280,7 @@
             # read again.
             await self._read()
             return self._claim == claim
-        self._claim = claim
+        self._record_claim(claim)
         self._versions[state_writer.KEY_CLAIM] = version
         return True
 
--- /dev/null
+++ b/arbutusrock/engine/tests/test_owner_monitor.py
@@ -0,0 +1,140 @@
+"""Tests of the monitor of the owner's process, with real connections.
+
+Failure: the owner's process is killed; nodes waited 1.6 s for heartbeats that
+could not come any more.
+"""
+
+import asyncio
+
+import pytest
+
+from arbutusrock.engine import owner_monitor
+from arbutusrock.engine import ownership
+from arbutusrock.engine import state_writer
+from arbutusrock.engine.tests import test_ownership
+
+TIMEOUT_S = 2.0
+# Longer than the monitor takes to notice the end of a process.
+GRACE_S = 0.3
+
+
+class OwnerProcess:
+    """A listener that accepts connections and answers nothing."""
+
+    def __init__(self):
+        self.writers = []
+        self.connected = asyncio.Event()
+        self.address = ''
+        self._server = None
+
+    async def listen(self):
+        port = int(self.address.rpartition(':')[2] or 0)
+        self._server = await asyncio.start_server(
+            self._accept, '127.0.0.1', port
+        )
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    async def _accept(self, _reader, writer):
+        self.writers.append(writer)
+        self.connected.set()
+
+    def reset_connections(self):
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+        self.connected.clear()
+
+    def end(self):
+        self._server.close()
+        self.reset_connections()
+
+
+@pytest.fixture
+async def process():
+    owner = OwnerProcess()
+    await owner.listen()
+    yield owner
+    owner.end()
+
+
+@pytest.fixture
+async def monitor(process):
+    watcher = owner_monitor.OwnerMonitor(
+        find_address=lambda _name: process.address
+    )
+    running = asyncio.ensure_future(watcher.run())
+    yield watcher
+    running.cancel()
+
+
+async def _wait_until_connected(process):
+    async with asyncio.timeout(TIMEOUT_S):
+        await process.connected.wait()
+
+
+async def test_monitor_notices_end_of_owner_process(process, monitor):
+    monitor.follow('other', 4)
+    await _wait_until_connected(process)
+    process.end()
+    async with asyncio.timeout(TIMEOUT_S):
+        await monitor.wait_until_ended()
+    monitor.follow('third', 5)
+    assert not monitor.has_ended
+
+
+async def test_monitor_ignores_reset_connections(process, monitor):
+    monitor.follow('other', 4)
+    for _ in range(3):
+        await _wait_until_connected(process)
+        process.reset_connections()
+    await _wait_until_connected(process)
+    await asyncio.sleep(GRACE_S)
+    assert not monitor.has_ended
+
+
+async def test_monitor_says_nothing_of_process_never_reached(process, monitor):
+    process.end()
+    monitor.follow('other', 4)
+    await asyncio.sleep(2 * GRACE_S)
+    assert not monitor.has_ended
+    await process.listen()
+    await _wait_until_connected(process)
+    assert not monitor.has_ended
+
+
+class SilentStore(test_ownership.UnresponsiveOwnerStore):
+    """A store whose watch calls last, as without any change."""
+
+    async def watch(self, _table, *, after, wait_s):
+        await asyncio.sleep(wait_s)
+        return [], after
+
+
+async def test_acquire_claims_when_owner_process_ends(process):
+    store = SilentStore(test_ownership.Clock())
+    elector = ownership.OwnerElector(
+        store=store,
+        node='n1',
+        cores=2.0,
+        find_address=lambda _name: process.address,
+    )
+    loop = asyncio.get_running_loop()
+    tasks = [
+        loop.create_task(elector.monitor.run()),
+        loop.create_task(elector.acquire()),
+    ]
+    await _wait_until_connected(process)
+    ended_at_s = loop.time()
+    process.end()
+    epoch, _, _ = await tasks[1]
+    assert epoch == 5
+    assert loop.time() - ended_at_s < ownership.HEARTBEAT_TIMEOUT_S / 2
+    # The claim has the same conditions as any other one.
+    expected, _ = store.claim_call
+    assert {row.key for row in expected} == set(ownership.OWNER_KEYS)
+    assert (expected[0].key, expected[0].version) == (
+        state_writer.KEY_CLAIM,
+        7,
+    )
+    tasks[0].cancel()
