Start nothing in data centres that operators evacuate

The rows are decoded in the platform adapter; the watcher of the operators' table keeps the set of data centres, which each worker asks when it is to get a run. An owner reads the table before its first order. VMs there are no room of their pool, fill no other pool and are switched off once empty; runs there go on. The log, the status and a gauge show it. Workers that report that they are slow after their start come last among equals.

--- a/arbutusrock/commands/node.py
+++ b/arbutusrock/commands/node.py
@@ -9,6 +9,7 @@
     'pool',
     'workers',
     'usable',
+    'evacuated',
     'cores',
     'cores_used',
     'runs',
--- a/arbutusrock/engine/configuration_watcher.py
+++ b/arbutusrock/engine/configuration_watcher.py
@@ -1,7 +1,8 @@
-"""Follows the configuration in force and the wave requests of operators."""
+"""Follows what operators ask for: configuration, waves, evacuations."""
 
 import msgspec
 
+from arbutusrock.engine import data_centre_cordons
 from arbutusrock.engine import feeds
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine import rows
@@ -18,14 +19,15 @@
 
 
 class ConfigurationWatcher:
-    """Newest configuration that this node has seen.
+    """Newest requests of operators that this node has seen.
 
     A configuration with an older version is ignored.
 
     :param store: client of the store.
     :param decode: decodes a row into a
         :class:`arbutusrock.scheduling.FleetConfiguration`, a
-        :class:`arbutusrock.engine.platform_messages.WaveRequest`, or None.
+        :class:`arbutusrock.engine.platform_messages.WaveRequest`, a
+        :class:`arbutusrock.engine.platform_messages.CordonChange`, or None.
     """
 
     def __init__(self, *, store, decode):
@@ -33,6 +35,9 @@
         self.decode = decode
         self.current = None
         self.waves = {}
+        self.cordons = data_centre_cordons.DataCentreCordons()
+        # Version of the table up to which its changes are known.
+        self._version = -1
         # When the store last confirmed that ``current`` is the newest.
         self.confirmed_at_s = 0.0
         # Called without arguments after each change.
@@ -53,14 +58,34 @@
             wait_s=WATCH_TIMEOUT_S,
         )
 
-    def _apply_rows(self, found, _whole):
-        for row in found:
-            self._apply_row(row)
+    async def refresh(self):
+        """Read the table now, and repeat that until the store answers."""
+        found, version = await feeds.read_with_retries(
+            self.store, rows.TABLE_OPERATOR, ('',)
+        )
+        self._apply_rows(found, True, version)
+
+    def _apply_rows(self, found, whole, version):
+        """Apply an answer of the store, unless a newer one came first.
+
+        :param whole: whether the rows are the whole table.
+        :param version: version of the table that the answer shows.
+        """
         self.confirmed_at_s = clocks.now_s()
+        if version < self._version:
+            return
+        self._version = version
+        before = self.cordons.names
+        named = {self._apply_row(row) for row in found}
+        if whole:
+            for name in set(before) - named:
+                self._lift_cordon(name)
+        if found or self.cordons.names != before:
+            for listener in self.listeners:
+                listener()
 
     def _apply_row(self, row):
-        if row.value is None:
-            return
+        """Apply a row; return the data centre if it is about a cordon."""
         try:
             match self.decode(row):
                 case FleetConfiguration() as configuration:
@@ -68,11 +93,36 @@
                 case platform_messages.WaveRequest() as wave:
                     self.waves[wave.number] = wave
                     LOG.info('a wave is ordered', wave=wave.number)
+                case platform_messages.CordonChange() as change:
+                    self._apply_cordon(change, row.version)
+                    return change.data_centre
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             LOG.error('a row cannot be decoded', key=row.key, error=str(exc))
+        return None
+
+    def _apply_cordon(self, change, version):
+        if not change.active:
+            self._lift_cordon(change.data_centre)
             return
-        for listener in self.listeners:
-            listener()
+        if change.problem:
+            LOG.error(
+                'the value of an evacuation cannot be read; its key counts',
+                data_centre=change.data_centre,
+                error=change.problem,
+            )
+        if self.cordons.add(change.data_centre):
+            LOG.info(
+                'the evacuation of a data centre is requested',
+                data_centre=change.data_centre,
+                version=version,
+            )
+
+    def _lift_cordon(self, data_centre):
+        if self.cordons.discard(data_centre):
+            LOG.info(
+                'the evacuation of a data centre is taken back',
+                data_centre=data_centre,
+            )
 
     def _apply_configuration(self, configuration):
         before = self.current.version if self.current else 0
--- a/arbutusrock/engine/feeds.py
+++ b/arbutusrock/engine/feeds.py
@@ -53,8 +53,9 @@
 ):
     """Pass all changes of a table to ``apply`` until cancelled.
 
-    :param apply: called with ``(rows, whole)``; ``whole`` is true when the
-        rows are the whole table and false when they are changes.
+    :param apply: called with ``(rows, whole, version)``; ``whole`` is true
+        when the rows are the whole table and false when they are changes, and
+        ``version`` is that of the table.
     :param wait_s: how long the store may wait for a change before it answers.
         It bounds the time until an unresponsive connection is noticed.
     :param version: version to continue from; None reads the table first.
@@ -91,6 +92,6 @@
         if failing:
             LOG.info('following a table again', table=table, version=version)
         failing = False
-        apply(found, whole)
+        apply(found, whole, version)
         if batch_delay_s:
             await asyncio.sleep(batch_delay_s)
--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -32,10 +32,12 @@
     :param entry: :class:`platform_messages.WorkerEntry`.
     :param inherited_leases_end_at_s: until then an earlier owner's runs
         may be there although the worker has not answered yet.
+    :param cordons: container of the data centres that are evacuated now.
     """
 
     __slots__ = (
         'entry',
+        'cordons',
         'runs',
         'entry_read_at_s',
         'listed_capacity',
@@ -63,8 +65,11 @@
         'flush_done',
     )
 
-    def __init__(self, *, entry, now_s, inherited_leases_end_at_s=0.0):
+    def __init__(
+        self, *, entry, now_s, inherited_leases_end_at_s=0.0, cordons=()
+    ):
         self.entry = entry
+        self.cordons = cordons
         self.runs = {}
         self.entry_read_at_s = now_s
         # Capacity in the list of VMs, and when that list was requested.
@@ -189,10 +194,23 @@
             and self.unregistered_since_s is None
         )
 
+    @property
+    def in_evacuated_data_centre(self):
+        """Whether its data centre is evacuated, so that it gets no new runs.
+
+        Those that it has go on, unlike those of a worker with a
+        ``cordon_reason``.
+        """
+        return self.entry.data_centre in self.cordons
+
     @property
     def usable(self):
         """Whether new runs may be started there."""
-        return self.in_service and not self.cordon_reason
+        return (
+            self.in_service
+            and not self.cordon_reason
+            and not self.in_evacuated_data_centre
+        )
 
     def estimate_clock_ms(self, now_s):
         """Return the worker's clock at ``now_s``; None when not known."""
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from arbutusrock.engine import cordon_controller
 from arbutusrock.engine import dispatcher
 from arbutusrock.engine import evacuation
 from arbutusrock.engine import feeds
@@ -84,6 +85,7 @@
         self.evacuation = evacuation.EvacuationController(
             term=term, run_controller=self.run_controller
         )
+        self.cordon_controller = cordon_controller.CordonController(term=term)
         self.retention = retention.Retention(
             term=term,
             store=store,
@@ -121,10 +123,14 @@
         """
         try:
             async with asyncio.TaskGroup() as self._group:
+                # What operators have asked for since this node last read it
+                # must be known before the first order.
+                refreshed = self.spawn(self.term.configuration.refresh())
                 jobs_version = await self._load_jobs()
                 workers_version = await self.registration_controller.load(
                     roster
                 )
+                await refreshed
                 LOG.info(
                     'this node owns the unit',
                     epoch=self.term.epoch,
@@ -149,6 +155,7 @@
                     self._detect_stalls(),
                     self.dispatcher.run(),
                     self.evacuation.run(),
+                    self.cordon_controller.run(),
                     self.retention.run(),
                     self.straggler_controller.run(),
                     self.pace_controller.run(),
@@ -304,7 +311,7 @@
         self.run_controller.stop_job(job, 'the job is cancelled')
         self.term.request_flush()
 
-    def _apply_job_rows(self, found, _whole):
+    def _apply_job_rows(self, found, _whole, _version):
         for row in found:
             self._apply_job_row(row, {})
         if found:
--- a/arbutusrock/engine/platform_messages.py
+++ b/arbutusrock/engine/platform_messages.py
@@ -12,6 +12,7 @@
 __all__ = [
     'CompletionKind',
     'CompletionReport',
+    'CordonChange',
     'OrderOutcome',
     'OrderReply',
     'RenewalReply',
@@ -37,6 +38,7 @@
         reported.
     :param leaves_in_ms: minimum time until a draining worker leaves; None
         when unknown.
+    :param cold_ms: how much longer the worker is slow after its start.
     """
 
     worker_id: str
@@ -49,6 +51,7 @@
     vm: str = ''
     born_ms: int = 0
     leaves_in_ms: float | None = None
+    cold_ms: float = 0.0
 
     @property
     def rack(self):
@@ -202,6 +205,19 @@
     UNKNOWN = 'unknown'
 
 
+class CordonChange(msgspec.Struct, kw_only=True, frozen=True):
+    """An operator's row about the evacuation of a data centre.
+
+    :param active: whether the row is there; it is removed when the data
+        centre is taken back.
+    :param problem: why its value cannot be read; empty for a sound one.
+    """
+
+    data_centre: str
+    active: bool
+    problem: str = ''
+
+
 class WaveRequest(msgspec.Struct, kw_only=True, frozen=True):
     """A maintenance wave that an operator ordered.
 
--- a/arbutusrock/engine/registration_controller.py
+++ b/arbutusrock/engine/registration_controller.py
@@ -89,6 +89,7 @@
                 entry=entry,
                 now_s=clocks.now_s(),
                 inherited_leases_end_at_s=until_s,
+                cordons=self.term.cordons,
             )
             unregistered.unregistered_since_s = clocks.now_s()
             unregistered.unresponsive = True
@@ -99,6 +100,7 @@
             entry=entry,
             now_s=clocks.now_s(),
             inherited_leases_end_at_s=inherited_leases_end_at_s,
+            cordons=self.term.cordons,
         )
         self.term.fleet.workers[entry.worker_id] = worker
         if not inherited_leases_end_at_s:
@@ -126,7 +128,7 @@
             batch_delay_s=BATCH_DELAY_S,
         )
 
-    def _apply_rows(self, found, whole):
+    def _apply_rows(self, found, whole, _version):
         for row in found:
             self._apply_row(row)
         if not whole:
--- a/arbutusrock/engine/status.py
+++ b/arbutusrock/engine/status.py
@@ -18,6 +18,7 @@
     """One pool as the owner sees it.
 
     :param usable: workers that can be given runs now.
+    :param evacuated: workers whose data centre is evacuated.
     :param cores_used: cores in use by running tasks.
     :param waiting_tasks: tasks that wait for a worker.
     """
@@ -25,6 +26,7 @@
     pool: str
     workers: int
     usable: int
+    evacuated: int
     cores: float
     cores_used: float
     runs: int
@@ -43,6 +45,8 @@
     """One node, with the unit if the node owns it.
 
     :param configuration_age_s: time since the store confirmed the version.
+    :param evacuated: data centres that operators evacuate, as far as this
+        node knows.
     :param owner: node whose heartbeat was seen last.
     :param owner_age_s: time since that heartbeat was seen.
     :param epoch: epoch of this node as the owner; 0 when it is not the owner.
@@ -57,6 +61,7 @@
     configuration_age_s: float
     owner: str
     owner_age_s: float
+    evacuated: list[str]
     epoch: int = 0
     open_jobs: int = 0
     pools: list[PoolStatus] = []
@@ -78,6 +83,7 @@
         configuration_age_s=round(configuration.age_s, 2) if current else -1,
         owner=elector.heartbeat.node if elector.heartbeat else '',
         owner_age_s=round(clocks.now_s() - elector.heartbeat_at_s, 2),
+        evacuated=configuration.cordons.names,
     )
     if node.leader is None or current is None:
         return status
@@ -109,6 +115,7 @@
         pool=name,
         workers=len(workers),
         usable=sum(worker.usable for worker in workers),
+        evacuated=sum(item.in_evacuated_data_centre for item in workers),
         cores=sum(item.capacity.cpu for item in workers) / 1000,
         cores_used=sum(item.used_millicores for item in workers) / 1000,
         runs=sum(len(item.runs) for item in workers),
@@ -123,6 +130,9 @@
     """
     metrics.reset_gauges()
     metrics.set_gauge('configuration_age_seconds', node.configuration.age_s)
+    metrics.set_gauge(
+        'data_centres_evacuated', len(node.configuration.cordons.names)
+    )
     metrics.set_gauge('owner', int(node.leader is not None))
     if node.leader is None:
         return
--- a/arbutusrock/engine/straggler_controller.py
+++ b/arbutusrock/engine/straggler_controller.py
@@ -14,7 +14,9 @@
 
 
 class StragglerController:
-    """Checks the runs of all usable workers for slow and stalled ones.
+    """Checks the runs of workers in service for slow and stalled ones.
+
+    Those of an evacuated data centre count, as their runs go on.
 
     Serving tasks and gangs are left alone.
 
@@ -36,7 +38,7 @@
                 continue
             now_s = clocks.now_s()
             for worker in list(self.term.fleet.workers.values()):
-                if worker.usable:
+                if worker.in_service and not worker.cordon_reason:
                     self._check_worker(worker, now_s)
 
     def _check_worker(self, worker, now_s):
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -82,6 +82,11 @@
         # ownership has been confirmed since.
         self._stalled_at_s = None
 
+    @property
+    def cordons(self):
+        """Data centres that operators evacuate, as a container of names."""
+        return self.configuration.cordons
+
     @property
     def inherited_leases_end_at_s(self):
         """When all leases granted by an earlier owner have ended."""
--- a/arbutusrock/engine/tests/samples.py
+++ b/arbutusrock/engine/tests/samples.py
@@ -2,6 +2,7 @@
 
 import types
 
+from arbutusrock.engine import data_centre_cordons
 from arbutusrock.engine import fleet
 from arbutusrock.engine import node_settings
 from arbutusrock.engine import plans
@@ -39,7 +40,9 @@
         claim_version=7,
         claim_sent_at_s=0.0,
         settings=SETTINGS,
-        configuration=types.SimpleNamespace(current=None),
+        configuration=types.SimpleNamespace(
+            current=None, cordons=data_centre_cordons.DataCentreCordons()
+        ),
         metrics=metrics.Metrics(),
     )
 
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -44,14 +44,17 @@
 def compute_pool_loads(fleet):
     """Return what each pool uses over its usable capacity.
 
-    Runs on cordoned workers count, as they have to move to the others.
+    Runs on cordoned workers count, as they have to move to the others; those
+    in evacuated data centres do not, as they end there.
     """
     used, capacity = {}, {}
     for worker in fleet.workers.values():
         if worker.ended:
             continue
         pool = worker.entry.pool
-        used[pool] = used.get(pool, 0) + worker.used_millicores
+        used.setdefault(pool, 0)
+        if not worker.in_evacuated_data_centre:
+            used[pool] += worker.used_millicores
         if worker.usable:
             capacity[pool] = capacity.get(pool, 0) + worker.capacity.cpu
     return {
@@ -141,6 +144,7 @@
                 name, tracked, workers.get(name), now_s, view.spare
             )
             if vm is not None:
+                vm.cordoned = _is_cordoned(tracked, term.cordons)
                 view.vms.append(vm)
     _add_running(views, term)
     _add_waiting(views, term)
@@ -149,6 +153,14 @@
     return list(views.values())
 
 
+def _is_cordoned(tracked, cordons):
+    """Return whether a VM is in an evacuated data centre.
+
+    A VM that no list has shown is somewhere unknown.
+    """
+    return tracked.entry.data_centre in cordons
+
+
 def _create_vm_view(name, tracked, worker, now_s, spare):
     """Return the view of a VM, or None if it is not capacity of its pool.
 
@@ -199,6 +211,9 @@
         for run in worker.runs.values():
             if run.task is None or run.task.step.plan.fills:
                 continue
+            if worker.in_evacuated_data_centre:
+                # It needs no room elsewhere, and its VM is no room.
+                continue
             if _is_long_running(run):
                 view.long_running_millicores += run.demand.cpu
                 long_running_vms.setdefault(view.name, set()).add(worker.vm)
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -222,6 +222,7 @@
             self._has_run(run)
             and run.state is job_state.RunState.RESERVED
             and self.worker.in_service
+            and not self.worker.in_evacuated_data_centre
             # The capacity may have shrunk since.
             and self.worker.free_millicores >= 0
             and self.worker.free_memory_mb >= 0
@@ -242,6 +243,15 @@
         )
 
     async def _start(self, run, order):
+        if self.worker.in_evacuated_data_centre and self._has_run(run):
+            LOG.info(
+                'a start order was not sent, as its data centre is evacuated',
+                task=run.name,
+                run=run.number,
+                data_centre=self.worker.entry.data_centre,
+            )
+            self.run_controller.release_reservation(run)
+            return
         reply = await self.client.start_run(order)
         if run.worker.ended:
             return
--- a/arbutusrock/platform/operator_rows.py
+++ b/arbutusrock/platform/operator_rows.py
@@ -1,4 +1,4 @@
-"""Decodes the operator's rows: the configuration and maintenance waves."""
+"""Decodes the operator's rows: configuration, waves and evacuations."""
 
 import msgspec
 
@@ -10,6 +10,7 @@
 
 CONFIGURATION_KEY = 'config'
 WAVE_KEY_PREFIX = 'wave/'
+CORDON_KEY_PREFIX = 'evacuate/'
 
 
 class _WireAdvice(msgspec.Struct):
@@ -79,13 +80,19 @@
 
 
 def decode_operator_row(row):
-    """Return the configuration or the wave in a row of the operator's table.
+    """Return what a row of the operator's table says.
 
+    :param row: a row, or a removed one, which has no value.
     :returns: :class:`configuration.FleetConfiguration`,
-        :class:`platform_messages.WaveRequest`, or None for rows with other
-        keys.
-    :raises msgspec.DecodeError: when the value is not valid.
+        :class:`platform_messages.WaveRequest`,
+        :class:`platform_messages.CordonChange`, or None for rows with other
+        keys and for removed ones that change nothing.
+    :raises msgspec.DecodeError: when the row is not valid.
     """
+    if row.key.startswith(CORDON_KEY_PREFIX):
+        return decode_cordon(row.key, row.value)
+    if row.value is None:
+        return None
     if row.key == CONFIGURATION_KEY:
         return decode_configuration(row.value)
     if row.key.startswith(WAVE_KEY_PREFIX):
@@ -168,6 +175,29 @@
     )
 
 
+def decode_cordon(key, data):
+    """Return the :class:`platform_messages.CordonChange` of a row.
+
+    The key alone says what is asked for, so that a value that cannot be read
+    changes nothing.
+
+    :param data: value of the row; None when it was removed.
+    :raises msgspec.DecodeError: when the key names no data centre.
+    """
+    name = key.removeprefix(CORDON_KEY_PREFIX)
+    if not name:
+        raise msgspec.DecodeError('the key names no data centre')
+    problem = ''
+    if data is not None:
+        try:
+            msgspec.json.decode(data, type=dict)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            problem = str(exc)
+    return platform_messages.CordonChange(
+        data_centre=name, active=data is not None, problem=problem
+    )
+
+
 def encode_wave_status(*, number, completed):
     """Return the value of the row that reports a wave to the operator."""
     state = 'completed' if completed else 'running'
--- a/arbutusrock/platform/workers.py
+++ b/arbutusrock/platform/workers.py
@@ -64,6 +64,8 @@
     machine: str = ''
     # Unix time in ms when the worker started.
     born: int = 0
+    # How much longer it is slow after its start.
+    coldRemainingMs: float = 0.0  # noqa: N815
     # Minimum time until a draining worker leaves.
     remainingMs: float | None = None  # noqa: N815
 
@@ -116,6 +118,7 @@
         vm=wire.machine,
         born_ms=wire.born,
         leaves_in_ms=wire.remainingMs,
+        cold_ms=wire.coldRemainingMs,
     )
 
 
--- a/arbutusrock/scheduling/placement.py
+++ b/arbutusrock/scheduling/placement.py
@@ -4,7 +4,8 @@
 occupy part of each worker. A task goes to the worker that has the least free
 capacity left afterwards, so that large tasks still fit and empty VMs stay
 empty. Workers on the rack of its data are preferred, and VMs on which the
-task failed are the last choice.
+task failed are the last choice. A worker that is still slow after its start
+comes after those that are not.
 """
 
 __all__ = [
@@ -124,6 +125,7 @@
         worker.vm in request.deprioritized_vms,
         worker.vm in request.suspect_vms,
         bool(request.data_rack) and worker.entry.rack != request.data_rack,
+        worker.entry.cold_ms > 0,
         worker.free_millicores - request.demand.cpu,
         worker.worker_id,
     )
--- a/arbutusrock/scheduling/pool_sizing.py
+++ b/arbutusrock/scheduling/pool_sizing.py
@@ -5,6 +5,10 @@
 it is idle or busy. Pools therefore grow with arriving and waiting work, using
 VMs that are idle in other pools or switched off. They shrink when VMs have
 been idle for longer than two moves cost.
+
+VMs of an evacuated data centre get no new tasks: they are no room of their
+pool and fill no other pool. Once empty they are switched off, unless their
+pool lacks VMs that it cannot get and would use them once they are back.
 """
 
 import math
@@ -51,16 +55,34 @@
     :param movable: it is up, empty and not reserved for anything else.
     :param idle_s: how long it has been empty.
     :param arriving: it is moving into the pool.
+    :param cordoned: its data centre is evacuated.
     """
 
-    __slots__ = ('vm', 'millicores', 'movable', 'idle_s', 'arriving')
+    __slots__ = (
+        'vm',
+        'millicores',
+        'movable',
+        'idle_s',
+        'arriving',
+        'cordoned',
+    )
 
-    def __init__(self, *, vm, millicores, movable, idle_s=0.0, arriving=False):
+    def __init__(
+        self,
+        *,
+        vm,
+        millicores,
+        movable,
+        idle_s=0.0,
+        arriving=False,
+        cordoned=False,
+    ):
         self.vm = vm
         self.millicores = millicores
         self.movable = movable
         self.idle_s = idle_s
         self.arriving = arriving
+        self.cordoned = cordoned
 
 
 class PoolView:
@@ -246,7 +268,9 @@
 
 
 def _has_idle_vm(pool):
-    return any(vm.movable and vm.idle_s > 0 for vm in pool.vms)
+    return any(
+        vm.movable and vm.idle_s > 0 and not vm.cordoned for vm in pool.vms
+    )
 
 
 def plan_moves(pools, *, max_moves):
@@ -273,13 +297,18 @@
             overdue[pool.name] = -excess - missing[pool.name]
             continue
         idle = sorted(
-            (vm for vm in pool.vms if vm.movable),
+            (vm for vm in pool.vms if vm.movable and not vm.cordoned),
             key=lambda vm: (-vm.idle_s, vm.vm),
         )
         surplus += [(vm, pool) for vm in idle[:excess]]
         if excess > len(idle):
             busy_surplus[pool.name] = excess - len(idle)
-    spare_vms = [(vm, pool) for pool in spare for vm in pool.vms if vm.movable]
+    spare_vms = [
+        (vm, pool)
+        for pool in spare
+        for vm in pool.vms
+        if vm.movable and not vm.cordoned
+    ]
     sources = sorted(surplus, key=lambda item: -item[0].idle_s) + spare_vms
     moves = _fill_missing(missing, sources)
     moves += _fill_missing(overdue, sources[len(moves) :])
@@ -287,7 +316,7 @@
         taken = {move.vm for move in moves}
         moves += [
             VMMove(vm=vm.vm, origin=pool.name, target=spare[0].name)
-            for vm, pool in surplus
+            for vm, pool in surplus + _find_cordoned_idle(sized, missing)
             if vm.vm not in taken
             and vm.idle_s
             > (MAX_IDLE_OFF_PEAK_S if pool.off_peak else MAX_IDLE_S)
@@ -306,8 +335,28 @@
 
 
 def _count_full_vms(pool, vm_millicores):
-    """Return the number of VMs whose capacity has not shrunk by over half."""
-    return sum(vm.millicores * 2 >= vm_millicores for vm in pool.vms)
+    """Return the number of VMs that are room for about a VM's tasks.
+
+    VMs whose capacity has shrunk by over half and those of evacuated data
+    centres are not.
+    """
+    return sum(
+        vm.millicores * 2 >= vm_millicores and not vm.cordoned
+        for vm in pool.vms
+    )
+
+
+def _find_cordoned_idle(pools, missing):
+    """Return the empty VMs of evacuated data centres, with their pools.
+
+    :param missing: by pool, number of VMs that it still lacks.
+    """
+    return [
+        (vm, pool)
+        for pool in pools
+        for vm in pool.vms
+        if vm.cordoned and vm.movable and not missing.get(pool.name)
+    ]
 
 
 def _fill_missing(missing, sources):
--- a/arbutusrock/scheduling/tests/test_isolation.py
+++ b/arbutusrock/scheduling/tests/test_isolation.py
@@ -16,7 +16,7 @@
         free_memory_mb=1000,
         free_accelerators=0,
         capacity=Resources(cpu=8000, memory_mb=1000),
-        entry=types.SimpleNamespace(labels=(), rack=''),
+        entry=types.SimpleNamespace(labels=(), rack='', cold_ms=0.0),
     )
     return isolation.IsolationCandidate(
         worker=worker, runs=runs, settled=settled
--- a/benchmarks/fleet_simulation.py
+++ b/benchmarks/fleet_simulation.py
@@ -213,7 +213,9 @@
             claim_version=1,
             claim_sent_at_s=self.now_s,
             settings=settings,
-            configuration=types.SimpleNamespace(current=current, waves={}),
+            configuration=types.SimpleNamespace(
+                current=current, waves={}, cordons=frozenset()
+            ),
             metrics=metrics.Metrics(),
         )
         self.leader = leader_module.Leader(
@@ -358,7 +360,7 @@
             value=plans.encode_row(submission),
             version=1,
         )
-        self.leader._apply_job_rows([row], False)
+        self.leader._apply_job_rows([row], False, 0)
         return job_id
 
     # Workers and VMs.
