Test evacuations of data centres, and draw them in the soak

The stand-ins have data centres, evacuations and a check of starts in them; the soak draws them in the set all, and the seeds of the list and the run with deadly tasks keep the set that they drew from, now called second.

--- a/arbutusrock/scheduling/tests/test_placement.py
+++ b/arbutusrock/scheduling/tests/test_placement.py
@@ -1,5 +1,7 @@
 """Placement of single tasks and gangs on workers."""
 
+import msgspec
+
 from arbutusrock.engine import fleet
 from arbutusrock.engine import platform_messages
 from arbutusrock.scheduling import placement
@@ -73,3 +75,13 @@
         )
         is None
     )
+
+
+def test_cold_worker_comes_last_among_equals():
+    cold = create_worker('a', free=1500)
+    cold.entry = msgspec.structs.replace(cold.entry, cold_ms=800.0)
+    warm, far = create_worker('b'), create_worker('c', rack='r2')
+    assert choose([cold, warm], create_request()) == 'b'
+    assert choose([cold], create_request()) == 'a'
+    # Data that is far away costs more than a slow start.
+    assert choose([cold, far], create_request(data_rack='r1')) == 'a'
--- a/arbutusrock/scheduling/tests/test_pool_sizing.py
+++ b/arbutusrock/scheduling/tests/test_pool_sizing.py
@@ -190,3 +190,61 @@
     )
     assert pool_sizing.compute_target_vms(full, VM_MILLICORES) > 2
     assert pool_sizing.compute_target_vms(idle, VM_MILLICORES) <= 2
+
+
+def cordon(vms):
+    for vm in vms:
+        vm.cordoned = True
+    return vms
+
+
+def test_evacuated_vms_are_no_room_and_no_source():
+    """A third of a pool is evacuated while its queue bursts.
+
+    What was lost comes from idle VMs elsewhere at once, and none of the VMs
+    that are moved or counted is in the evacuated data centre.
+    """
+    busy = create_pool('a', 8, needed_millicores=200 * MILLICORES_PER_CORE)
+    cordon(busy.vms[:3])
+    other = create_pool('b', 6, idle_s=1.0)
+    cordoned_names = {vm.vm for vm in cordon(other.vms[:3])}
+    spare_vms = create_vms('off', 8)
+    cordoned_names |= {vm.vm for vm in cordon(spare_vms[:4])}
+    spare = pool_sizing.PoolView(name='off', spare=True, vms=spare_vms)
+    moves = pool_sizing.plan_moves([busy, other, spare], max_moves=20).moves
+    target = pool_sizing.compute_target_vms(busy, VM_MILLICORES)
+    assert len([move for move in moves if move.target == 'a']) == target - 5
+    assert not cordoned_names & {move.vm for move in moves}
+
+
+def test_empty_evacuated_vms_are_switched_off_where_pool_has_enough():
+    quiet = create_pool('a', 6, idle_s=pool_sizing.MAX_IDLE_S + 1)
+    cordon(quiet.vms[:4])
+    spare = pool_sizing.PoolView(name='off', spare=True)
+    moves = pool_sizing.plan_moves([quiet, spare], max_moves=20).moves
+    # One of the two others stays as the reserve of the pool.
+    assert sorted(move.vm for move in moves) == [
+        'a0',
+        'a1',
+        'a2',
+        'a3',
+        'a4',
+    ]
+    assert {move.target for move in moves} == {'off'}
+
+
+def test_all_evacuated_vms_stay_while_work_waits():
+    """With all data centres evacuated, VMs are kept for when they are back."""
+    pool = create_pool(
+        'a',
+        4,
+        idle_s=pool_sizing.MAX_IDLE_S + 1,
+        needed_millicores=100 * MILLICORES_PER_CORE,
+    )
+    cordon(pool.vms)
+    spare = pool_sizing.PoolView(
+        name='off', spare=True, vms=cordon(create_vms('off', 3))
+    )
+    plan = pool_sizing.plan_moves([pool, spare], max_moves=20)
+    assert not plan.moves
+    assert plan.unmet
--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -87,15 +87,20 @@
     """Store, VMs with workers, advice service, configuration and nodes.
 
     :param pools: mapping of pool to its number of VMs.
+    :param data_centres: names of the data centres; the VMs of a pool are
+        spread over them by turns.
     :param cores: number of cores of each VM.
     :param map_address: coroutine function that is called with a VM and the
         address of its worker and returns the address to register, for
         example that of a proxy.
     """
 
-    def __init__(self, *, pools, cores=8, map_address=None):
+    def __init__(
+        self, *, pools, cores=8, map_address=None, data_centres=('z1',)
+    ):
         self.pools = {**pools, SPARE_POOL: pools.get(SPARE_POOL, 0)}
         self.cores = cores
+        self.data_centres = data_centres
         self.map_address = map_address
         self.store = store_module.MetadataStore()
         self.advice_service = vm_service.AdviceService()
@@ -105,6 +110,10 @@
             spare_pool=SPARE_POOL,
         )
         self.ledger = []
+        # [data centre, begin, end] of each evacuation, on the steady clock;
+        # the end is None until it is taken back.
+        self.evacuations = []
+        self.data_centre_by_worker = {}
         # Run record of each run that has crashed its worker.
         self.crashes = []
         self.crash_recovery_s = CRASH_RECOVERY_S
@@ -144,7 +153,7 @@
                     'machine': vm,
                     'pool': pool,
                     'state': 'up',
-                    'zone': 'z1',
+                    'zone': self.data_centres[number % len(self.data_centres)],
                     'labels': ['a', f'r{next(self._vm_numbers) // 4}'],
                     'capacity': self._get_capacity(vm),
                     'id': None,
@@ -244,6 +253,24 @@
         )
         return json.loads(base64.b64decode(value))['state'] if value else None
 
+    async def evacuate(self, data_centre, value=b'{}'):
+        """Ask for the evacuation of a data centre, as an operator.
+
+        :param value: value of the row.
+        """
+        await self.store.put(
+            'op', f'evacuate/{data_centre}', base64.b64encode(value).decode()
+        )
+        self.evacuations.append([data_centre, time.monotonic(), None])
+
+    async def take_back(self, data_centre):
+        """Take the evacuation of a data centre back, as an operator."""
+        now_s = time.monotonic()
+        for evacuation in self.evacuations:
+            if evacuation[0] == data_centre and evacuation[2] is None:
+                evacuation[2] = now_s
+        await self.store.put('op', f'evacuate/{data_centre}', None)
+
     # Workers.
 
     async def _start_worker(self, vm, pool):
@@ -261,6 +288,8 @@
             address = await self.map_address(vm, address)
         self.workers[vm] = worker
         self.vm_service.vms[vm]['id'] = worker_id
+        data_centre = self.vm_service.vms[vm]['zone']
+        self.data_centre_by_worker[worker_id] = data_centre
         if vm in self.millicores:
             self.set_millicores(vm, self.millicores[vm])
         tasks = [
@@ -283,7 +312,7 @@
         entry = {
             'service': pool,
             'address': address,
-            'zone': 'z1',
+            'zone': self.vm_service.vms[vm]['zone'],
             'version': 'v1',
             'slots': 8,
             'state': 'ready',
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,6 +11,14 @@
 # Time bounds are checked only where no fault was active and none ended less
 # than this before (``contactMs``).
 FAULT_RECOVERY_S = 3.0
+# No task starts in a data centre this long after its evacuation was requested
+# (``evacuateMs``).
+MAX_EVACUATION_DELAY_S = 5.0
+# Kinds of faults that keep an owner from reading what operators ask for.
+DELAYING_KINDS = ('store', 'pause')
+# Kind of fault during which a worker may start a task this late.
+LATE_START_KIND = 'worker carries out late'
+LATE_START_S = 2.5
 # A call without an answer counts as lost when it ended more than this after it
 # was sent (``lossSlackMs``).
 LOSS_SLACK_S = 0.2
@@ -40,6 +48,8 @@
     orders,
     crashes=(),
     capacity_changes=(),
+    evacuations=(),
+    data_centre_by_worker=None,
 ):
     """Yield a line for each violated guarantee.
 
@@ -57,6 +67,8 @@
     :param crashes: the run of each crash of a worker by a task.
     :param capacity_changes: ``(instant, worker id, millicores)`` of each
         change of the capacity of a worker.
+    :param evacuations: ``(data centre, begin, end)`` of each evacuation.
+    :param data_centre_by_worker: data centre by worker id.
     """
     runs_by_job = {}
     for run in ledger:
@@ -74,6 +86,56 @@
     yield from _check_crashes(ledger, crashes)
     yield from _check_calls(calls, fault_intervals)
     yield from _check_fencing(orders)
+    for data_centre, begin_s, end_s in evacuations:
+        yield from _check_evacuation(
+            [
+                run
+                for run in ledger
+                if data_centre_by_worker[run.worker_id] == data_centre
+            ],
+            begin_s,
+            end_s,
+            fault_intervals,
+        )
+
+
+def _check_evacuation(runs, begin_s, end_s, fault_intervals):
+    """Yield a line for each run that started in an evacuated data centre.
+
+    Faults that keep an owner from reading the request excuse a start only
+    while they delay the first reading; a later owner has to know it.
+
+    :param runs: runs on the workers of the data centre.
+    """
+    deadline_s = begin_s + MAX_EVACUATION_DELAY_S
+    for kind, fault_begin_s, fault_end_s in sorted(
+        fault_intervals, key=lambda item: item[1]
+    ):
+        if (
+            kind.startswith(DELAYING_KINDS)
+            and fault_begin_s < deadline_s
+            and (fault_end_s is None or fault_end_s > begin_s)
+        ):
+            if fault_end_s is None:
+                return
+            deadline_s = max(deadline_s, fault_end_s + MAX_EVACUATION_DELAY_S)
+    for run in runs:
+        late = any(
+            kind == LATE_START_KIND
+            and began_s < run.started_at_s
+            and (ended_s is None or run.started_at_s < ended_s + LATE_START_S)
+            for kind, began_s, ended_s in fault_intervals
+        )
+        if (
+            run.started_at_s > deadline_s
+            and (end_s is None or run.started_at_s < end_s)
+            and not late
+        ):
+            yield (
+                f'EVAC {run.task}: started on {run.worker_id}'
+                f' {run.started_at_s - begin_s:.2f} s after the evacuation of'
+                ' its data centre was requested'
+            )
 
 
 def _is_fault_free(fault_intervals, begin_at_s, end_at_s):
@@ -253,7 +315,13 @@
 
 def _check_calls(calls, fault_intervals):
     # Planned changes must not lose calls, so they excuse none.
-    planned = {'stop', 'stop in turn', 'configuration', 'wave'}
+    planned = {
+        'stop',
+        'stop in turn',
+        'configuration',
+        'wave',
+        'evacuation',
+    }
     unplanned = [item for item in fault_intervals if item[0] not in planned]
     for call in calls:
         if call.status is not None or call.ended_at_s is None:
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -24,6 +24,10 @@
 # Added delay of a slow store or a slow link.
 SLOW_DELAY_S = 0.5
 WAVE_DURATION_S = 15
+DATA_CENTRES = ('z1', 'z2')
+# An evacuation lasts this much longer than other faults, so that starts after
+# the time within which it has to be in force are seen.
+LONGER_EVACUATION_S = 4.0
 
 
 class SoakCluster:
@@ -38,6 +42,7 @@
             pools=POOL_SIZES,
             cores=CORES_PER_VM,
             map_address=self._start_worker_link,
+            data_centres=DATA_CENTRES,
         )
         self.site.accounts[ACCOUNT]['maximum'] = {
             'cpu': UPPER_LIMIT_MILLICORES
@@ -134,6 +139,8 @@
                 self.wave_deadlines[number] = (
                     time.monotonic() + WAVE_DURATION_S
                 )
+            case 'evacuation':
+                await self._evacuate(fault)
             case 'deadly tasks':
                 self.deadly_count += 1
                 await asyncio.sleep(fault.duration_s)
@@ -147,6 +154,18 @@
             case _:
                 await self._inject_service_fault(fault)
 
+    async def _evacuate(self, fault):
+        """Evacuate a data centre for a while, unless it is evacuated now."""
+        name = DATA_CENTRES[int(fault.target_selector * len(DATA_CENTRES))]
+        if any(
+            data_centre == name and end is None
+            for data_centre, _, end in self.site.evacuations
+        ):
+            return
+        await self.site.evacuate(name)
+        await asyncio.sleep(fault.duration_s + LONGER_EVACUATION_S)
+        await self.site.take_back(name)
+
     def _pick_node(self, fault):
         """Return the owner for kinds that hit it, else the selected node.
 
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -123,6 +123,8 @@
             orders=soak_cluster.site.vm_service.orders,
             crashes=soak_cluster.site.crashes,
             capacity_changes=soak_cluster.site.capacity_changes,
+            evacuations=soak_cluster.site.evacuations,
+            data_centre_by_worker=soak_cluster.site.data_centre_by_worker,
         )
     )
     if soak_cluster.site.vm_service.peak_down > 1:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -47,14 +47,17 @@
     'deadly tasks': 'load',
     'configuration': 'operator',
     'wave': 'operator',
+    'evacuation': 'operator',
 }
 
 # Kinds of faults that a seed draws from, by the name of the set. Seeds that
 # failed keep the set of their time, as it decides on their faults.
 KIND_SETS = {
     'all': sorted(TARGET_BY_KIND),
+    'second': sorted(TARGET_BY_KIND.keys() - {'evacuation'}),
     'first': sorted(
-        TARGET_BY_KIND.keys() - {'worker shrinks', 'deadly tasks'}
+        TARGET_BY_KIND.keys()
+        - {'worker shrinks', 'deadly tasks', 'evacuation'}
     ),
 }
 
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -226,3 +226,33 @@
     assert find_kinds([COMPLETED_RUN], capacity_changes=changes) == ['LIMIT']
     changes = [(10.0, 'w1', 2000)]
     assert not find_kinds([COMPLETED_RUN], capacity_changes=changes)
+
+
+def test_start_in_evacuated_data_centre_is_found():
+    def find(started_at_s, faults=(), end_s=None):
+        run = create_run_record(
+            started_at_s=started_at_s, ended_at_s=started_at_s + 0.5
+        )
+        return [
+            line.partition(' ')[0]
+            for line in checks.find_violations(
+                ledger=[run],
+                jobs=[create_job()],
+                calls=[],
+                fault_intervals=faults,
+                limits=(8000, 30_000),
+                orders=[],
+                evacuations=[('z1', 10.0, end_s)],
+                data_centre_by_worker={'w1': 'z1'},
+            )
+        ]
+
+    assert find(16.0) == ['EVAC']
+    assert not find(14.0)
+    assert not find(18.0, end_s=17.0)
+    # A kill of the owner is no excuse, nor is a fault of the store after the
+    # request was known.
+    assert find(16.0, [('kill the owner', 11.0, 14.0)]) == ['EVAC']
+    assert find(19.0, [('store silent', 15.5, 18.0)]) == ['EVAC']
+    assert not find(18.0, [('store silent', 12.0, 14.0)])
+    assert find(19.5, [('store silent', 12.0, 14.0)]) == ['EVAC']
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 SHORT_RUN = (20261204, 8.0, 3, 'first')
 # Draws deadly tasks, workers that shrink and kills of the owner.
-CRASH_RUN = (20261909, 12.0, 3, 'all')
+CRASH_RUN = (20261909, 12.0, 3, 'second')
 SEEDS_PATH = pathlib.Path(__file__).with_name('seeds.txt')
 
 
--- a/tests/site_checks.py
+++ b/tests/site_checks.py
@@ -12,6 +12,7 @@
 __all__ = [
     'JOB',
     'OTHER_JOB',
+    'check_evacuations',
     'check_ledger',
     'find_violations',
     'open_site',
@@ -22,21 +23,25 @@
 ]
 
 WAIT_S = 20.0
+# An evacuation is in force this long after its request (``evacuateMs``).
+MAX_EVACUATION_DELAY_S = 5.0
 JOB = '00000000000000a1'
 OTHER_JOB = '00000000000000b2'
 
 
 @contextlib.asynccontextmanager
-async def open_site(pools):
+async def open_site(pools, **options):
     """Start the stand-ins; at the end, stop them and check their ledger.
 
     :param pools: number of VMs by pool.
+    :param options: further parameters of the site.
     """
-    site = Site(pools=pools)
+    site = Site(pools=pools, **options)
     await site.start()
     yield site
     await site.stop()
     check_ledger(site.ledger)
+    check_evacuations(site)
 
 
 async def wait_until(condition, *, what, timeout_s=WAIT_S):
@@ -145,6 +150,41 @@
             return
 
 
+def find_starts_in_evacuated(
+    ledger, evacuations, data_centre_by_worker, max_delay_s
+):
+    """Yield a text for each run that started in an evacuated data centre.
+
+    :param evacuations: ``(data centre, begin, end)`` of each evacuation.
+    :param max_delay_s: time from the begin until which runs may start.
+    """
+    for line in ledger:
+        for data_centre, begin_s, end_s in evacuations:
+            if (
+                data_centre_by_worker[line.worker_id] == data_centre
+                and line.started_at_s > begin_s + max_delay_s
+                and (end_s is None or line.started_at_s < end_s)
+            ):
+                delay_s = line.started_at_s - begin_s
+                yield (
+                    f'{line.task}: started in {data_centre} {delay_s:.2f} s'
+                    ' after its evacuation was requested'
+                )
+
+
+def check_evacuations(site, max_delay_s=MAX_EVACUATION_DELAY_S):
+    """Fail when a run started in an evacuated data centre."""
+    violations = list(
+        find_starts_in_evacuated(
+            site.ledger,
+            site.evacuations,
+            site.data_centre_by_worker,
+            max_delay_s,
+        )
+    )
+    assert not violations, violations
+
+
 def check_ledger(ledger, **options):
     """Fail when the ledger shows a violation."""
     violations = list(find_violations(ledger, **options))
