--- a/arbutusrock/engine/vm_controller.py
+++ b/arbutusrock/engine/vm_controller.py
@@ -311,6 +311,7 @@
     return {
         view.name: (
             f'vms={len(view.vms)}'
+            f' evacuated={sum(vm.cordoned for vm in view.vms)}'
             f' lasting={view.long_running_millicores // 1000}'
             f' needed={view.needed_millicores / 1000:.0f}'
             f' overdue={view.overdue_millicores / 1000:.0f}'
