--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -52,13 +52,17 @@
 
 # Kinds of faults that a seed draws from, by the name of the set. Seeds that
 # failed keep the set of their time, as it decides on their faults.
+_FIRST_KINDS = TARGET_BY_KIND.keys() - {
+    'worker shrinks',
+    'deadly tasks',
+    'evacuation',
+}
+_SECOND_KINDS = _FIRST_KINDS | {'worker shrinks', 'deadly tasks'}
 KIND_SETS = {
     'all': sorted(TARGET_BY_KIND),
-    'second': sorted(TARGET_BY_KIND.keys() - {'evacuation'}),
-    'first': sorted(
-        TARGET_BY_KIND.keys()
-        - {'worker shrinks', 'deadly tasks', 'evacuation'}
-    ),
+    'third': sorted(_SECOND_KINDS | {'evacuation'}),
+    'second': sorted(_SECOND_KINDS),
+    'first': sorted(_FIRST_KINDS),
 }
 
 
