Listen before the modules of a node are imported

Cause: after a kill of all nodes a process spends its first .2 to .5 s of processor time on imports, on half a core, and callers are refused by the kernel meanwhile. Change: platform/listeners.py opens the sockets of callers and readiness first, on os and socket alone; the node's modules are imported after.

--- a/arbutusrock/engine/configuration_watcher.py
+++ b/arbutusrock/engine/configuration_watcher.py
@@ -1,5 +1,7 @@
 """Follows the configuration in force and the wave requests of operators."""
 
+import asyncio
+
 import msgspec
 
 from arbutusrock.engine import feeds
@@ -37,12 +39,26 @@
         self.confirmed_at_s = 0.0
         # Called without arguments after each change.
         self.listeners = []
+        # Set once there is a configuration.
+        self._read = asyncio.Event()
 
     @property
     def age_s(self):
         """Time since the store last confirmed the version in force."""
         return clocks.now_s() - self.confirmed_at_s
 
+    async def wait_until_read(self, timeout_s):
+        """Wait for the first configuration.
+
+        :returns: whether there is one; False after ``timeout_s``.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._read.wait()
+        except TimeoutError:
+            return False
+        return True
+
     async def run(self):
         """Follow the table of operators until cancelled."""
         await feeds.follow_table(
@@ -79,6 +95,7 @@
         if configuration.version <= before:
             return
         self.current = configuration
+        self._read.set()
         LOG.info(
             'a configuration is in force',
             version=configuration.version,
--- a/arbutusrock/metrics.py
+++ b/arbutusrock/metrics.py
@@ -1,10 +1,5 @@
 """Metrics of the daemon, served on the operators' interface."""
 
-from aioprometheus import Counter
-from aioprometheus import Gauge
-from aioprometheus import Registry
-from aioprometheus import render
-
 __all__ = ['Metrics']
 
 # Upper bounds of the histogram buckets for latencies.
@@ -27,7 +22,9 @@
     )
 
     def __init__(self):
-        self.registry = Registry()
+        # Created at the first call of :meth:`render`, whose library takes
+        # time to import that a starting process does not have.
+        self.registry = None
         self._counter_values = {}
         self._gauge_values = {}
         self._counters = {}
@@ -81,6 +78,13 @@
 
     def render(self, accept=()):
         """Return the exposition text and its HTTP headers."""
+        from aioprometheus import Counter
+        from aioprometheus import Gauge
+        from aioprometheus import Registry
+        from aioprometheus import render
+
+        if self.registry is None:
+            self.registry = Registry()
         for (name, labels), value in self._counter_values.items():
             metric = self._get_or_create(self._counters, Counter, name)
             metric.set(dict(labels), value)
--- a/arbutusrock/platform/settings_file.py
+++ b/arbutusrock/platform/settings_file.py
@@ -1,16 +1,13 @@
 """Reads the settings of the node from the settings file of the platform."""
 
-import os
 import pathlib
 
 from arbutusrock.engine import node_settings
 from arbutusrock import errors
+from arbutusrock.platform import listeners
 
 __all__ = ['load_node_settings']
 
-PATH_VARIABLE = 'ARBUTUSROCK_BOOT'
-DEFAULT_PATH = '/etc/arbutusrock/boot.conf'
-
 
 class _Fields:
     """Fields of a settings file of lines ``a.b=value``.
@@ -76,7 +73,7 @@
     :raises errors.InvalidSettings: when the file cannot be read or a field is
         not valid; the text names the file, the field and the allowed range.
     """
-    path = path or os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
+    path = path or listeners.find_settings_path()
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as exc:
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -7,7 +7,7 @@
 import sys
 import time
 
-from arbutusrock.platform import settings_file
+from arbutusrock.platform import listeners
 from examples.standins import proxy
 
 __all__ = ['Daemon']
@@ -67,7 +67,7 @@
             sys.executable,
             '-m',
             'arbutusrock.platform',
-            env={**os.environ, settings_file.PATH_VARIABLE: str(self.path)},
+            env={**os.environ, listeners.PATH_VARIABLE: str(self.path)},
             stdout=asyncio.subprocess.PIPE,
         )
         self._log_reader = asyncio.ensure_future(self._read_log(self.process))
--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -9,6 +9,7 @@
 import pytest
 
 from arbutusrock import errors
+from arbutusrock.platform import listeners
 from arbutusrock.platform import settings_file
 from examples.standins.site.site import create_step
 from tests import site_checks
@@ -55,7 +56,7 @@
         '-m',
         'arbutusrock.platform',
         *arguments,
-        env={**os.environ, settings_file.PATH_VARIABLE: str(path)},
+        env={**os.environ, listeners.PATH_VARIABLE: str(path)},
         stdout=asyncio.subprocess.PIPE,
     )
     return Process(process=process)
@@ -102,6 +103,46 @@
             node.process.kill()
 
 
+async def connect(port):
+    """Connect as soon as something listens on a port."""
+
+    async def try_once():
+        try:
+            return await asyncio.open_connection('127.0.0.1', port)
+        except ConnectionRefusedError:
+            return None
+
+    return await site_checks.wait_until(try_once, what='the node listens')
+
+
+async def test_early_caller_is_answered(site, tmp_path):
+    """A caller that connects before the node can serve is not refused."""
+    with listeners.open_listener('127.0.0.1', 0) as probe:
+        port = probe.getsockname()[1]
+    text = site.create_settings_text()
+    lines = [
+        f'listen.frontend=127.0.0.1:{port}'
+        if line.startswith('listen.frontend=')
+        else line
+        for line in text.splitlines()
+    ]
+    node = await start_process(tmp_path, '\n'.join(lines))
+    try:
+        reader, writer = await connect(port)
+        assert node.find('serving') is None
+        writer.write(b'GET /none HTTP/1.1\r\nHost: a\r\n\r\n')
+        async with asyncio.timeout(10):
+            answer = await reader.readline()
+        assert answer.split()[1] == b'404'
+        serving = await node.wait_for('serving')
+        assert serving['configured']
+        assert serving['listening_cpu_s'] < serving['serving_cpu_s'] / 3
+        writer.close()
+    finally:
+        node.process.kill()
+        await node.process.wait()
+
+
 async def test_check_option_names_invalid_setting(site, tmp_path):
     text = site.create_settings_text().replace('portRange=0,0', 'portRange=x')
     node = await start_process(tmp_path, text, '--check')
