Keep what an owner has learned in a row, and time takeovers by phase

Cause: each new owner estimates durations as declared and forgets VMs that fail runs; nobody could say where the seconds of a takeover go; the rows of jobs, progress and workers were read page after page.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -79,6 +79,7 @@
         ):
             return
         now_s = clocks.now_s()
+        term.phases.mark('first_pass')
         term.job_registry.start_due_occurrences(
             clocks.wall_time_s() - CLOCK_MARGIN_S, now_s
         )
@@ -329,6 +330,7 @@
                 configuration=self.term.configuration.current.version,
             )
         task.starts += 1
+        self.term.phases.mark('first_start')
         if task.starts > 1:
             LOG.info(
                 'a task is started again',
--- a/arbutusrock/engine/feeds.py
+++ b/arbutusrock/engine/feeds.py
@@ -29,19 +29,30 @@
 
 
 async def read_with_retries(store, table, parts):
-    """Call :func:`read_parts` until the store answers.
+    """Read all rows of a table from several parts, side by side.
+
+    Each part is read again until the store answers.
 
     :returns: as :func:`read_parts`.
     """
+    answers = await asyncio.gather(
+        *(_read_part_with_retries(store, table, part) for part in parts)
+    )
+    found = [row for listed, _ in answers for row in listed]
+    return found, min(version for _, version in answers)
+
+
+async def _read_part_with_retries(store, table, part):
     failing = False
     while True:
         try:
-            return await read_parts(store, table, parts)
+            return await store.read_range(table, part=part)
         except (rows.StoreRefused, rows.StoreSilent) as exc:
             if not failing:
                 LOG.warning(
                     'cannot read a table; retrying',
                     table=table,
+                    part=part,
                     error=str(exc),
                 )
             failing = True
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -11,6 +11,7 @@
 from arbutusrock.engine import evacuation
 from arbutusrock.engine import feeds
 from arbutusrock.engine import occurrence_estimates
+from arbutusrock.engine import owner_knowledge
 from arbutusrock.engine import pace_controller
 from arbutusrock.engine import plans
 from arbutusrock.engine import registration_controller
@@ -33,6 +34,9 @@
 CANCEL_SUFFIX = '.c'
 # How long the store may hold a watch call for jobs before it answers.
 WATCH_TIMEOUT_S = 1.0
+# The knowledge of an earlier owner is done without when the store has not
+# returned it within this time.
+KNOWLEDGE_TIMEOUT_S = 0.5
 # How often the process checks whether it stalled.
 STALL_CHECK_INTERVAL_S = 0.1
 LOG = logs.get_log('owner')
@@ -56,8 +60,12 @@
         self.store = store
         self.adapter = adapter
         self.links = {}
+        self.knowledge = owner_knowledge.create_knowledge(term)
         self.state_writer = state_writer.StateWriter(
-            term=term, store=store, on_heartbeat=on_heartbeat
+            term=term,
+            store=store,
+            on_heartbeat=on_heartbeat,
+            knowledge=self.knowledge,
         )
         self.run_controller = run_controller.RunController(
             term=term, state_writer=self.state_writer
@@ -121,10 +129,8 @@
         """
         try:
             async with asyncio.TaskGroup() as self._group:
-                jobs_version = await self._load_jobs()
-                workers_version = await self.registration_controller.load(
-                    roster
-                )
+                jobs_version, workers_version = await self._load(roster)
+                self.term.phases.expect_workers(len(self.links))
                 LOG.info(
                     'this node owns the unit',
                     epoch=self.term.epoch,
@@ -180,22 +186,54 @@
         if self.links.get(worker_id) is link:
             del self.links[worker_id]
 
-    async def _load_jobs(self):
-        """Read all jobs and their progress; return the table version."""
-        job_rows, version = await feeds.read_with_retries(
-            self.store, rows.TABLE_JOBS, rows.JOB_PARTS
+    async def _load(self, roster):
+        """Read all rows at once, then apply them in order.
+
+        The knowledge is applied first, as jobs are estimated with it. The
+        tasks must exist before workers report what they run.
+
+        :returns: versions of the tables of jobs and of workers.
+        """
+        jobs, progress, workers, knowledge = await asyncio.gather(
+            feeds.read_with_retries(
+                self.store, rows.TABLE_JOBS, rows.JOB_PARTS
+            ),
+            feeds.read_with_retries(
+                self.store, rows.TABLE_PROGRESS, (rows.OWNER_PART,)
+            ),
+            feeds.read_with_retries(self.store, rows.TABLE_WORKERS, ('',)),
+            self._read_knowledge(),
         )
-        found, _ = await feeds.read_with_retries(
-            self.store, rows.TABLE_PROGRESS, (rows.OWNER_PART,)
+        self.knowledge.restore(knowledge)
+        job_rows, jobs_version = jobs
+        self._load_jobs(job_rows, progress[0])
+        worker_rows, workers_version = workers
+        self.registration_controller.load(worker_rows, roster)
+        return jobs_version, workers_version
+
+    async def _read_knowledge(self):
+        """Return the bytes of the knowledge of an earlier owner, or None."""
+        try:
+            async with asyncio.timeout(KNOWLEDGE_TIMEOUT_S):
+                found, _ = await self.store.read_range(
+                    rows.TABLE_KNOWLEDGE, part=rows.OWNER_PART
+                )
+        except (rows.StoreRefused, rows.StoreSilent, TimeoutError) as exc:
+            LOG.info('the knowledge cannot be read', error=repr(exc))
+            return None
+        return next(
+            (row.value for row in found if row.key == owner_knowledge.KEY),
+            None,
         )
+
+    def _load_jobs(self, job_rows, found):
+        """Add all jobs with their progress."""
         progress_rows = {row.key: row for row in found}
         for row in job_rows:
             self._apply_job_row(row, progress_rows, inherited=True)
-        # The tasks must exist before workers report what they run.
         self.term.job_registry.start_due_occurrences(
             clocks.wall_time_s(), clocks.now_s()
         )
-        return version
 
     def _apply_job_row(self, row, progress_rows, *, inherited=False):
         """Apply the row of a job or of a cancellation.
@@ -317,6 +355,7 @@
         """
         while True:
             await asyncio.sleep(STALL_CHECK_INTERVAL_S)
+            self.term.phases.report_due(self.term.epoch)
             if self.term.detect_stall():
                 LOG.warning('the process stalled')
                 self.term.request_flush()
--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -105,6 +105,7 @@
             settings=self.settings,
             configuration=self.configuration,
             metrics=self.metrics,
+            heartbeat_at_s=self.elector.heartbeat_at_s,
         )
         if self.elector.heartbeat is not None:
             term.forecast.restore(
@@ -135,6 +136,7 @@
             return
         term = leader.term
         term.stopping = True
+        leader.state_writer.knowledge.request_write()
         term.request_flush()
         try:
             async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
--- a/arbutusrock/engine/registration_controller.py
+++ b/arbutusrock/engine/registration_controller.py
@@ -54,15 +54,12 @@
             REVIVAL_INTERVALS * term.settings.worker_report_s
         )
 
-    async def load(self, roster):
-        """Read all registrations once.
+    def load(self, listed, roster):
+        """Add all registered workers and those that the earlier owner used.
 
+        :param listed: rows of all registrations, read after the claim.
         :param roster: workers that the earlier owner used: id to (pool, VM).
-        :returns: version of the table from which changes are to be followed.
         """
-        listed, version = await self.store.read_range(
-            rows.TABLE_WORKERS, part=''
-        )
         until_s = self.term.inherited_leases_end_at_s
         for row in listed:
             entry = self.decode(row.key, row.value)
@@ -70,7 +67,6 @@
                 self._add(entry, inherited_leases_end_at_s=until_s)
         self._add_unregistered(roster, until_s)
         self.run_controller.crash_tracker.restore()
-        return version
 
     def _add_unregistered(self, roster, until_s):
         """Add workers of the earlier owner that are not registered.
--- a/arbutusrock/engine/rows.py
+++ b/arbutusrock/engine/rows.py
@@ -18,6 +18,7 @@
     'StoreRefused',
     'StoreSilent',
     'TABLE_JOBS',
+    'TABLE_KNOWLEDGE',
     'TABLE_NODES',
     'TABLE_OPERATOR',
     'TABLE_OWNER',
@@ -38,6 +39,7 @@
 TABLE_JOBS = 'arbutusrock-jobs'
 TABLE_PROGRESS = 'arbutusrock-progress'
 TABLE_OWNER = 'arbutusrock-owner'
+TABLE_KNOWLEDGE = 'arbutusrock-knowledge'
 TABLE_WAVES = 'arbutusrock-waves'
 TABLE_NODES = 'arbutusrock-nodes'
 # Tables shared with other writers; the platform adapter maps these to the
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -229,6 +229,8 @@
             return
         if not worker.has_answered or worker.unresponsive:
             self.term.request_dispatch()
+        if not worker.has_answered and worker.inherited_leases_end_at_s:
+            self.term.phases.record_answer()
         worker.has_answered = True
         worker.unresponsive = False
         for completion in sorted(reply.ended, key=lambda item: item.number):
--- a/arbutusrock/engine/state_writer.py
+++ b/arbutusrock/engine/state_writer.py
@@ -56,12 +56,15 @@
     :param term: :class:`term_module.Term`.
     :param store: client of the store.
     :param on_heartbeat: called with each :class:`OwnerHeartbeat`.
+    :param knowledge: :class:`owner_knowledge.OwnerKnowledge`, whose rows are
+        written beside heartbeats.
     """
 
-    def __init__(self, *, term, store, on_heartbeat):
+    def __init__(self, *, term, store, on_heartbeat, knowledge):
         self.term = term
         self.store = store
         self.on_heartbeat = on_heartbeat
+        self.knowledge = knowledge
         # Numbers of flushes started and completed. A change is durable when
         # the flush that follows the one under way has completed.
         self.flushes_started = 0
@@ -164,7 +167,8 @@
                 table=rows.TABLE_OWNER,
                 key=KEY_HEARTBEAT,
                 value=msgspec.msgpack.encode(heartbeat),
-            )
+            ),
+            *self.knowledge.create_due_rows(),
         ]
         roster = build_roster(self.term.fleet)
         if roster != self.roster:
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -4,6 +4,7 @@
 
 from arbutusrock.engine import fleet as fleet_module
 from arbutusrock.engine import job_registry
+from arbutusrock.engine import takeover_phases
 from arbutusrock.scheduling import admission
 from arbutusrock.scheduling import estimates
 from arbutusrock.scheduling import forecast
@@ -42,6 +43,8 @@
     :param settings: :class:`node_settings.NodeSettings`.
     :param configuration: :class:`configuration_watcher.ConfigurationWatcher`.
     :param metrics: :class:`arbutusrock.metrics.Metrics`.
+    :param heartbeat_at_s: when the last heartbeat of an earlier owner was
+        seen; 0 when none was.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         settings,
         configuration,
         metrics,
+        heartbeat_at_s=0.0,
     ):
         self.epoch = epoch
         # When the newest request that confirmed the ownership was sent.
@@ -62,6 +66,11 @@
         self.configuration = configuration
         self.metrics = metrics
         self.began_at_s = clocks.now_s()
+        self.phases = takeover_phases.TakeoverPhases(
+            metrics=metrics,
+            heartbeat_at_s=heartbeat_at_s,
+            claim_sent_at_s=claim_sent_at_s,
+        )
         self.lease_s = min(LEASE_S, settings.longest_lease_s)
         self.job_registry = job_registry.JobRegistry()
         self.fleet = fleet_module.Fleet()
--- a/arbutusrock/scheduling/estimates.py
+++ b/arbutusrock/scheduling/estimates.py
@@ -5,6 +5,10 @@
 and also by job as soon as some of its tasks have completed.
 """
 
+import math
+
+from arbutusrock.scheduling import knowledge_ageing
+
 __all__ = ['DurationEstimator']
 
 # Weight of the newest value in the exponentially weighted means of a queue.
@@ -12,6 +16,8 @@
 # Bounds on an observed ratio: one outlier must not reverse the job order.
 MIN_RATIO = 0.2
 MAX_RATIO = 5.0
+# Age at which what an earlier owner learned of a queue counts by half.
+RATIO_HALF_LIFE_S = 120.0
 # Mean work of a job while no job of the queue is known (core-seconds).
 DEFAULT_WORK_CORE_S = 10.0
 
@@ -70,6 +76,36 @@
         """Return the mean work of the jobs of a queue (core-seconds)."""
         return max(self._work_by_queue.get(queue, DEFAULT_WORK_CORE_S), 1e-3)
 
+    def export(self):
+        """Return what was learned of the queues, for the next owner.
+
+        :returns: by queue, mean ``(declared, observed)`` durations (s).
+        """
+        return {
+            queue: (round(declared, 3), round(observed, 3))
+            for queue, (declared, observed) in self._durations_by_queue.items()
+        }
+
+    def restore(self, data, age_s):
+        """Restore what an earlier owner has exported.
+
+        The older it is, the closer to 1 are the ratios taken. Queues that are
+        known already, and values that cannot be, are left out.
+
+        :param data: as returned by :meth:`export`.
+        :param age_s: time since it was exported.
+        """
+        weight = knowledge_ageing.weigh_by_age(age_s, RATIO_HALF_LIFE_S)
+        for queue, (declared_s, observed_s) in data.items():
+            valid = math.isfinite(declared_s) and math.isfinite(observed_s)
+            if not valid or declared_s <= 0 or observed_s <= 0:
+                continue
+            ratio = min(MAX_RATIO, max(MIN_RATIO, observed_s / declared_s))
+            ratio = 1 + (ratio - 1) * weight
+            self._durations_by_queue.setdefault(
+                queue, (declared_s, ratio * declared_s)
+            )
+
     def forget_job(self, job_id):
         """Drop what was learned from a job that has ended."""
         self._ratios_by_job.pop(job_id, None)
--- a/arbutusrock/scheduling/vm_health.py
+++ b/arbutusrock/scheduling/vm_health.py
@@ -60,6 +60,32 @@
             and now_s < self._last_failure_at_s[vm] + EXCLUSION_S
         )
 
+    def export(self, now_s):
+        """Return the VMs on which tasks failed lately, for the next owner.
+
+        :returns: by VM, ids of the jobs and the time since the last failure.
+        """
+        return {
+            vm: (
+                sorted(jobs)[:MIN_FAILED_JOBS],
+                round(now_s - self._last_failure_at_s[vm], 2),
+            )
+            for vm, jobs in self._failed_jobs.items()
+            if now_s < self._last_failure_at_s[vm] + EXCLUSION_S
+        }
+
+    def restore(self, data, age_s, now_s):
+        """Restore what an earlier owner has exported.
+
+        :param data: as returned by :meth:`export`.
+        :param age_s: time since it was exported.
+        """
+        for vm, (jobs, failure_age_s) in data.items():
+            failure_age_s += age_s
+            if 0 <= failure_age_s < EXCLUSION_S:
+                self._failed_jobs.setdefault(vm, set()).update(jobs)
+                self._last_failure_at_s[vm] = now_s - failure_age_s
+
     def find_excluded(self, vms, now_s):
         """Return those of ``vms`` that are excluded."""
         return {vm for vm in vms if self.is_excluded(vm, now_s)}
