Do not wait for registered workers that are not in the roster

Change: a worker gets no run before it is in the stored roster, and the claim expects that row unchanged, so one that isn't in it holds none. Workers on the VM of a roster worker that is not registered count as before.

--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -130,7 +130,6 @@
         try:
             async with asyncio.TaskGroup() as self._group:
                 jobs_version, workers_version = await self._load(roster)
-                self.term.phases.expect_workers(len(self.links))
                 LOG.info(
                     'this node owns the unit',
                     epoch=self.term.epoch,
--- a/arbutusrock/engine/registration_controller.py
+++ b/arbutusrock/engine/registration_controller.py
@@ -61,12 +61,26 @@
         :param roster: workers that the earlier owner used: id to (pool, VM).
         """
         until_s = self.term.inherited_leases_end_at_s
-        for row in listed:
-            entry = self.decode(row.key, row.value)
-            if entry is not None:
-                self._add(entry, inherited_leases_end_at_s=until_s)
+        entries = [self.decode(row.key, row.value) for row in listed]
+        entries = [entry for entry in entries if entry is not None]
+        may_hold_runs = find_possible_holders(entries, roster)
+        for entry in entries:
+            inherits = entry.worker_id in may_hold_runs
+            self._add(
+                entry,
+                inherited_leases_end_at_s=until_s if inherits else 0.0,
+                loaded=True,
+            )
         self._add_unregistered(roster, until_s)
         self.run_controller.crash_tracker.restore()
+        self.term.phases.expect_workers(len(may_hold_runs))
+        LOG.info(
+            'the roster of the earlier owner is read',
+            roster=len(roster),
+            registered=len(entries),
+            may_hold_runs=len(may_hold_runs),
+            unregistered=len(self.term.fleet.workers) - len(entries),
+        )
 
     def _add_unregistered(self, roster, until_s):
         """Add workers of the earlier owner that are not registered.
@@ -90,14 +104,14 @@
             unregistered.unresponsive = True
             workers[worker_id] = unregistered
 
-    def _add(self, entry, *, inherited_leases_end_at_s=0.0):
+    def _add(self, entry, *, inherited_leases_end_at_s=0.0, loaded=False):
         worker = fleet_module.WorkerState(
             entry=entry,
             now_s=clocks.now_s(),
             inherited_leases_end_at_s=inherited_leases_end_at_s,
         )
         self.term.fleet.workers[entry.worker_id] = worker
-        if not inherited_leases_end_at_s:
+        if not (inherited_leases_end_at_s or loaded):
             LOG.info(
                 'a worker is registered',
                 worker=entry.worker_id,
@@ -244,3 +258,28 @@
             self.run_controller.end_incarnation(
                 worker, fleet_module.IncarnationEnd.UNREGISTERED
             )
+
+
+def find_possible_holders(entries, roster):
+    """Return ids of registered workers that may hold runs of earlier owners.
+
+    A worker gets no run before it is in the stored roster, and leaves the
+    roster only when its incarnation is over. So one that is not in it holds
+    none, such as a worker that ended but is still registered. Where the roster
+    has a worker that is not registered, all on its VM count, as they may hide
+    it.
+
+    :param entries: registrations, read after the claim.
+    :param roster: the earlier owner's: worker id to (pool, VM).
+    """
+    registered = {entry.worker_id for entry in entries}
+    hidden_vms = {
+        vm
+        for worker_id, (_, vm) in roster.items()
+        if vm and worker_id not in registered
+    }
+    return {
+        entry.worker_id
+        for entry in entries
+        if entry.worker_id in roster or entry.vm in hidden_vms
+    }
--- /dev/null
+++ b/arbutusrock/engine/tests/test_registration_controller.py
@@ -0,0 +1,78 @@
+"""Which registered workers a new owner waits for."""
+
+import pytest
+
+from arbutusrock.engine import platform_messages
+from arbutusrock.engine import registration_controller
+from arbutusrock.engine import rows
+from arbutusrock.engine.tests import samples
+from arbutusrock.scheduling import Resources
+from arbutusrock.utils import clocks
+
+
+def create_entry(worker_id, vm, pool='p'):
+    return platform_messages.WorkerEntry(
+        worker_id=worker_id,
+        pool=pool,
+        address='h:1',
+        vm=vm,
+        capacity=Resources(cpu=1000),
+    )
+
+
+def load_fleet(entries, roster):
+    """Return the fleet of an owner that has read these rows."""
+    controller = samples.create_run_controller([], epoch=2)
+    registrations = registration_controller.RegistrationController(
+        term=controller.term,
+        store=None,
+        decode=lambda _key, value: value,
+        run_controller=controller,
+        connect=lambda _worker: None,
+    )
+    listed = [
+        rows.Row(
+            table=rows.TABLE_WORKERS, part='', key=entry.worker_id, value=entry
+        )
+        for entry in entries
+    ]
+    registrations.load(listed, roster)
+    return controller.term.fleet
+
+
+@pytest.mark.parametrize(
+    ('entries', 'roster', 'waits'),
+    [
+        ([('w1', 'vm-1')], {'w1': ('p', 'vm-1')}, True),
+        # Ended under the earlier owner, but still registered.
+        ([('w1', 'vm-1')], {}, False),
+        ([('w1', 'vm-1')], {'w2': ('q', 'vm-2')}, False),
+        # The earlier owner used a worker that is not registered.
+        ([], {'w1': ('p', 'vm-1')}, True),
+        # A registration that is over must not hide the worker in the roster.
+        ([('w0', 'vm-1')], {'w1': ('p', 'vm-1')}, True),
+        # Two registrations of one VM: only the one in the roster counts.
+        ([('w0', 'vm-1'), ('w1', 'vm-1')], {'w1': ('p', 'vm-1')}, True),
+        ([('w0', '')], {'w1': ('q', '')}, False),
+    ],
+)
+def test_pool_waits_only_for_workers_in_the_roster(entries, roster, waits):
+    fleet = load_fleet([create_entry(*entry) for entry in entries], roster)
+    now_s = clocks.now_s()
+    assert fleet.may_have_inherited_runs('p', now_s) is waits
+
+
+def test_answers_end_the_wait():
+    fleet = load_fleet(
+        [create_entry('w0', 'vm-0'), create_entry('w1', 'vm-1')],
+        {'w1': ('p', 'vm-1')},
+    )
+    fleet.workers['w1'].has_answered = True
+    assert not fleet.may_have_inherited_runs('p', clocks.now_s())
+
+
+def test_worker_outside_the_roster_gets_no_runs_before_it_is_written():
+    fleet = load_fleet([create_entry('w0', 'vm-0')], {})
+    worker = fleet.workers['w0']
+    worker.has_answered = True
+    assert not worker.usable
