Read again beside a read that the store does not answer

Change: a read of a whole part without an answer for .7 s is made once more beside it; the first answer counts.

--- a/arbutusrock/engine/feeds.py
+++ b/arbutusrock/engine/feeds.py
@@ -11,6 +11,10 @@
 __all__ = ['follow_table', 'read_parts', 'read_with_retries']
 
 RETRY_DELAY_S = 0.2
+# A read without an answer for this time is made once more beside it, as a
+# store that is back does not answer what was sent while it was away. Longer
+# than a read of a slow store takes (0.6 s).
+HEDGE_DELAY_S = 0.7
 LOG = logs.get_log('feeds')
 
 
@@ -46,7 +50,7 @@
     failing = False
     while True:
         try:
-            return await store.read_range(table, part=part)
+            return await _read_hedged(store, table, part)
         except (rows.StoreRefused, rows.StoreSilent) as exc:
             if not failing:
                 LOG.warning(
@@ -59,6 +63,32 @@
             await asyncio.sleep(RETRY_DELAY_S)
 
 
+async def _read_hedged(store, table, part):
+    """Read a part; the first answer counts.
+
+    :raises rows.StoreRefused: the newest attempts were refused.
+    :raises rows.StoreSilent: the first attempt got no answer in time.
+    """
+    attempts = []
+    try:
+        while True:
+            attempts.append(
+                asyncio.ensure_future(store.read_range(table, part=part))
+            )
+            await asyncio.wait(
+                attempts,
+                timeout=HEDGE_DELAY_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            done = [attempt for attempt in attempts if attempt.done()]
+            answered = [item for item in done if item.exception() is None]
+            if done:
+                return (answered or done)[0].result()
+    finally:
+        for attempt in attempts:
+            attempt.cancel()
+
+
 async def follow_table(
     store, table, *, apply, parts, wait_s, version=None, batch_delay_s=0.0
 ):
@@ -77,7 +107,7 @@
         try:
             whole = version is None
             if whole:
-                found, version = await read_parts(store, table, parts)
+                found, version = await read_with_retries(store, table, parts)
             else:
                 found, version = await store.watch(
                     table, after=version, wait_s=wait_s
