--- a/tests/test_site_knowledge.py
+++ b/tests/test_site_knowledge.py
@@ -64,6 +64,30 @@
     await complete_job(site, owner)
 
 
+async def test_hand_over_passes_what_was_learned(site, monkeypatch):
+    """An owner that stops gracefully writes its row, due or not."""
+    monkeypatch.setattr(owner_knowledge, 'WRITE_INTERVAL_S', 3600.0)
+    await site_checks.start_nodes(site, 2)
+    await site.submit('alpha', JOB, [create_step(4)], spec='{"ms": 50}')
+    await site_checks.wait_state(site, 'completed')
+    assert ROW_KEY not in site.store.rows
+    before = await site_checks.wait_owner(site)
+    await before.node.hand_over()
+    owner = await site_checks.wait_until(
+        lambda: next(
+            (node for node in site.nodes if node.is_owner and node != before),
+            None,
+        ),
+        what='the other node owns the unit',
+    )
+    await site_checks.wait_until(
+        lambda: owner.node.metrics.get_count(
+            'knowledge_used', (('part', 'durations'),)
+        ),
+        what='the knowledge is used',
+    )
+
+
 def tear(value):
     return value[: len(value) // 2]
 
