--- a/arbutusrock/engine/feeds.py
+++ b/arbutusrock/engine/feeds.py
@@ -11,6 +11,10 @@
 __all__ = ['follow_table', 'read_parts', 'read_with_retries']
 
 RETRY_DELAY_S = 0.2
+# A read without an answer for this time is made once more beside it, as a
+# store that is back does not answer what was sent while it was away. Longer
+# than a read of a slow store takes (0.6 s).
+HEDGE_DELAY_S = 0.7
 LOG = logs.get_log('feeds')
 
 
@@ -29,25 +33,62 @@
 
 
 async def read_with_retries(store, table, parts):
-    """Call :func:`read_parts` until the store answers.
+    """Read all rows of a table from several parts, side by side.
+
+    Each part is read again until the store answers.
 
     :returns: as :func:`read_parts`.
     """
+    answers = await asyncio.gather(
+        *(_read_part_with_retries(store, table, part) for part in parts)
+    )
+    found = [row for listed, _ in answers for row in listed]
+    return found, min(version for _, version in answers)
+
+
+async def _read_part_with_retries(store, table, part):
     failing = False
     while True:
         try:
-            return await read_parts(store, table, parts)
+            return await _read_hedged(store, table, part)
         except (rows.StoreRefused, rows.StoreSilent) as exc:
             if not failing:
                 LOG.warning(
                     'cannot read a table; retrying',
                     table=table,
+                    part=part,
                     error=str(exc),
                 )
             failing = True
             await asyncio.sleep(RETRY_DELAY_S)
 
 
+async def _read_hedged(store, table, part):
+    """Read a part; the first answer counts.
+
+    :raises rows.StoreRefused: the newest attempts were refused.
+    :raises rows.StoreSilent: the first attempt got no answer in time.
+    """
+    attempts = []
+    try:
+        while True:
+            attempts.append(
+                asyncio.ensure_future(store.read_range(table, part=part))
+            )
+            await asyncio.wait(
+                attempts,
+                timeout=HEDGE_DELAY_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            done = [attempt for attempt in attempts if attempt.done()]
+            answered = [item for item in done if item.exception() is None]
+            if done:
+                return (answered or done)[0].result()
+    finally:
+        for attempt in attempts:
+            attempt.cancel()
+
+
 async def follow_table(
     store, table, *, apply, parts, wait_s, version=None, batch_delay_s=0.0
 ):
@@ -67,7 +108,7 @@
         try:
             whole = version is None
             if whole:
-                found, version = await read_parts(store, table, parts)
+                found, version = await read_with_retries(store, table, parts)
             else:
                 found, version = await store.watch(
                     table, after=version, wait_s=wait_s
