--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -60,12 +60,8 @@
         self.store = store
         self.adapter = adapter
         self.links = {}
-        self.knowledge = owner_knowledge.create_knowledge(term)
         self.state_writer = state_writer.StateWriter(
-            term=term,
-            store=store,
-            on_heartbeat=on_heartbeat,
-            knowledge=self.knowledge,
+            term=term, store=store, on_heartbeat=on_heartbeat
         )
         self.run_controller = run_controller.RunController(
             term=term, state_writer=self.state_writer
@@ -203,7 +199,7 @@
             feeds.read_with_retries(self.store, rows.TABLE_WORKERS, ('',)),
             self._read_knowledge(),
         )
-        self.knowledge.restore(knowledge)
+        self.state_writer.knowledge.restore(knowledge)
         job_rows, jobs_version = jobs
         self._load_jobs(job_rows, progress[0])
         worker_rows, workers_version = workers
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -193,8 +193,7 @@
     def handle_lease_expiry(self, worker):
         """Queue the tasks of an unresponsive worker again.
 
-        Called once all leases that were ever sent to it have expired, so
-        that nothing can be running there any more.
+        Called once all leases ever sent to it have expired: nothing runs.
         """
         if not worker.runs:
             return
@@ -229,8 +228,7 @@
             return
         if not worker.has_answered or worker.unresponsive:
             self.term.request_dispatch()
-        if not worker.has_answered and worker.inherited_leases_end_at_s:
-            self.term.phases.record_answer()
+        self.term.phases.record_answer(worker)
         worker.has_answered = True
         worker.unresponsive = False
         for completion in sorted(reply.ended, key=lambda item: item.number):
--- a/arbutusrock/engine/state_writer.py
+++ b/arbutusrock/engine/state_writer.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from arbutusrock.engine import owner_knowledge
 from arbutusrock.engine import plans
 from arbutusrock.engine import rows
 from arbutusrock.engine import term as term_module
@@ -56,15 +57,14 @@
     :param term: :class:`term_module.Term`.
     :param store: client of the store.
     :param on_heartbeat: called with each :class:`OwnerHeartbeat`.
-    :param knowledge: :class:`owner_knowledge.OwnerKnowledge`, whose rows are
-        written beside heartbeats.
     """
 
-    def __init__(self, *, term, store, on_heartbeat, knowledge):
+    def __init__(self, *, term, store, on_heartbeat):
         self.term = term
         self.store = store
         self.on_heartbeat = on_heartbeat
-        self.knowledge = knowledge
+        # Its row is written beside heartbeats.
+        self.knowledge = owner_knowledge.create_knowledge(term)
         # Numbers of flushes started and completed. A change is durable when
         # the flush that follows the one under way has completed.
         self.flushes_started = 0
--- a/arbutusrock/engine/takeover_phases.py
+++ b/arbutusrock/engine/takeover_phases.py
@@ -63,8 +63,10 @@
         self._expected = count
         self.mark('rows_read')
 
-    def record_answer(self):
-        """Record the first answer of one worker."""
+    def record_answer(self, worker):
+        """Record an answer; the first of a possible holder of runs counts."""
+        if worker.has_answered or not worker.inherited_leases_end_at_s:
+            return
         self._answered += 1
         self.mark('first_worker')
         if self._answered >= MOST_WORKERS * self._expected:
--- a/arbutusrock/engine/tests/test_state_writer.py
+++ b/arbutusrock/engine/tests/test_state_writer.py
@@ -1,7 +1,6 @@
 """Tests of the rows that one flush of the owner writes."""
 
 from arbutusrock.engine import fleet
-from arbutusrock.engine import owner_knowledge
 from arbutusrock.engine import plans
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine import rows
@@ -41,10 +40,7 @@
         owner_term,
         store,
         state_writer.StateWriter(
-            term=owner_term,
-            store=store,
-            on_heartbeat=lambda _heartbeat: None,
-            knowledge=owner_knowledge.create_knowledge(owner_term),
+            term=owner_term, store=store, on_heartbeat=lambda _heartbeat: None
         ),
     )
 
