Serve callers at once when the store is back, and wait for a busy one

Change: while a feed fails, its watch calls do not wait. A job that the store refuses for its rate (429) waits in the node for up to half of its caller's time, 1 s at most, instead of 0.1 s. Jobs that wait are stored by account in turn and by the time at which their callers give up. Retry-After is chosen in scheduling/return_times.py, never beyond the caller's deadline.

--- a/arbutusrock/engine/feeds.py
+++ b/arbutusrock/engine/feeds.py
@@ -56,7 +56,8 @@
     :param apply: called with ``(rows, whole)``; ``whole`` is true when the
         rows are the whole table and false when they are changes.
     :param wait_s: how long the store may wait for a change before it answers.
-        It bounds the time until an unresponsive connection is noticed.
+        It bounds the time until an unresponsive connection is noticed. While
+        calls fail it does not wait.
     :param version: version to continue from; None reads the table first.
     :param batch_delay_s: pause after each answer, in which further changes
         collect.
@@ -68,8 +69,10 @@
             if whole:
                 found, version = await read_parts(store, table, parts)
             else:
+                # After a failure the store must not hold the call, so that
+                # its answer shows at once that it serves again.
                 found, version = await store.watch(
-                    table, after=version, wait_s=wait_s
+                    table, after=version, wait_s=0.0 if failing else wait_s
                 )
         except rows.HistoryLost:
             LOG.info(
--- a/arbutusrock/engine/gateway.py
+++ b/arbutusrock/engine/gateway.py
@@ -9,16 +9,11 @@
 from arbutusrock.engine import submitter
 from arbutusrock import errors
 from arbutusrock import logs
+from arbutusrock.scheduling import return_times
 from arbutusrock.utils import clocks
 
 __all__ = ['Gateway']
 
-# Retry-After while this node does not reach the store; another node may reach
-# it, so callers should retry soon.
-RETRY_AFTER_S = 1
-# Longest Retry-After. Callers retry only a few times, and an outage of the
-# store takes seconds, so the delay grows with the outage.
-MAX_RETRY_AFTER_S = 4
 # Delay before a failed or unanswered write is repeated, until the deadline of
 # the caller.
 RETRY_DELAY_S = 0.05
@@ -55,29 +50,44 @@
         # Final status by job, or None for a job that is only known to exist.
         self._status_cache = OrderedDict()
 
-    def check_ready(self):
-        """Raise unless this node can serve callers."""
+    def check_ready(self, **caller):
+        """Raise unless this node can serve callers.
+
+        :param caller: what is known of the caller, as for
+            :func:`return_times.choose_retry_after_s`.
+        """
         if self.configuration.current is None:
             raise errors.NodeNotServing(
-                'no configuration yet', retry_after=RETRY_AFTER_S
+                'no configuration yet',
+                retry_after=return_times.choose_retry_after_s(
+                    return_times.Trouble.NODE_NOT_READY, **caller
+                ),
             )
         if (
             self.store.is_unreachable
             or self.configuration.age_s > STORE_UNRESPONSIVE_S
         ):
-            # An outage is expected to last about as long again as it has
-            # lasted so far.
-            retry_s = min(
-                MAX_RETRY_AFTER_S, round(self.store.unreachable_for_s)
-            )
             raise errors.NodeNotServing(
                 'the store is out of reach',
-                retry_after=max(RETRY_AFTER_S, retry_s),
+                retry_after=self._choose_retry_after_s(**caller),
             )
 
-    def find_queue(self, host, path, key):
+    def _choose_retry_after_s(self, **caller):
+        """Return the Retry-After of a call that the store does not serve."""
+        if self.store.unreachable_for_s:
+            trouble = return_times.Trouble.STORE_AWAY
+        elif self.store.direct_path_down:
+            trouble = return_times.Trouble.NODE_CUT_OFF
+        else:
+            trouble = return_times.Trouble.STORE_BUSY
+        return return_times.choose_retry_after_s(
+            trouble, lasted_s=self.store.unreachable_for_s, **caller
+        )
+
+    def find_queue(self, host, path, key, **caller):
         """Return the queue of a call and the account of the caller.
 
+        :param caller: as for :meth:`check_ready`.
         :returns: ``(queue, account)``; account is None when the queue is
             open to all and the call has no known key.
         :raises errors.NodeNotServing: this node has no configuration, or does
@@ -85,7 +95,7 @@
         :raises errors.NotFound: there is no such queue.
         :raises errors.KeyRefused: the key is unknown or withdrawn.
         """
-        self.check_ready()
+        self.check_ready(**caller)
         current = self.configuration.current
         queue = current.find_queue(host, path)
         if queue is None:
@@ -114,7 +124,10 @@
             objective_ms=queue.objective_ms,
         )
         outcome = await self.submitter.submit(
-            job_id, submission, deadline_at_s=deadline_at_s
+            job_id,
+            submission,
+            deadline_at_s=deadline_at_s,
+            weight=account.weight if account else 1.0,
         )
         LOG.info(
             'a job was submitted',
@@ -127,7 +140,10 @@
         match outcome:
             case submitter.StoreOutcome.REFUSED:
                 raise errors.StoreUnavailable(
-                    'the job was not stored', retry_after=RETRY_AFTER_S
+                    'the job was not stored',
+                    retry_after=self._choose_retry_after_s(
+                        left_s=deadline_at_s - clocks.now_s(), job_id=job_id
+                    ),
                 )
             case submitter.StoreOutcome.UNKNOWN:
                 raise errors.StoreOutcomeUnknown(
@@ -165,7 +181,8 @@
                 return await self._read_status(job_id)
         except TimeoutError as exc:
             raise errors.StoreUnavailable(
-                'the store does not answer', retry_after=RETRY_AFTER_S
+                'the store does not answer',
+                retry_after=self._choose_retry_after_s(),
             ) from exc
 
     async def _read_status(self, job_id):
@@ -199,7 +216,7 @@
             )
         except (rows.StoreRefused, rows.StoreSilent) as exc:
             raise errors.StoreUnavailable(
-                str(exc), retry_after=RETRY_AFTER_S
+                str(exc), retry_after=self._choose_retry_after_s()
             ) from exc
         return found[0] if found else None
 
@@ -245,7 +262,9 @@
             await asyncio.sleep(RETRY_DELAY_S)
         if outcome_unknown:
             raise errors.StoreOutcomeUnknown(str(failure))
-        raise errors.StoreUnavailable(str(failure), retry_after=RETRY_AFTER_S)
+        raise errors.StoreUnavailable(
+            str(failure), retry_after=self._choose_retry_after_s(job_id=job_id)
+        )
 
     def count_waiting(self, queue):
         """Return how many jobs of a queue have no started task.
@@ -256,6 +275,10 @@
         age_s = clocks.now_s() - self.elector.heartbeat_at_s
         if heartbeat is None or age_s > MAX_COUNT_AGE_S:
             raise errors.NodeNotServing(
-                'no count from the owner', retry_after=RETRY_AFTER_S
+                'no count from the owner',
+                retry_after=return_times.choose_retry_after_s(
+                    return_times.Trouble.NO_OWNER,
+                    lasted_s=age_s if heartbeat else 0.0,
+                ),
             )
         return heartbeat.waiting.get(queue.name, 0)
--- a/arbutusrock/engine/submitter.py
+++ b/arbutusrock/engine/submitter.py
@@ -8,12 +8,13 @@
 import asyncio
 from collections import OrderedDict
 import enum
-import itertools
 
 from arbutusrock.engine import plans
 from arbutusrock.engine import rows
 from arbutusrock import errors
 from arbutusrock import logs
+from arbutusrock.scheduling import batch_order
+from arbutusrock.scheduling import return_times
 from arbutusrock.utils import clocks
 
 __all__ = ['StoreOutcome', 'Submitter']
@@ -22,9 +23,12 @@
 BATCH_DELAY_S = 0.004
 # Jobs in one transaction; the store takes 100 entries.
 MAX_BATCH_JOBS = 40
-# A job is refused to its callers after this many refused transactions.
+# A job is refused to its callers after this many refused transactions, and
+# not before it has waited as long for a busy store as its caller can afford.
 MAX_ATTEMPTS = 3
 RETRY_DELAY_S = 0.03
+# The delay is doubled this often while the store gets too many calls.
+MAX_DELAY_DOUBLINGS = 2
 # A job that has been in doubt for this time is given up with an unknown
 # outcome: the store does not answer this node, but another node may reach it.
 # Shorter than the time-out of one call, longer than a call takes whose
@@ -53,7 +57,10 @@
     __slots__ = (
         'job_id',
         'value',
+        'account',
+        'weight',
         'deadline_at_s',
+        'busy_until_s',
         'attempts',
         'first_sent_at_s',
         'in_doubt',
@@ -61,10 +68,19 @@
         'result',
     )
 
-    def __init__(self, *, job_id, value, deadline_at_s, in_doubt):
+    def __init__(
+        self, *, job_id, value, account, weight, deadline_at_s, in_doubt
+    ):
+        now_s = clocks.now_s()
         self.job_id = job_id
         self.value = value
+        self.account = account
+        self.weight = weight
         self.deadline_at_s = deadline_at_s
+        # Until when it may wait for a store that refuses it for its rate.
+        self.busy_until_s = now_s + return_times.choose_busy_wait_s(
+            deadline_at_s - now_s
+        )
         self.attempts = 0
         # When a transaction with it was first sent.
         self.first_sent_at_s = None
@@ -100,10 +116,11 @@
         """Return whether an earlier call may have stored a job."""
         return job_id in self._unknown_ids
 
-    async def submit(self, job_id, submission, *, deadline_at_s):
+    async def submit(self, job_id, submission, *, deadline_at_s, weight=1.0):
         """Store a job, unless a job with this id is stored already.
 
         :param deadline_at_s: when the caller gives up.
+        :param weight: share of its account when many jobs wait.
         :returns: :class:`StoreOutcome`.
         :raises errors.BodyTooLarge: the job does not fit into one row.
         """
@@ -116,6 +133,8 @@
         outcome = await writer.submit(
             job_id,
             value,
+            account=submission.account,
+            weight=weight,
             deadline_at_s=deadline_at_s,
             in_doubt=self.may_be_stored(job_id),
         )
@@ -140,15 +159,17 @@
         self.part = part
         self._pending = {}
         self._has_pending = asyncio.Event()
+        # Transactions in a row that the store refused for its rate.
+        self._busy_count = 0
 
-    async def submit(self, job_id, value, *, deadline_at_s, in_doubt):
+    async def submit(self, job_id, value, *, deadline_at_s, **fields):
         job = self._pending.get(job_id)
         if job is None:
             job = _PendingJob(
                 job_id=job_id,
                 value=value,
                 deadline_at_s=deadline_at_s,
-                in_doubt=in_doubt,
+                **fields,
             )
             self._pending[job_id] = job
             self._has_pending.set()
@@ -181,9 +202,7 @@
         while True:
             await self._has_pending.wait()
             await asyncio.sleep(BATCH_DELAY_S)
-            pending = list(
-                itertools.islice(self._pending.values(), MAX_BATCH_JOBS)
-            )
+            pending = batch_order.order_jobs(self._pending.values())
             batch = pending[: rows.count_batch_rows(pending, MAX_BATCH_JOBS)]
             if batch:
                 await self._write(batch)
@@ -224,23 +243,31 @@
                 job.in_doubt = True
             self._expire_overdue(batch)
         else:
+            self._busy_count = 0
             for job in batch:
                 job.resolve(StoreOutcome.STORED)
 
     async def _handle_refusal(self, batch, exc):
+        now_s = clocks.now_s()
+        is_busy = isinstance(exc, rows.StoreBusy)
+        self._busy_count = self._busy_count + 1 if is_busy else 0
         for job in batch:
             job.attempts += 1
         # A job in doubt may be stored by an earlier attempt.
         refused = [
             job
             for job in batch
-            if job.attempts >= MAX_ATTEMPTS and not job.in_doubt
+            if job.attempts >= MAX_ATTEMPTS
+            and not job.in_doubt
+            and not (is_busy and now_s < job.busy_until_s)
         ]
         await asyncio.gather(
             *(self._resolve_refused(job, exc) for job in refused)
         )
         self._expire_overdue(batch)
-        await asyncio.sleep(RETRY_DELAY_S)
+        await asyncio.sleep(
+            RETRY_DELAY_S * 2 ** min(MAX_DELAY_DOUBLINGS, self._busy_count)
+        )
 
     async def _resolve_refused(self, job, exc):
         """Resolve a job that the store refused, as far as this node knows.
--- a/arbutusrock/engine/tests/test_submitter.py
+++ b/arbutusrock/engine/tests/test_submitter.py
@@ -170,3 +170,62 @@
     )
     outcomes = await submit_in_turn(store, [5.0])
     assert outcomes == [submitter.StoreOutcome.STORED]
+
+
+async def test_submit_waits_for_store_that_is_busy():
+    """The store refuses for its rate; a slot comes within the caller's time.
+
+    Each refusal would take one of the few tries of the caller.
+    """
+    store = ScriptedStore([rows.StoreBusy('429') for _ in range(6)])
+    outcomes = await submit_in_turn(store, [3.0])
+    assert outcomes == [submitter.StoreOutcome.STORED]
+
+
+async def test_submit_leaves_caller_time_when_store_stays_busy():
+    store = ScriptedStore([rows.StoreBusy('429') for _ in range(500)])
+    began_at_s = clocks.now_s()
+    outcomes = await submit_in_turn(store, [4.0])
+    assert outcomes == [submitter.StoreOutcome.REFUSED]
+    assert clocks.now_s() - began_at_s < 2.0
+
+
+class BatchStore:
+    """A store that records the jobs of each transaction."""
+
+    def __init__(self):
+        self.batches = []
+
+    async def transact(self, *, puts, **_fields):
+        await asyncio.sleep(0.01)
+        self.batches.append([row.key for row in puts])
+        return 1
+
+
+async def test_submit_stores_other_accounts_beside_a_flood():
+    """One account sends 200 jobs to one part before another sends one.
+
+    A large row of the second account goes with the next transaction, too.
+    """
+    store = BatchStore()
+    job_submitter = create_submitter(store)
+    ids = (f'{number:016x}' for number in range(100_000))
+    part_ids = [
+        job_id for job_id in ids if rows.get_job_part(job_id) == 'jobs-0'
+    ][:201]
+    calls = []
+    for number, job_id in enumerate(part_ids):
+        submission = samples.create_submission()
+        if number == 200:
+            submission.account = 'other'
+            submission.plan.spec = 'x' * 40_000
+        calls.append(
+            job_submitter.submit(
+                job_id, submission, deadline_at_s=clocks.now_s() + 10.0
+            )
+        )
+    running = asyncio.ensure_future(job_submitter.run())
+    outcomes = await asyncio.gather(*calls)
+    running.cancel()
+    assert set(outcomes) == {submitter.StoreOutcome.STORED}
+    assert part_ids[200] in store.batches[0]
--- a/arbutusrock/platform/ingress.py
+++ b/arbutusrock/platform/ingress.py
@@ -17,8 +17,10 @@
 DEADLINE_HEADER = 'Arbutusrock-Deadline-Ms'
 # For requests without the deadline header.
 DEFAULT_TIMEOUT_S = 3.0
-# Time kept free to send the response before the caller stops waiting.
+# Time kept free to send the response before the caller stops waiting, and
+# the largest share of a short deadline that it may take.
 ANSWER_MARGIN_S = 0.15
+MAX_MARGIN_SHARE = 0.4
 JOB_ID = re.compile(r'[0-9a-f]{16}')
 JSON_CONTENT_TYPE = 'application/json'
 LOG = logs.get_log('callers')
@@ -100,6 +102,8 @@
             path=request.path,
             status=status,
             reason=str(exc),
+            retry_after_s=exc.retry_after,
+            timeout_ms=request.headers.get(DEADLINE_HEADER, ''),
             configuration_age_s=round(self.node.configuration.age_s, 2),
         )
         headers = {}
@@ -116,11 +120,16 @@
     async def _dispatch(self, request):
         path = request.path
         host = request.headers.get('Host', '').partition(':')[0]
+        timeout_s = self._get_timeout_s(request)
         queue, account = self.gateway.find_queue(
-            host, path, request.headers.get(API_KEY_HEADER, '')
+            host,
+            path,
+            request.headers.get(API_KEY_HEADER, ''),
+            left_s=timeout_s,
+            job_id=path.rpartition('/')[2],
         )
         rest = path[len(queue.prefix) :]
-        deadline_at_s = clocks.now_s() + self._get_timeout_s(request)
+        deadline_at_s = clocks.now_s() + timeout_s
         if not rest and request.method == 'GET':
             count = self.gateway.count_waiting(queue)
             return _create_json_response(
@@ -144,7 +153,8 @@
     def _get_timeout_s(request):
         text = request.headers.get(DEADLINE_HEADER, '')
         timeout_s = int(text) / 1000 if text.isdigit() else DEFAULT_TIMEOUT_S
-        return max(0.0, timeout_s - ANSWER_MARGIN_S)
+        margin_s = min(ANSWER_MARGIN_S, timeout_s * MAX_MARGIN_SHARE)
+        return max(0.0, timeout_s - margin_s)
 
     async def _submit(self, request, queue, account, job_id, deadline_at_s):
         limit = self.node.configuration.current.limits.body_bytes
