Leave a silent peer when the store serves this node again

Change: a reading call that was offered to peers ends when the direct path is restored, and is made directly. Writes are unchanged.

--- a/arbutusrock/engine/relay.py
+++ b/arbutusrock/engine/relay.py
@@ -182,14 +182,17 @@
             have been executed.
         """
         if self.direct_path_down:
-            answer = await self._relay(message(), wait_s)
+            answer = await self._offer(message(), wait_s, repeatable)
             if answer is not None:
                 return answer
         began_at_s = clocks.now_s()
         try:
+            result = None
             if self.direct_path_down and repeatable:
-                result = await self._call_until_restored(direct)
-            else:
+                # The store does not answer a call that was sent while the
+                # path was down.
+                result = await self._wait_until_restored(direct())
+            if result is None:
                 result = await direct()
         except (rows.Conflicted, rows.HistoryLost):
             self._record_success()
@@ -205,30 +208,41 @@
                 )
             if raise_now:
                 raise
-            answer = await self._relay(message(), wait_s)
+            answer = await self._offer(message(), wait_s, repeatable)
             if answer is None:
                 raise
             return answer
         self._record_success()
         return result
 
-    async def _call_until_restored(self, direct):
-        """Make a reading call; repeat it when the direct path is restored.
+    async def _wait_until_restored(self, call):
+        """Return the result of a reading call.
 
-        The store does not answer a call that was sent while the path was
-        down.
+        :returns: None when the direct path was restored before.
         """
         restored = asyncio.ensure_future(self._direct_path_restored.wait())
-        pending_call = asyncio.ensure_future(direct())
+        pending_call = asyncio.ensure_future(call)
         try:
             await asyncio.wait(
                 {restored, pending_call}, return_when=asyncio.FIRST_COMPLETED
             )
-            return await (pending_call if pending_call.done() else direct())
+            return await pending_call if pending_call.done() else None
         finally:
             restored.cancel()
             pending_call.cancel()
 
+    async def _offer(self, call, wait_s, repeatable):
+        """Offer a call to peers; a reading one until the path is restored.
+
+        A peer that has just ended holds a call up for over a second.
+
+        :returns: as :meth:`_relay`.
+        """
+        relayed = self._relay(call, wait_s)
+        if repeatable:
+            return await self._wait_until_restored(relayed)
+        return await relayed
+
     async def _relay(self, call, wait_s):
         """Offer a call to peers.
 
--- a/arbutusrock/engine/tests/test_relay.py
+++ b/arbutusrock/engine/tests/test_relay.py
@@ -139,6 +139,29 @@
     assert (found.key, found.value, found.version) == ('k', b'v', 3)
 
 
+async def test_read_leaves_silent_peer_when_direct_path_is_restored(stores):
+    """A peer was killed during an outage of the store, which then ends.
+
+    Nodes followed the configuration 1.3 s late, and refused callers so long.
+    """
+    direct, store, _ = stores
+    direct.failure = rows.StoreRefused('busy')
+    assert await store.read_range('t') == ([], 7)
+    asked, released = asyncio.Event(), asyncio.Event()
+
+    async def hang(_name, _body, *, timeout_s):
+        asked.set()
+        await released.wait()
+
+    store.peers.call = hang
+    reading = asyncio.ensure_future(store.read_range('t'))
+    async with asyncio.timeout(5):
+        await asked.wait()
+        direct.failure = None
+        store._record_success()
+        assert await reading == ([], 7)
+
+
 async def test_serve_does_not_relay_when_direct_path_is_down(stores):
     direct, store, other = stores
     direct.failure = other.direct.failure = rows.StoreRefused('busy')
