--- a/tests/test_site_returns.py
+++ b/tests/test_site_returns.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import time
+import types
 
 import pytest
 
+from arbutusrock.platform import ingress
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
@@ -71,3 +73,16 @@
     await wait_owner(site)
     await wait_state(site, 'completed')
     assert len(site.ledger) == 1
+
+
+@pytest.mark.parametrize(
+    ('header', 'least_s'), [('3000', 2.8), ('100', 0.05), ('', 2.8)]
+)
+def test_answer_margin_leaves_time_for_a_write(header, least_s):
+    """The last try of a caller has a deadline below the usual margin.
+
+    Such calls were refused without a write.
+    """
+    request = types.SimpleNamespace(headers={ingress.DEADLINE_HEADER: header})
+    left_s = ingress.Ingress._get_timeout_s(request)
+    assert least_s <= left_s < int(header or 3000) / 1000
