Record how long large tasks and gangs wait for their start

Cause: the wait of a large task was nowhere to be read; only the first start of a job was logged. Result: waits can be compared before and after a change of placement.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -9,6 +9,7 @@
 from arbutusrock.engine import guarded_starts
 from arbutusrock.engine import job_ranks
 from arbutusrock.engine import job_state
+from arbutusrock.engine import lookahead
 from arbutusrock.engine import placement_requests
 from arbutusrock import logs
 from arbutusrock.scheduling import placement
@@ -50,6 +51,7 @@
             term=term, crash_tracker=crash_tracker
         )
         self._ranker = job_ranks.JobRanker(term=term)
+        self._lookahead = lookahead.Lookahead(term=term)
 
     async def run(self):
         """Make passes until the ownership ends."""
@@ -326,9 +328,12 @@
                 task=task.name,
                 worker=worker.worker_id,
                 waited_s=round(clocks.wall_time_s() - job.accepted_unix_s, 3),
+                millicores=run.demand.cpu,
+                tasks=task.step.plan.count,
                 configuration=self.term.configuration.current.version,
             )
         task.starts += 1
+        self._lookahead.record_start(task, worker, now_s)
         if task.starts > 1:
             LOG.info(
                 'a task is started again',
--- a/arbutusrock/engine/job_state.py
+++ b/arbutusrock/engine/job_state.py
@@ -204,6 +204,7 @@
         'key',
         'tickets',
         'runs_by_vm',
+        'start_waits_s',
     )
 
     def __init__(self, *, occurrence, number, plan):
@@ -221,6 +222,8 @@
         self.tickets = {}
         # Number of runs by VM, for StepPlan.most_per_worker.
         self.runs_by_vm = {}
+        # How long its tasks waited for their first runs, where recorded.
+        self.start_waits_s = []
 
     @property
     def job(self):
