Keep room for large tasks and gangs by what will end soon

Cause: small tasks take each gap at once, so that large tasks, gangs and steps bound to a label wait as long as small ones arrive. Change: the first such steps that can still be in time get reservations on the VMs that will have room for them first, by the expected ends of the runs there; lower-ranked work goes there if it fits beside, ends before or would lose more. Durations are learned as distributions for that.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -51,7 +51,9 @@
             term=term, crash_tracker=crash_tracker
         )
         self._ranker = job_ranks.JobRanker(term=term)
-        self._lookahead = lookahead.Lookahead(term=term)
+        self.lookahead = lookahead.Lookahead(
+            term=term, ranker=self._ranker, ticket_cache=ticket_cache
+        )
 
     async def run(self):
         """Make passes until the ownership ends."""
@@ -90,6 +92,7 @@
             for pool, steps in term.job_registry.waiting_steps.items()
             if steps
         }
+        self.lookahead.forget_pools(waiting)
         workers = {pool: [] for pool in waiting}
         for worker in term.fleet.workers.values():
             pool = worker.entry.pool
@@ -130,6 +133,7 @@
         self._start_suspects(
             pool_state, steps, workers, candidates, suspect_vms, now_s
         )
+        self.lookahead.begin_pass(pool, steps, candidates, now_s)
         max_free = placement_requests.find_max_free(candidates)
         # Skipped before the sort: under overload few steps fit anywhere.
         steps = [
@@ -145,18 +149,25 @@
             if not placement_requests.may_fit(step, max_free):
                 continue
             demand = placement_requests.get_demand(step)
-            if any(
+            blocked = any(
                 placement_requests.is_at_least(demand, other)
                 for other in unplaced_demands
-            ):
+            )
+            if blocked and not self.lookahead.holds_workers(pool):
                 continue
             before = len(step.waiting)
             allowed = self.guarded_starter.limit_workers(
                 pool_state, step.job.submission.account, candidates
             )
+            usable = self.lookahead.limit_workers(
+                pool, step, allowed, now_s, blocked=blocked
+            )
+            if not usable:
+                continue
             if (
-                not self._start_step(step, allowed, suspect_vms, now_s)
+                not self._start_step(step, usable, suspect_vms, now_s)
                 and allowed is candidates
+                and not blocked
             ):
                 unplaced_demands.append(demand)
             if len(step.waiting) < before:
@@ -333,7 +344,7 @@
                 configuration=self.term.configuration.current.version,
             )
         task.starts += 1
-        self._lookahead.record_start(task, worker, now_s)
+        self.lookahead.record_start(task, worker, now_s)
         if task.starts > 1:
             LOG.info(
                 'a task is started again',
--- a/arbutusrock/engine/placement_requests.py
+++ b/arbutusrock/engine/placement_requests.py
@@ -6,7 +6,9 @@
 __all__ = [
     'create_request',
     'find_max_free',
+    'get_amounts',
     'get_demand',
+    'get_free_amounts',
     'is_at_least',
     'may_fit',
 ]
@@ -49,6 +51,21 @@
     )
 
 
+def get_amounts(demand):
+    """Return the amounts of :class:`Resources` as a tuple."""
+    return (demand.cpu, demand.memory_mb, demand.accelerators)
+
+
+def get_free_amounts(worker):
+    """Return what is free on a worker as a tuple."""
+    capacity = worker.capacity
+    return (
+        capacity.cpu - worker.used_millicores,
+        capacity.memory_mb - worker.used_memory_mb,
+        capacity.accelerators - worker.used_accelerators,
+    )
+
+
 def find_max_free(workers):
     """Return the maximum free amount of each resource over all workers."""
     return Resources(
--- a/arbutusrock/scheduling/estimates.py
+++ b/arbutusrock/scheduling/estimates.py
@@ -5,6 +5,8 @@
 and also by job as soon as some of its tasks have completed.
 """
 
+from arbutusrock.scheduling import durations
+
 __all__ = ['DurationEstimator']
 
 # Weight of the newest value in the exponentially weighted means of a queue.
@@ -19,7 +21,12 @@
 class DurationEstimator:
     """Learns task durations and the mean work of jobs."""
 
-    __slots__ = ('_durations_by_queue', '_ratios_by_job', '_work_by_queue')
+    __slots__ = (
+        '_durations_by_queue',
+        '_ratios_by_job',
+        '_work_by_queue',
+        '_spreads_by_queue',
+    )
 
     def __init__(self):
         # By queue, weighted means of (declared, observed) durations.
@@ -28,11 +35,15 @@
         self._ratios_by_job = {}
         # By queue, weighted mean of the work of a job (core-seconds).
         self._work_by_queue = {}
+        # By queue, distribution of observed over expected durations.
+        self._spreads_by_queue = {}
 
     def record_task(self, queue, job_id, declared_s, observed_s):
         """Learn from a task that completed successfully."""
         if declared_s <= 0:
             return
+        expected_s = declared_s * self.get_duration_ratio(queue, job_id)
+        self._get_spread(queue).record(observed_s / expected_s)
         ratio = observed_s / declared_s
         ratio = min(MAX_RATIO, max(MIN_RATIO, ratio))
         observed_s = ratio * declared_s
@@ -59,6 +70,29 @@
         # The ratio of the queue counts as one observation of the job.
         return (total + queue_ratio) / (count + 1)
 
+    def _get_spread(self, queue):
+        spread = self._spreads_by_queue.get(queue)
+        if spread is None:
+            spread = durations.RatioDistribution()
+            self._spreads_by_queue[queue] = spread
+        return spread
+
+    def get_duration_quantile(
+        self, queue, job_id, declared_s, fraction, *, survived_s=0.0
+    ):
+        """Return the time that a fraction of such tasks do not exceed.
+
+        :param declared_s: declared duration of the task.
+        :param survived_s: how long a run of it has lasted already.
+        :returns: seconds from the start of a run.
+        """
+        expected_s = max(
+            declared_s * self.get_duration_ratio(queue, job_id), 1e-3
+        )
+        return expected_s * self._get_spread(queue).get_quantile(
+            fraction, beyond=survived_s / expected_s
+        )
+
     def record_work(self, queue, work):
         """Learn from the declared work of an accepted job (core-seconds)."""
         mean_work = self._work_by_queue.get(queue, work)
--- a/benchmarks/bench_policies.py
+++ b/benchmarks/bench_policies.py
@@ -57,6 +57,7 @@
     figures['next'] = min(middle)
     figures['worst_2s'] = statistics.mean(item[0] for item in windows[:2])
     figures['first_2s'] = _get_fraction(by_window.get(0, []))
+    figures.update(_summarize_waits(simulation.waits))
     # All jobs, the class that is served worst and the worst seconds.
     served = (
         8 * figures['value']
@@ -67,6 +68,28 @@
     return figures
 
 
+def _summarize_waits(waits):
+    """Return the waits of the largest tenth of tasks, gangs and the rest."""
+    single = sorted((item for item in waits if not item[0]), key=_get_cores)
+    tenth = max(1, len(single) // 10)
+    gangs = [item for item in waits if item[0]]
+    figures = {}
+    for name, items in (
+        ('wait_large', single[-tenth:]),
+        ('wait_other', single[:-tenth]),
+        ('wait_gang', gangs),
+    ):
+        waits_s = sorted(item[2] for item in items)
+        if waits_s:
+            figures[name] = statistics.mean(waits_s)
+            figures[f'{name}_p90'] = waits_s[len(waits_s) * 9 // 10]
+    return figures
+
+
+def _get_cores(item):
+    return item[1]
+
+
 def _get_fraction(items):
     """Return the fraction of the value of jobs that ended in time."""
     owed = sum(item.value for item in items)
@@ -90,6 +113,11 @@
     parser.add_argument('patterns', nargs='*', type=pathlib.Path)
     parser.add_argument('--seeds', type=int, default=3)
     parser.add_argument('--first-seed', type=int, default=1)
+    parser.add_argument(
+        '--heads',
+        type=int,
+        help='waiting steps of a pool that get reservations; 0 for none',
+    )
     args = parser.parse_args()
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
@@ -100,7 +128,7 @@
         for seed in range(args.first_seed, args.first_seed + args.seeds):
             began_at_s = time.monotonic()
             simulation = fleet_simulation.Simulation(
-                pattern=pattern, seed=seed
+                pattern=pattern, seed=seed, max_heads=args.heads
             )
             simulation.run()
             plays.append(summarize(simulation))
--- a/benchmarks/fleet_simulation.py
+++ b/benchmarks/fleet_simulation.py
@@ -55,6 +55,11 @@
     :param objective_s: fixed part of the objective.
     :param value: value of a job of mean work that ends in time.
     :param serving_tasks: tasks that run all day.
+    :param pool: pool that it shares with other queues; empty for its own.
+    :param gang: whether the tasks of a step start together.
+    :param uneven: sigma of the logarithm of a task's duration over its job's.
+    :param tail: fraction of tasks that take ``tail_factor`` times as long.
+    :param steady: jobs arrive at the mean rate all the time.
     """
 
     jobs_per_s: float
@@ -70,6 +75,12 @@
     serving_tasks: int = 20
     serving_cores: float = 4.0
     vms: int = 20
+    pool: str = ''
+    gang: bool = False
+    uneven: float = 0.15
+    tail: float = 0.0
+    tail_factor: float = 7.0
+    steady: bool = False
 
 
 class Pattern(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -149,17 +160,26 @@
 
     :param pattern: :class:`Pattern`.
     :param seed: of arrivals and sizes.
+    :param max_heads: number of waiting steps of a pool that get reservations;
+        None for that of the product.
     """
 
-    def __init__(self, *, pattern, seed):
+    def __init__(self, *, pattern, seed, max_heads=None):
         self.pattern = pattern
+        self.seed = seed
+        self.max_heads = max_heads
         self.random = random.Random(seed)  # noqa: S311
         self.now_s = 1000.0
         self.began_at_s = self.now_s + LEAD_IN_S
         self.results = {}
         self.vm_seconds = 0.0
         self.moves = 0
+        # By started task: whether of a gang, its demand (millicores) and its
+        # wait.
+        self.waits = []
         self._durations = {}
+        # True duration by run, for reports of progress.
+        self._true_durations = {}
         self._events = []
         self._order = itertools.count()
         self._completions = itertools.count(1)
@@ -182,14 +202,17 @@
                 name=name,
                 host='h',
                 prefix=f'/{name}/',
-                pool=name,
+                pool=queue.pool or name,
                 urgency=queue.urgency,
                 stretch=queue.stretch,
                 objective_ms=queue.objective_s * 1000,
             )
             for name, queue in self.pattern.queues.items()
         ]
-        pools = [configuration.Pool(name=queue.name) for queue in queues]
+        pools = [
+            configuration.Pool(name=name)
+            for name in dict.fromkeys(queue.pool for queue in queues)
+        ]
         pools.append(configuration.Pool(name=SPARE_POOL, spare=True))
         current = configuration.FleetConfiguration(
             version=1,
@@ -222,13 +245,17 @@
             adapter=mock.Mock(),
             on_heartbeat=None,
         )
+        if self.max_heads is not None:
+            self.leader.dispatcher.lookahead.max_heads = self.max_heads
         self.vms = self.leader.vm_controller
         self.vms.issue_order = self._move_vm
 
     def _create_vms(self):
         entries = []
         pools = {
-            name: queue.vms for name, queue in self.pattern.queues.items()
+            queue.pool or name: queue.vms
+            for name, queue in self.pattern.queues.items()
+            if not queue.pool or queue.pool == name
         }
         for pool, count in {
             **pools,
@@ -301,6 +328,8 @@
 
     def _get_rate(self, queue, turn, at_s, count):
         """Return the rate: in the turn of the queue a burst."""
+        if queue.steady:
+            return queue.jobs_per_s
         turns = at_s / self.pattern.burst_s
         if int(turns) % count != turn:
             return queue.jobs_per_s * self.pattern.quiet_factor
@@ -327,6 +356,7 @@
                     demand=Resources(cpu=int(cores * 1000), memory_mb=100),
                     estimate_ms=task_s * math.exp(error) * 1000,
                     after=(number - 1,) if number else (),
+                    gang=queue.gang,
                 )
             )
         job_id = self._submit(name, tuple(steps))
@@ -345,7 +375,7 @@
         job_id = f'{next(self._order):016x}'
         submission = plans.Submission(
             queue=name,
-            pool=name,
+            pool=queue.pool or name,
             account='a',
             accepted_ms=self.now_s * 1000,
             plan=plans.JobPlan(spec='', steps=steps),
@@ -366,14 +396,27 @@
     def start_run(self, run):
         """Confirm a run, and schedule its end."""
         run.state = job_state.RunState.RUNNING
-        run.confirmed_at_s = self.now_s
+        run.confirmed_at_s = run.started_at_s = self.now_s
         run.task.step.job.started = True
         if run.task.step.plan.long_running:
             run.percent = 100.0
             run.ready_at_s = self.now_s
             return
         true_s = self._durations[run.task.step.job.job_id]
-        true_s *= self.random.lognormvariate(0, 0.15)
+        queue = self.pattern.queues[run.task.step.job.submission.queue]
+        # The same for each order of starts, so that policies compare.
+        own = random.Random(f'{self.seed} {run.name}')  # noqa: S311
+        true_s *= own.lognormvariate(0, queue.uneven)
+        if queue.tail and own.random() < queue.tail:
+            true_s *= queue.tail_factor
+        self.waits.append(
+            (
+                queue.gang,
+                run.demand.cpu,
+                self.now_s - run.task.queued_at_s,
+            )
+        )
+        self._true_durations[run] = true_s
         self._schedule(self.now_s + true_s, self._end_run, run, 'done')
 
     def stop_run(self, run):
@@ -383,6 +426,7 @@
     def _end_run(self, run, kind):
         if run.worker.runs.get((run.name, run.number)) is not run:
             return
+        self._true_durations.pop(run, None)
         completion = platform_messages.CompletionReport(
             number=next(self._completions),
             task=run.name,
@@ -415,6 +459,11 @@
                 target,
             )
 
+    def _report_progress(self):
+        for run, true_s in self._true_durations.items():
+            run.worker.last_reply_at_s = self.now_s
+            run.percent = 100 * (self.now_s - run.started_at_s) / true_s
+
     # Time.
 
     def _schedule(self, at_s, function, *args):
@@ -433,6 +482,7 @@
                 resize_at_s = self.now_s + RESIZE_INTERVAL_S
                 self.vms._update_orders(self.now_s)
                 self.vms._resize_pools(self.now_s)
+                self._report_progress()
             self.leader.dispatcher.dispatch()
             if self.now_s >= self.began_at_s:
                 self.vm_seconds += DISPATCH_INTERVAL_S * sum(
