--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 
+from benchmarks import lookahead_cost
 from benchmarks import plan_cost
 from examples.standins import fleet as fleet_module
 
@@ -237,6 +238,7 @@
     at_target = {name: extrapolate(series, name) for name in figures}
     print('at the target:', format_point(at_target))
     plan_cost.print_costs()
+    lookahead_cost.print_costs()
     if args.out:
         args.out.write_text(json.dumps([series, at_target], indent=1))
     violations = find_violations(at_target)
--- a/benchmarks/fleet_simulation.py
+++ b/benchmarks/fleet_simulation.py
@@ -39,6 +39,8 @@
 LEAD_IN_S = 12.0
 # Virtual time after the last job, for late jobs.
 LEAD_OUT_S = 15.0
+# Client accounts that submit jobs in turn.
+ACCOUNTS = 10
 
 
 class QueuePattern(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -218,7 +220,10 @@
             version=1,
             queues=queues,
             pools=pools,
-            accounts=[configuration.Account(name='a', weight=1e9)],
+            accounts=[
+                configuration.Account(name=f'a{number}', weight=1e9)
+                for number in range(ACCOUNTS)
+            ],
             limits=configuration.RequestLimits(),
         )
         settings = node_settings.NodeSettings(
@@ -376,7 +381,7 @@
         submission = plans.Submission(
             queue=name,
             pool=queue.pool or name,
-            account='a',
+            account=f'a{int(job_id, 16) % ACCOUNTS}',
             accepted_ms=self.now_s * 1000,
             plan=plans.JobPlan(spec='', steps=steps),
             stretch=queue.stretch,
--- a/tests/test_bench_policies.py
+++ b/tests/test_bench_policies.py
@@ -5,6 +5,7 @@
 
 from benchmarks import bench_policies
 from benchmarks import fleet_simulation
+from benchmarks import lookahead_cost
 
 PATTERN = {
     'spare_vms': 4,
@@ -57,3 +58,7 @@
     assert paths
     for path in paths:
         assert bench_policies.load_pattern(path).queues
+
+
+def test_cost_of_reservations_is_measured():
+    assert lookahead_cost.measure_pass_ms(16, 40) > 0
