--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -142,6 +142,19 @@
             if placement_requests.may_fit(step, max_free)
         ]
         steps.sort(key=lambda step: self._ranker.rank(step))
+        self._start_steps(
+            pool, pool_state, steps, candidates, suspect_vms, now_s
+        )
+
+    def _start_steps(
+        self, pool, pool_state, steps, candidates, suspect_vms, now_s
+    ):
+        """Start tasks of steps in their order while they fit.
+
+        :param pool_state: :class:`guarded_starts.PoolState`.
+        :param candidates: workers that may get runs.
+        """
+        max_free = placement_requests.find_max_free(candidates)
         # Demands for which no worker had free capacity in this pass; steps
         # that demand as much or more are skipped.
         unplaced_demands = []
--- a/arbutusrock/engine/lookahead.py
+++ b/arbutusrock/engine/lookahead.py
@@ -39,6 +39,9 @@
 BACKFILL_QUANTILE = 0.9
 # Value of a late job as a fraction of one in time.
 LATE_VALUE_FRACTION = 0.1
+# Part of the room in use from which large work gets through by itself; then
+# reservations for it only take room from other large work.
+MAX_LARGE_USE = 0.2
 # Part of the slack of a job in time whose loss puts its value at risk.
 MAX_WAIT_FRACTION = 1 / 3
 LOG = logs.get_log('lookahead')
@@ -119,6 +122,10 @@
         if len(steps) < 2 or not workers:
             return []
         capacity = max((item.capacity for item in workers), key=_get_size)
+        if not any(_may_claim(step, capacity) for step in steps):
+            return []
+        if _find_large_use(workers, capacity) > MAX_LARGE_USE:
+            return []
         max_free = placement_requests.find_max_free(workers)
         found = itertools.islice(
             (step for step in steps if _may_claim(step, capacity)),
@@ -433,6 +440,17 @@
     )
 
 
+def _find_large_use(workers, capacity):
+    """Return which part of the cores in use runs what may claim room."""
+    used = large = 0
+    for worker in workers:
+        for run in worker.runs.values():
+            used += run.demand.cpu
+            if run.task is not None and _may_claim(run.task.step, capacity):
+                large += run.demand.cpu
+    return large / max(1, used)
+
+
 def _get_size(capacity):
     return (capacity.cpu, capacity.memory_mb, capacity.accelerators)
 
--- a/arbutusrock/engine/tests/test_lookahead.py
+++ b/arbutusrock/engine/tests/test_lookahead.py
@@ -336,3 +336,14 @@
 
 def run_estimate_s(run):
     return run.task.step.plan.estimate_ms / 1000
+
+
+def test_nothing_is_reserved_where_large_tasks_get_through():
+    """Reservations would only take room from other large tasks."""
+    owner = Owner(vms=['a', 'b'])
+    fill(owner, [1.0, 6.0], cpu=14_000)
+    owner.now_s += lookahead.PLAN_INTERVAL_S
+    owner.submit(cpu=10_000, estimate_s=2.0)
+    owner.submit(cpu=4000, estimate_s=5.0)
+    assert owner.dispatch() == []
+    assert owner.reserved == set()
