--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -9,6 +9,7 @@
 from arbutusrock.engine import guarded_starts
 from arbutusrock.engine import job_ranks
 from arbutusrock.engine import job_state
+from arbutusrock.engine import lookahead
 from arbutusrock.engine import placement_requests
 from arbutusrock import logs
 from arbutusrock.scheduling import placement
@@ -50,6 +51,9 @@
             term=term, crash_tracker=crash_tracker
         )
         self._ranker = job_ranks.JobRanker(term=term)
+        self.lookahead = lookahead.Lookahead(
+            term=term, ranker=self._ranker, ticket_cache=ticket_cache
+        )
 
     async def run(self):
         """Make passes until the ownership ends."""
@@ -89,6 +93,7 @@
             for pool, steps in term.job_registry.waiting_steps.items()
             if steps
         }
+        self.lookahead.forget_pools(waiting)
         workers = {pool: [] for pool in waiting}
         for worker in term.fleet.workers.values():
             pool = worker.entry.pool
@@ -129,6 +134,7 @@
         self._start_suspects(
             pool_state, steps, workers, candidates, suspect_vms, now_s
         )
+        self.lookahead.begin_pass(pool, steps, candidates, now_s)
         max_free = placement_requests.find_max_free(candidates)
         # Skipped before the sort: under overload few steps fit anywhere.
         steps = [
@@ -137,6 +143,19 @@
             if placement_requests.may_fit(step, max_free)
         ]
         steps.sort(key=lambda step: self._ranker.rank(step))
+        self._start_steps(
+            pool, pool_state, steps, candidates, suspect_vms, now_s
+        )
+
+    def _start_steps(
+        self, pool, pool_state, steps, candidates, suspect_vms, now_s
+    ):
+        """Start tasks of steps in their order while they fit.
+
+        :param pool_state: :class:`guarded_starts.PoolState`.
+        :param candidates: workers that may get runs.
+        """
+        max_free = placement_requests.find_max_free(candidates)
         # Demands for which no worker had free capacity in this pass; steps
         # that demand as much or more are skipped.
         unplaced_demands = []
@@ -144,18 +163,25 @@
             if not placement_requests.may_fit(step, max_free):
                 continue
             demand = placement_requests.get_demand(step)
-            if any(
+            blocked = any(
                 placement_requests.is_at_least(demand, other)
                 for other in unplaced_demands
-            ):
+            )
+            if blocked and not self.lookahead.holds_workers(pool):
                 continue
             before = len(step.waiting)
             allowed = self.guarded_starter.limit_workers(
                 pool_state, step.job.submission.account, candidates
             )
+            usable = self.lookahead.limit_workers(
+                pool, step, allowed, now_s, blocked=blocked
+            )
+            if not usable:
+                continue
             if (
-                not self._start_step(step, allowed, suspect_vms, now_s)
+                not self._start_step(step, usable, suspect_vms, now_s)
                 and allowed is candidates
+                and not blocked
             ):
                 unplaced_demands.append(demand)
             if len(step.waiting) < before:
@@ -327,10 +353,13 @@
                 task=task.name,
                 worker=worker.worker_id,
                 waited_s=round(clocks.wall_time_s() - job.accepted_unix_s, 3),
+                millicores=run.demand.cpu,
+                tasks=task.step.plan.count,
                 configuration=self.term.configuration.current.version,
             )
         task.starts += 1
         self.term.phases.mark('first_start')
+        self.lookahead.record_start(task, worker, now_s)
         if task.starts > 1:
             LOG.info(
                 'a task is started again',
