Divide the room of a full pool among accounts by weight

Cause: the oldest job went first whoever sent it, so the account that sent most had most of a full pool. Change: where accounts have different weights, steps of the account that has the least of its part (weighted max-min, arrears of the last seconds) go first within a tier, after jobs that have begun. Share attained is counted, logged and shown. Simulated loads get accounts, and arrivals that do not depend on the order of starts; jobs beyond an account's rate do not count.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -129,13 +129,7 @@
             pool_state, steps, workers, candidates, suspect_vms, now_s
         )
         max_free = placement_requests.find_max_free(candidates)
-        # Skipped before the sort: under overload few steps fit anywhere.
-        steps = [
-            step
-            for step in steps
-            if placement_requests.may_fit(step, max_free)
-        ]
-        steps.sort(key=lambda step: self._ranker.rank(step))
+        steps = self._sort_steps(pool, steps, workers, max_free, now_s)
         # Demands for which no worker had free capacity in this pass; steps
         # that demand as much or more are skipped.
         unplaced_demands = []
@@ -160,6 +154,19 @@
             if len(step.waiting) < before:
                 max_free = placement_requests.find_max_free(candidates)
 
+    def _sort_steps(self, pool, steps, workers, max_free, now_s):
+        """Return the steps that may fit a worker, the first to start first."""
+        # Skipped before the sort: under overload few steps fit anywhere.
+        fitting = [
+            step
+            for step in steps
+            if placement_requests.may_fit(step, max_free)
+        ]
+        self.term.share_ledger.sort_steps(
+            pool, steps, fitting, workers, self._ranker.rank, now_s
+        )
+        return fitting
+
     def _may_start(self, step, inherited_runs_possible):
         inherited = inherited_runs_possible and step.job.inherited
         return self.term.may_start(step.job) and (
--- a/arbutusrock/engine/status.py
+++ b/arbutusrock/engine/status.py
@@ -32,11 +32,16 @@
 
 
 class AccountStatus(msgspec.Struct, kw_only=True):
-    """What one client account has running, over all pools."""
+    """What one client account has running, over all pools.
+
+    :param share_attained: what it used over what it was due of full pools in
+        the last seconds; 1 when it was due nothing.
+    """
 
     account: str
     cores_used: float
     cores_limit: float
+    share_attained: float = 1.0
 
 
 class NodeStatus(msgspec.Struct, kw_only=True):
@@ -92,6 +97,7 @@
             account=name,
             cores_used=term.fleet.get_usage(name).cpu / 1000,
             cores_limit=account.upper_limit.cpu / 1000,
+            share_attained=round(term.share_ledger.get_attainment(name), 3),
         )
         for name, account in sorted(current.accounts.items())
     ]
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -4,6 +4,7 @@
 
 from arbutusrock.engine import fleet as fleet_module
 from arbutusrock.engine import job_registry
+from arbutusrock.engine import share_ledger
 from arbutusrock.scheduling import admission
 from arbutusrock.scheduling import estimates
 from arbutusrock.scheduling import forecast
@@ -69,6 +70,7 @@
         self.duration_estimator = estimates.DurationEstimator()
         self.rate_limiter = admission.AccountRateLimiter()
         self.forecast = forecast.Forecast()
+        self.share_ledger = share_ledger.ShareLedger(term=self)
         # VMs whose runs must still be moved off for a wave.
         self.vms_to_drain = set()
         # Set when the dispatcher should look at the waiting tasks.
--- a/benchmarks/bench_policies.py
+++ b/benchmarks/bench_policies.py
@@ -56,6 +56,12 @@
     figures['large'] = min(large)
     figures['next'] = min(middle)
     figures['worst_2s'] = statistics.mean(item[0] for item in windows[:2])
+    by_account = {}
+    for item in results:
+        by_account.setdefault(item.account, []).append(item)
+    accounts = sorted(map(_get_fraction, by_account.values()))
+    tenth = max(1, len(accounts) // 10)
+    figures['accounts'] = statistics.mean(accounts[:tenth])
     figures['first_2s'] = _get_fraction(by_window.get(0, []))
     # All jobs, the class that is served worst and the worst seconds.
     served = (
--- a/benchmarks/fleet_simulation.py
+++ b/benchmarks/fleet_simulation.py
@@ -29,7 +29,13 @@
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
 
-__all__ = ['JobResult', 'Pattern', 'QueuePattern', 'Simulation']
+__all__ = [
+    'AccountPattern',
+    'JobResult',
+    'Pattern',
+    'QueuePattern',
+    'Simulation',
+]
 
 SPARE_POOL = 'spare'
 REGISTRATION_DELAY_S = 0.3
@@ -72,6 +78,23 @@
     vms: int = 20
 
 
+class AccountPattern(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """A client account, or several alike.
+
+    :param part: its part of all jobs.
+    :param weight: share of the account, and its jobs per second.
+    :param count: number of accounts of this kind.
+    :param hot_factor: factor on its jobs from ``hot_at_s`` for ``hot_s``.
+    """
+
+    part: float
+    weight: float
+    count: int = 1
+    hot_factor: float = 1.0
+    hot_at_s: float = 0.0
+    hot_s: float = 0.0
+
+
 class Pattern(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """A load pattern.
 
@@ -81,6 +104,7 @@
     :param rounds: how often each queue bursts.
     :param sudden: bursts have their full rate at once, instead of a rise and
         a fall of half a sine wave.
+    :param accounts: accounts by name; by default one for all jobs.
     :param late_value: value of a late job as a fraction of one in time.
     """
 
@@ -94,6 +118,7 @@
     move_s: float = 1.5
     late_value: float = 0.07
     sudden: bool = False
+    accounts: dict[str, AccountPattern] = {}
 
 
 class JobResult:
@@ -105,6 +130,7 @@
 
     __slots__ = (
         'queue',
+        'account',
         'arrived_at_s',
         'work_core_s',
         'value',
@@ -113,9 +139,10 @@
     )
 
     def __init__(
-        self, *, queue, arrived_at_s, work_core_s, value, late_after_s
+        self, *, queue, account, arrived_at_s, work_core_s, value, late_after_s
     ):
         self.queue = queue
+        self.account = account
         self.arrived_at_s = arrived_at_s
         self.work_core_s = work_core_s
         self.value = value
@@ -131,6 +158,17 @@
         )
 
 
+def _create_accounts(pattern):
+    """Return each :class:`AccountPattern` by the name of the account."""
+    if not pattern.accounts:
+        return {'a': AccountPattern(part=1.0, weight=1e9)}
+    return {
+        f'{name}-{number}': account
+        for name, account in pattern.accounts.items()
+        for number in range(account.count)
+    }
+
+
 class _Link:
     """Stands for the connection to one worker."""
 
@@ -154,9 +192,12 @@
     def __init__(self, *, pattern, seed):
         self.pattern = pattern
         self.random = random.Random(seed)  # noqa: S311
+        # Of its own, so that the order of starts does not change arrivals.
+        self._run_random = random.Random(seed)  # noqa: S311
         self.now_s = 1000.0
         self.began_at_s = self.now_s + LEAD_IN_S
         self.results = {}
+        self._accounts = _create_accounts(pattern)
         self.vm_seconds = 0.0
         self.moves = 0
         self._durations = {}
@@ -195,7 +236,10 @@
             version=1,
             queues=queues,
             pools=pools,
-            accounts=[configuration.Account(name='a', weight=1e9)],
+            accounts=[
+                configuration.Account(name=name, weight=account.weight)
+                for name, account in self._accounts.items()
+            ],
             limits=configuration.RequestLimits(),
         )
         settings = node_settings.NodeSettings(
@@ -281,6 +325,15 @@
 
     # Arrivals.
 
+    def _draw_account(self):
+        """Return the account of a job that arrives now."""
+        parts = {}
+        for name, account in self._accounts.items():
+            since_s = self.now_s - self.began_at_s - account.hot_at_s
+            hot = 0 <= since_s < account.hot_s
+            parts[name] = account.part * (account.hot_factor if hot else 1.0)
+        return self.random.choices(list(parts), parts.values())[0]
+
     def _create_arrivals(self):
         names = list(self.pattern.queues)
         length_s = len(names) * self.pattern.burst_s * self.pattern.rounds
@@ -329,24 +382,30 @@
                     after=(number - 1,) if number else (),
                 )
             )
-        job_id = self._submit(name, tuple(steps))
+        account = self._draw_account() if self.pattern.accounts else 'a'
+        job_id = self._submit(name, tuple(steps), account)
+        if self.term.job_registry.jobs[job_id].excess:
+            # Its caller is not owed anything.
+            self._durations[job_id] = task_s
+            return
         mean = queue.steps * queue.width * queue.cores * queue.task_s
         self._durations[job_id] = task_s
         self.results[job_id] = JobResult(
             queue=name,
+            account=account,
             arrived_at_s=self.now_s,
             work_core_s=work_core_s,
             value=queue.value * min(4.0, 0.3 + 0.7 * work_core_s / mean),
             late_after_s=queue.stretch * count * task_s + queue.objective_s,
         )
 
-    def _submit(self, name, steps):
+    def _submit(self, name, steps, account='a'):
         queue = self.pattern.queues[name]
         job_id = f'{next(self._order):016x}'
         submission = plans.Submission(
             queue=name,
             pool=name,
-            account='a',
+            account=account,
             accepted_ms=self.now_s * 1000,
             plan=plans.JobPlan(spec='', steps=steps),
             stretch=queue.stretch,
@@ -373,7 +432,7 @@
             run.ready_at_s = self.now_s
             return
         true_s = self._durations[run.task.step.job.job_id]
-        true_s *= self.random.lognormvariate(0, 0.15)
+        true_s *= self._run_random.lognormvariate(0, 0.15)
         self._schedule(self.now_s + true_s, self._end_run, run, 'done')
 
     def stop_run(self, run):
