--- a/arbutusrock/engine/lookahead.py
+++ b/arbutusrock/engine/lookahead.py
@@ -101,7 +101,7 @@
         workers = heapq.nlargest(
             MAX_ROOMS, workers, key=lambda item: item.free_millicores
         )
-        claims = self._find_claims(steps, workers, kept, now_s)
+        claims = self._find_claims(pool, steps, workers, kept, now_s)
         planned = []
         if claims:
             rooms = self._create_rooms(workers, now_s)
@@ -117,7 +117,7 @@
             item.claim.gain = self._estimate_gain(item, now_s)
         self._update_promises(pool, plan, planned, now_s)
 
-    def _find_claims(self, steps, workers, kept, now_s):
+    def _find_claims(self, pool, steps, workers, kept, now_s):
         """Return the claims of steps that fit nowhere, the first in rank."""
         if len(steps) < 2 or not workers:
             return []
@@ -133,7 +133,10 @@
         )
         claims = []
         for step in heapq.nsmallest(MAX_CLAIMS, found, self.ranker.rank):
-            if not self._may_be_in_time(step):
+            account = step.job.submission.account
+            if self.term.share_ledger.has_its_part(
+                pool, account
+            ) or not self._may_be_in_time(step):
                 continue
             request = placement_requests.create_request(
                 self.term,
@@ -154,7 +157,7 @@
             claims.append(
                 reservations.Claim(
                     key=step,
-                    account=step.job.submission.account,
+                    account=account,
                     demand=placement_requests.get_amounts(request.demand),
                     count=len(step.waiting),
                     gang=step.plan.gang,
--- a/arbutusrock/engine/owner_knowledge.py
+++ b/arbutusrock/engine/owner_knowledge.py
@@ -24,6 +24,7 @@
 # Greatest ages at which the parts are of use.
 MAX_DURATIONS_AGE_S = 600.0
 MAX_VM_HEALTH_AGE_S = 4.0
+MAX_SHARES_AGE_S = 10.0
 LOG = logs.get_log('knowledge')
 
 
@@ -199,4 +200,11 @@
         data_type=dict[str, tuple[list[str], float]],
         max_age_s=MAX_VM_HEALTH_AGE_S,
     )
+    knowledge.register(
+        'shares',
+        export=term.share_ledger.export,
+        restore=term.share_ledger.restore,
+        data_type=dict[str, dict[str, float]],
+        max_age_s=MAX_SHARES_AGE_S,
+    )
     return knowledge
