--- a/tests/test_site_cordons.py
+++ b/tests/test_site_cordons.py
@@ -5,6 +5,7 @@
 import pytest
 
 from arbutusrock.engine import rows
+from arbutusrock.engine import status
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
@@ -63,6 +64,11 @@
     await submit_burst(site, 0)
     await site.evacuate('z1')
     await wait_known(node, ['z1'])
+    shown = status.describe_node(node.node, ready=True)
+    assert shown.evacuated == ['z1']
+    assert sum(pool.evacuated for pool in shown.pools) > 0
+    status.collect_gauges(node.node, node.node.metrics)
+    assert node.node.metrics.get_gauge('data_centres_evacuated') == 1
     # Runs begin there only on orders that were under way.
     await asyncio.sleep(MAX_DELAY_S)
     before = count_starts(site, 'z1')
