--- a/benchmarks/bench_policies.py
+++ b/benchmarks/bench_policies.py
@@ -15,6 +15,7 @@
 import structlog
 
 from benchmarks import fleet_simulation
+from benchmarks import load_patterns
 
 PATTERNS = pathlib.Path(__file__).parent / 'patterns'
 # Prices relative to the value of a job of mean work of the first queue.
@@ -108,9 +109,7 @@
 
     :raises msgspec.ValidationError: naming the field that is wrong.
     """
-    return msgspec.yaml.decode(
-        path.read_bytes(), type=fleet_simulation.Pattern
-    )
+    return msgspec.yaml.decode(path.read_bytes(), type=load_patterns.Pattern)
 
 
 def main():
--- a/benchmarks/fleet_simulation.py
+++ b/benchmarks/fleet_simulation.py
@@ -28,14 +28,9 @@
 from arbutusrock.scheduling import configuration
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
+from benchmarks import load_patterns
 
-__all__ = [
-    'AccountPattern',
-    'JobResult',
-    'Pattern',
-    'QueuePattern',
-    'Simulation',
-]
+__all__ = ['JobResult', 'Simulation']
 
 SPARE_POOL = 'spare'
 REGISTRATION_DELAY_S = 0.3
@@ -45,93 +40,6 @@
 LEAD_IN_S = 12.0
 # Virtual time after the last job, for late jobs.
 LEAD_OUT_S = 15.0
-# Client accounts that submit jobs in turn.
-ACCOUNTS = 10
-
-
-class QueuePattern(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
-    """Load of one queue; each queue has a pool of its own.
-
-    :param jobs_per_s: mean rate over the day.
-    :param steps: mean number of steps, one after the other.
-    :param width: mean number of tasks of a step.
-    :param cores: mean cores of a task.
-    :param task_s: mean duration of a task.
-    :param declared_error: sigma of the logarithm of declared over true
-        durations.
-    :param stretch: factor on the critical path in the objective.
-    :param objective_s: fixed part of the objective.
-    :param value: value of a job of mean work that ends in time.
-    :param serving_tasks: tasks that run all day.
-    :param pool: pool that it shares with other queues; empty for its own.
-    :param gang: whether the tasks of a step start together.
-    :param uneven: sigma of the logarithm of a task's duration over its job's.
-    :param tail: fraction of tasks that take ``tail_factor`` times as long.
-    :param steady: jobs arrive at the mean rate all the time.
-    """
-
-    jobs_per_s: float
-    steps: float = 1.6
-    width: float = 8.0
-    cores: float = 4.0
-    task_s: float = 0.8
-    declared_error: float = 0.5
-    stretch: float = 1.6
-    objective_s: float = 0.6
-    value: float = 1.0
-    urgency: int = 0
-    serving_tasks: int = 20
-    serving_cores: float = 4.0
-    vms: int = 20
-    pool: str = ''
-    gang: bool = False
-    uneven: float = 0.15
-    tail: float = 0.0
-    tail_factor: float = 7.0
-    steady: bool = False
-
-
-class AccountPattern(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
-    """A client account, or several alike.
-
-    :param part: its part of all jobs.
-    :param weight: share of the account, and its jobs per second.
-    :param count: number of accounts of this kind.
-    :param hot_factor: factor on its jobs from ``hot_at_s`` for ``hot_s``.
-    """
-
-    part: float
-    weight: float
-    count: int = 1
-    hot_factor: float = 1.0
-    hot_at_s: float = 0.0
-    hot_s: float = 0.0
-
-
-class Pattern(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
-    """A load pattern.
-
-    :param burst_factor: rate in a burst over the mean rate; the queues burst
-        by turns.
-    :param burst_s: duration of a burst.
-    :param rounds: how often each queue bursts.
-    :param sudden: bursts have their full rate at once, instead of a rise and
-        a fall of half a sine wave.
-    :param accounts: accounts by name; by default one for all jobs.
-    :param late_value: value of a late job as a fraction of one in time.
-    """
-
-    queues: dict[str, QueuePattern]
-    spare_vms: int = 10
-    vm_cores: float = 32.0
-    burst_factor: float = 4.0
-    quiet_factor: float = 0.05
-    burst_s: float = 8.0
-    rounds: int = 1
-    move_s: float = 1.5
-    late_value: float = 0.07
-    sudden: bool = False
-    accounts: dict[str, AccountPattern] = {}
 
 
 class JobResult:
@@ -171,20 +79,6 @@
         )
 
 
-def _create_accounts(pattern):
-    """Return each :class:`AccountPattern` by the name of the account."""
-    if not pattern.accounts:
-        return {
-            f'a{number}': AccountPattern(part=1 / ACCOUNTS, weight=1e9)
-            for number in range(ACCOUNTS)
-        }
-    return {
-        f'{name}-{number}': account
-        for name, account in pattern.accounts.items()
-        for number in range(account.count)
-    }
-
-
 class _Link:
     """Stands for the connection to one worker."""
 
@@ -201,7 +95,7 @@
 class Simulation:
     """One play of a pattern.
 
-    :param pattern: :class:`Pattern`.
+    :param pattern: :class:`load_patterns.Pattern`.
     :param seed: of arrivals and sizes.
     :param max_heads: number of waiting steps of a pool that get reservations;
         None for that of the product.
@@ -215,7 +109,7 @@
         self.now_s = 1000.0
         self.began_at_s = self.now_s + LEAD_IN_S
         self.results = {}
-        self._accounts = _create_accounts(pattern)
+        self._accounts = load_patterns.create_accounts(pattern)
         self.vm_seconds = 0.0
         self.moves = 0
         # By started task: whether of a gang, its demand (millicores) and its
@@ -440,7 +334,7 @@
         submission = plans.Submission(
             queue=name,
             pool=queue.pool or name,
-            account=account or f'a{int(job_id, 16) % ACCOUNTS}',
+            account=account or f'a{int(job_id, 16) % load_patterns.ACCOUNTS}',
             accepted_ms=self.now_s * 1000,
             plan=plans.JobPlan(spec='', steps=steps),
             stretch=queue.stretch,
--- a/tests/test_bench_policies.py
+++ b/tests/test_bench_policies.py
@@ -5,6 +5,7 @@
 
 from benchmarks import bench_policies
 from benchmarks import fleet_simulation
+from benchmarks import load_patterns
 from benchmarks import lookahead_cost
 
 PATTERN = {
@@ -19,7 +20,7 @@
 
 def play(seed):
     simulation = fleet_simulation.Simulation(
-        pattern=msgspec.convert(PATTERN, fleet_simulation.Pattern), seed=seed
+        pattern=msgspec.convert(PATTERN, load_patterns.Pattern), seed=seed
     )
     simulation.run()
     return simulation
