--- a/arbutusrock/engine/tests/test_cordons.py
+++ b/arbutusrock/engine/tests/test_cordons.py
@@ -73,6 +73,30 @@
     return run
 
 
+def create_registry(term, workers):
+    """Return the registry of the VMs of workers, all in pool ``p``."""
+    term.configuration.current = types.SimpleNamespace(
+        pools={'p': types.SimpleNamespace(name='p', spare=False)}, accounts={}
+    )
+    registry = vm_registry.VMRegistry()
+    registry.update(
+        [
+            platform_messages.VMEntry(
+                vm=worker.vm,
+                pool='p',
+                state=platform_messages.VMState.UP,
+                worker_id=worker.worker_id,
+                data_centre=worker.entry.data_centre,
+                capacity=CAPACITY,
+            )
+            for worker in workers
+        ],
+        0.0,
+        None,
+    )
+    return registry
+
+
 def test_worker_is_unusable_while_its_data_centre_is_evacuated():
     controller, (here, there) = create_controller('z1', 'z2')
     cordons = controller.term.cordons
@@ -136,25 +160,7 @@
     controller, (here, there) = create_controller('z1', 'z2')
     term = controller.term
     add_run(term, here, long_running=True)
-    term.configuration.current = types.SimpleNamespace(
-        pools={'p': types.SimpleNamespace(name='p', spare=False)}, accounts={}
-    )
-    registry = vm_registry.VMRegistry()
-    registry.update(
-        [
-            platform_messages.VMEntry(
-                vm=worker.vm,
-                pool='p',
-                state=platform_messages.VMState.UP,
-                worker_id=worker.worker_id,
-                data_centre=worker.entry.data_centre,
-                capacity=CAPACITY,
-            )
-            for worker in (here, there)
-        ],
-        0.0,
-        None,
-    )
+    registry = create_registry(term, (here, there))
     (view,) = vm_views.create_pool_views(term, registry, clocks.now_s())
     assert [vm.cordoned for vm in view.vms] == [False, False]
     assert (view.long_running_vms, view.long_running_millicores) == (1, 1000)
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -27,6 +27,9 @@
 CORDON_SHRINK = 'shrink'
 # Cordon reason of workers whose VM has an order that is under way.
 CORDON_ORDER = 'order'
+# A worker that does not answer counts as room of its pool for this time. Lost
+# answers are short; a rack that is dark stays so for seconds.
+MAX_SILENCE_S = 1.5
 # Time from the end of a VM's move until its worker has registered and answered
 # the owner.
 REGISTRATION_DELAY_S = 0.3
@@ -187,6 +190,9 @@
         )
     if worker is None or worker.entry.draining:
         return None
+    if worker.unresponsive and now_s - worker.last_reply_at_s > MAX_SILENCE_S:
+        # The pool needs another VM, also while it may still have runs.
+        return None
     idle_s = 0.0
     if not tracked.was_used or worker.cordon_reason == CORDON_SHRINK:
         idle_s = math.inf
