--- a/arbutusrock/engine/lookahead.py
+++ b/arbutusrock/engine/lookahead.py
@@ -29,7 +29,7 @@
 # Steps of these that are claims, the first in rank.
 MAX_CLAIMS = 6
 # Workers of a pool that are looked at, those with most free first.
-MAX_ROOMS = 96
+MAX_ROOMS = 64
 # Steps that are weighed against the reservations of a plan, the first in rank
 # first; later ones are held back.
 MAX_WEIGHED = 64
@@ -350,22 +350,27 @@
         amounts = placement_requests.get_amounts(
             placement_requests.get_demand(step)
         )
-        open_to_it = [
-            item for item in plan.reserved.values() if item.fits(*amounts)
-        ]
-        if not open_to_it:
-            return []
-        rank = self.ranker.rank(step)
-        end_s = self._estimate_new_end_s(step, now_s)
-        if step.plan.gang:
-            # Several of its tasks may go to one VM.
-            amounts = (math.inf, math.inf, math.inf)
-        return [
-            item.worker
-            for item in open_to_it
-            if item.leaves_room(rank, amounts, end_s)
-            or not self._is_held(step, plan, item.find_ahead(rank), now_s)
-        ]
+        cpu, memory_mb, accelerators = amounts
+        usable = []
+        rank = end_s = held = None
+        for item in plan.reserved.values():
+            free = item.free
+            if cpu > free[0] or memory_mb > free[1] or accelerators > free[2]:
+                continue
+            if rank is None:
+                rank = self.ranker.rank(step)
+                end_s = self._estimate_new_end_s(step, now_s)
+                if step.plan.gang:
+                    # Several of its tasks may go to one VM.
+                    amounts = (math.inf, math.inf, math.inf)
+            if item.leaves_room(rank, amounts, end_s):
+                usable.append(item.worker)
+                continue
+            if held is None:
+                held = self._is_held(step, plan, item.find_ahead(rank), now_s)
+            if not held:
+                usable.append(item.worker)
+        return usable
 
     def _estimate_new_end_s(self, step, now_s):
         """Return by when a task would end that starts now."""
--- a/arbutusrock/engine/pool_reservations.py
+++ b/arbutusrock/engine/pool_reservations.py
@@ -63,13 +63,6 @@
             )
         )
 
-    def fits(self, cpu, memory_mb, accelerators):
-        """Return whether a demand has room now."""
-        free = self.free
-        return (
-            cpu <= free[0] and memory_mb <= free[1] and accelerators <= free[2]
-        )
-
     def leaves_room(self, rank, amounts, end_s):
         """Return whether work may go there beside the reservations."""
         if rank <= self.first_rank or end_s <= self.ready_at_s:
