--- a/arbutusrock/engine/tests/test_lookahead.py
+++ b/arbutusrock/engine/tests/test_lookahead.py
@@ -347,3 +347,17 @@
     owner.submit(cpu=4000, estimate_s=5.0)
     assert owner.dispatch() == []
     assert owner.reserved == set()
+
+
+def test_step_gets_no_worker_that_its_account_may_not_use():
+    owner, _ = create_full_owner()
+    owner.submit(cpu=10_000, estimate_s=2.0)
+    owner.submit(cpu=4000, estimate_s=5.0)
+    owner.dispatch()
+    tiny = owner.submit(cpu=0, estimate_s=0.01)
+    worker = owner.term.fleet.workers['b']
+    with owner.patch_clocks():
+        limited = owner.dispatcher.lookahead.limit_workers(
+            'p', tiny, [worker], owner.now_s, blocked=False
+        )
+    assert limited == [worker]
