--- /dev/null
+++ b/arbutusrock/engine/tests/test_dispatcher.py
@@ -0,0 +1,108 @@
+"""Passes over a full pool whose room is divided among accounts."""
+
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import strategies
+
+from arbutusrock.engine import dispatcher
+from arbutusrock.engine import plans
+from arbutusrock.engine.tests import test_share_ledger as samples
+from arbutusrock.scheduling import configuration
+from arbutusrock.scheduling import Resources
+from arbutusrock.utils import clocks
+
+WORKERS = 3
+WEIGHTS = {'large': 8.0, 'middle': 3.0, 'small': 1.0}
+
+
+def dispatch(steps, workers=()):
+    """Make one pass with waiting steps; return the term and the workers."""
+    term = samples.create_ledger(WEIGHTS).term
+    term.configuration.current = configuration.FleetConfiguration(
+        version=1,
+        queues=[configuration.Queue(name='q', host='h', prefix='/', pool='p')],
+        pools=[configuration.Pool(name=samples.POOL)],
+        accounts=[
+            configuration.Account(name=name, weight=weight)
+            for name, weight in WEIGHTS.items()
+        ],
+        limits=configuration.RequestLimits(),
+    )
+    workers = workers or [
+        samples.create_worker(f'w{number}') for number in range(WORKERS)
+    ]
+    for worker in workers:
+        worker.has_answered = worker.in_roster = True
+        term.fleet.workers[worker.worker_id] = worker
+    now_s = clocks.now_s()
+    term.confirmed_at_s = now_s
+    waiting = term.job_registry.waiting_steps.setdefault(samples.POOL, {})
+    for step in steps:
+        waiting[step.job.job_id] = step
+        for task in step.tasks:
+            task.queued_at_s = now_s
+    tickets = mock.Mock()
+    tickets.get_allowed_ids.return_value = None
+    tickets.get_ticket.return_value = ''
+    dispatcher.Dispatcher(
+        term=term,
+        links={worker.worker_id: mock.Mock() for worker in workers},
+        ticket_cache=tickets,
+        crash_tracker=mock.Mock(culprits={}),
+    ).dispatch()
+    return term, workers
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(sorted(WEIGHTS)),
+        strategies.integers(1, 12),
+        strategies.integers(100, samples.CORES * 1000),
+        strategies.integers(10, 9000),
+    ),
+    min_size=1,
+    max_size=12,
+)
+
+
+@given(STEPS)
+def test_no_room_is_idle_while_a_waiting_task_fits(drawn):
+    steps = [
+        samples.create_step(
+            account,
+            number,
+            plan=plans.StepPlan(
+                count=tasks,
+                demand=Resources(cpu=cpu, memory_mb=memory_mb),
+                estimate_ms=500.0,
+            ),
+        )
+        for number, (account, tasks, cpu, memory_mb) in enumerate(drawn)
+    ]
+    _, workers = dispatch(steps)
+    assert any(worker.runs for worker in workers)
+    for step in steps:
+        if any(task.runs == [] for task in step.tasks):
+            demand = step.plan.demand
+            assert not any(
+                worker.free_millicores >= demand.cpu
+                and worker.free_memory_mb >= demand.memory_mb
+                for worker in workers
+            )
+
+
+def test_small_accounts_start_before_more_work_of_a_large_one():
+    plan = plans.StepPlan(
+        count=4, demand=Resources(cpu=1000), estimate_ms=500.0
+    )
+    steps = [
+        samples.create_step('large', number, plan=plan)
+        for number in range(1, 40)
+    ]
+    steps.append(samples.create_step('middle', 50, plan=plan))
+    steps.append(samples.create_step('small', 51, plan=plan))
+    term, _ = dispatch(steps)
+    used = {name: term.fleet.get_usage(name).cpu for name in WEIGHTS}
+    # All else goes to the large account, beyond its part too.
+    assert used == {'large': 40_000, 'middle': 4000, 'small': 4000}
