--- a/arbutusrock/commands/main.py
+++ b/arbutusrock/commands/main.py
@@ -6,6 +6,7 @@
 
 from arbutusrock import codes
 from arbutusrock.commands import client
+from arbutusrock.commands import config
 from arbutusrock.commands import contract
 from arbutusrock.commands import job
 from arbutusrock.commands import key
@@ -17,6 +18,7 @@
 __all__ = ['COMMANDS', 'main']
 
 COMMANDS = {
+    'config': {'check': config.check_config},
     'contract': {
         'apply': contract.apply_contract,
         'diff': contract.diff_contract,
--- a/arbutusrock/engine/configuration_watcher.py
+++ b/arbutusrock/engine/configuration_watcher.py
@@ -36,6 +36,8 @@
         self.store = store
         self.decode = decode
         self.current = None
+        # The row of ``current``, as operators wrote it.
+        self.current_data = b''
         self.waves = {}
         self.cordons = data_centre_cordons.DataCentreCordons()
         # Version of the table up to which its changes are known.
@@ -105,7 +107,7 @@
         try:
             match self.decode(row):
                 case FleetConfiguration() as configuration:
-                    self._apply_configuration(configuration)
+                    self._apply_configuration(configuration, row.value)
                 case platform_messages.WaveRequest() as wave:
                     self.waves[wave.number] = wave
                     LOG.info('a wave is ordered', wave=wave.number)
@@ -140,11 +142,11 @@
                 data_centre=data_centre,
             )
 
-    def _apply_configuration(self, configuration):
+    def _apply_configuration(self, configuration, data):
         before = self.current.version if self.current else 0
         if configuration.version <= before:
             return
-        self.current = configuration
+        self.current, self.current_data = configuration, data
         self._read.set()
         LOG.info(
             'a configuration is in force',
--- a/arbutusrock/platform/internal_api.py
+++ b/arbutusrock/platform/internal_api.py
@@ -9,6 +9,7 @@
 from arbutusrock.engine import peers
 from arbutusrock.engine import status
 from arbutusrock import logs
+from arbutusrock.platform import operator_rows
 
 __all__ = ['InternalAPI']
 
@@ -38,10 +39,22 @@
                     body=msgspec.json.encode(view),
                     content_type='application/json',
                 )
+            case '/configuration':
+                return self._show_configuration()
         status.collect_gauges(self.node, self.node.metrics)
         body, headers = self.node.metrics.render()
         return web.Response(body=body, headers=headers)
 
+    def _show_configuration(self):
+        """Answer with the configuration in force, without its keys."""
+        data = self.node.configuration.current_data
+        if not data:
+            return web.Response(status=503)
+        return web.Response(
+            body=operator_rows.redact_configuration(data),
+            content_type='application/json',
+        )
+
     async def _relay(self, request):
         """Make a call to the store for a node whose direct path is down.
 
--- a/arbutusrock/platform/operator_rows.py
+++ b/arbutusrock/platform/operator_rows.py
@@ -1,12 +1,21 @@
 """Decodes the operator's rows: configuration, waves and evacuations."""
 
+import hashlib
+
 import msgspec
 
 from arbutusrock.engine import platform_messages
 from arbutusrock.platform import workers
 from arbutusrock.scheduling import configuration
+from arbutusrock.scheduling import configuration_check
 
-__all__ = ['decode_operator_row', 'encode_wave_status']
+__all__ = [
+    'decode_entries',
+    'decode_operator_row',
+    'decode_wave',
+    'encode_wave_status',
+    'redact_configuration',
+]
 
 CONFIGURATION_KEY = 'config'
 WAVE_KEY_PREFIX = 'wave/'
@@ -105,8 +114,23 @@
 
     :raises msgspec.DecodeError: when the data is not a valid configuration.
     """
-    wire = _decode_configuration(data)
+    entries = decode_entries(data)
     return configuration.FleetConfiguration(
+        version=entries.version,
+        queues=entries.queues,
+        pools=entries.pools,
+        accounts=entries.accounts,
+        limits=entries.limits,
+    )
+
+
+def decode_entries(data):
+    """Return the :class:`configuration_check.ConfigurationEntries`.
+
+    :raises msgspec.DecodeError: when the data is not a valid configuration.
+    """
+    wire = _decode_configuration(data)
+    return configuration_check.ConfigurationEntries(
         version=wire.version,
         queues=[_to_queue(route) for route in wire.routes],
         pools=[
@@ -138,6 +162,20 @@
     )
 
 
+def redact_configuration(data):
+    """Return a configuration with a digest in place of each key.
+
+    :raises msgspec.DecodeError: when the data is not a valid configuration.
+    """
+    wire = _decode_configuration(data)
+    for tenant in wire.tenants:
+        tenant.apiKeys = tuple(
+            f'sha256:{hashlib.sha256(key.encode()).hexdigest()[:16]}'
+            for key in tenant.apiKeys
+        )
+    return msgspec.json.encode(wire)
+
+
 def _to_queue(route):
     advice = None
     if route.advice is not None:
--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -10,6 +10,7 @@
 
 from arbutusrock import errors
 from arbutusrock.platform import listeners
+from arbutusrock.platform import operator_rows
 from arbutusrock.platform import settings_file
 from examples.standins.site.site import create_step
 from tests import site_checks
@@ -87,6 +88,11 @@
         view = json.loads(text)
         assert (view['node'], view['owner'], view['epoch']) == ('n1', 'n1', 1)
         assert {pool['pool'] for pool in view['pools']} == {'alpha', 'spare'}
+        _, text = await fetch(site, serving['metrics'], '/configuration')
+        entries = operator_rows.decode_entries(text.encode())
+        assert [queue.pool for queue in entries.queues] == ['alpha']
+        keys = [key for account in entries.accounts for key in account.keys]
+        assert keys and all(key.startswith('sha256:') for key in keys)
         _, text = await fetch(site, serving['metrics'], '/metrics')
         assert 'arbutusrock_calls{' in text
         assert 'arbutusrock_call_seconds_bucket{' in text
