--- a/arbutusrock/scheduling/reservations.py
+++ b/arbutusrock/scheduling/reservations.py
@@ -44,6 +44,9 @@
 MOVE_MARGIN_S = 0.1
 # Times for a gang are tried in steps of this size.
 GANG_TIME_STEP_S = 0.05
+# No room is reserved for a gang that would have to wait longer, which also
+# bounds the times that are tried when the end of a run is not finite.
+MAX_GANG_WAIT_S = 86_400.0
 
 
 class Room:
@@ -304,7 +307,10 @@
     def fits_at(at_s):
         return sum(count_at(room, at_s) for room in eligible) >= claim.count
 
-    last_s = max((room.last_end_s for room in eligible), default=now_s)
+    last_s = min(
+        max((room.last_end_s for room in eligible), default=now_s),
+        now_s + MAX_GANG_WAIT_S,
+    )
     if fits_at(now_s) or not fits_at(last_s):
         return []
     steps = range(math.ceil((last_s - now_s) / GANG_TIME_STEP_S))
--- a/arbutusrock/scheduling/tests/test_reservations.py
+++ b/arbutusrock/scheduling/tests/test_reservations.py
@@ -107,6 +107,16 @@
     assert plan(rooms, create_claim(rooms, cpu=4, count=3, gang=True)) == []
 
 
+@pytest.mark.parametrize('end_s', [1e300, math.inf])
+def test_gang_waits_for_no_end_that_is_not_to_be_expected(end_s):
+    rooms = create_rooms(
+        {'a': 0, 'b': 0}, {'a': [(1.0, 8)], 'b': [(end_s, 8)]}
+    )
+    assert plan(rooms, create_claim(rooms, cpu=4, count=4, gang=True)) == []
+    (found,) = plan(rooms, create_claim(rooms, cpu=4, count=2, gang=True))
+    assert (found.worker_id, found.ready_at_s) == ('a', 1.0)
+
+
 def test_most_per_worker_spreads_tasks():
     rooms = create_rooms(
         {'a': 0, 'b': 0}, {'a': [(1.0, 16)], 'b': [(2.0, 16)]}
