Forget what accounts are due of a pool no longer divided

Cause: the parts of the last division stayed when only serving or excess steps waited, or when a configuration made the weights equal. An account that had its part then got no reservations for its large or serving steps any more. Change: they are dropped when no step that counts waits, and disregarded when shares are not in force. Result: the two tests test_no_account_has_its_part_* failed before and pass.

--- a/arbutusrock/engine/share_ledger.py
+++ b/arbutusrock/engine/share_ledger.py
@@ -88,6 +88,7 @@
             return
         waiting = [step for step in waiting if _is_shared(step)]
         if not waiting:
+            self._end_division(pool)
             return
         claims, capacity = self._create_claims(pool, waiting, workers, now_s)
         record = self._pools[pool]
@@ -125,6 +126,12 @@
         )
         self._log(pool, record, claims, levels, now_s)
 
+    def _end_division(self, pool):
+        """Note that a pool is no longer divided."""
+        record = self._pools.get(pool)
+        if record is not None:
+            record.due = None
+
     def _create_claims(self, pool, waiting, workers, now_s):
         """Return the claims on a pool and its capacity for shared tasks.
 
@@ -234,7 +241,7 @@
     def has_its_part(self, pool, account):
         """Return whether an account uses what it is due of a full pool."""
         record = self._pools.get(pool)
-        if record is None or record.due is None:
+        if record is None or record.due is None or not self.in_force:
             return False
         used = record.used.get(account, 0.0)
         return used > 0 and used >= record.due.get(account, 0.0)
--- a/arbutusrock/engine/tests/test_share_ledger.py
+++ b/arbutusrock/engine/tests/test_share_ledger.py
@@ -251,3 +251,33 @@
     worker.used_millicores = CORES * 1000
     steps = [create_step('large', 1), create_step('small', 2)]
     assert len(sort(ledger, steps, [worker])) == 2
+
+
+def create_divided_ledger():
+    """Return a ledger with a full pool, ``large`` having its part."""
+    ledger, worker = (
+        create_ledger({'large': 3, 'small': 1}),
+        create_worker('w'),
+    )
+    fill(ledger, worker)
+    steps = [create_step('large', 1), create_step('small', 2, 16)]
+    sort(ledger, steps, [worker])
+    assert ledger.has_its_part(POOL, 'large')
+    return ledger, worker
+
+
+def test_no_account_has_its_part_when_only_serving_tasks_wait():
+    ledger, worker = create_divided_ledger()
+    serving = plans.StepPlan(
+        count=1, demand=Resources(cpu=1000), long_running=True
+    )
+    sort(ledger, [create_step('large', 3, plan=serving)], [worker], 1.0)
+    assert not ledger.has_its_part(POOL, 'large')
+
+
+def test_no_account_has_its_part_when_weights_become_equal():
+    ledger, _ = create_divided_ledger()
+    ledger.term.configuration.current = create_ledger(
+        {'large': 1, 'small': 1}
+    ).term.configuration.current
+    assert not ledger.has_its_part(POOL, 'large')
