Restore no arrears that are not finite

Cause: NaN arrears of an earlier owner gave NaN levels, which do not sort, and never decayed. Change: values that are not finite are left out, as those of durations are. Result: test_arrears_that_cannot_be_are_not_restored failed before and passes.

--- a/arbutusrock/engine/share_ledger.py
+++ b/arbutusrock/engine/share_ledger.py
@@ -270,6 +270,7 @@
             record.arrears_s = {
                 account: fair_shares.compute_arrears(sum_s, None, 0.0, age_s)
                 for account, sum_s in arrears_s.items()
+                if math.isfinite(sum_s)
             }
 
     def _log(self, pool, record, claims, levels, now_s):
--- a/arbutusrock/engine/tests/test_share_ledger.py
+++ b/arbutusrock/engine/tests/test_share_ledger.py
@@ -1,5 +1,6 @@
 """The order of waiting steps in a full pool, and what is kept of it."""
 
+import math
 import types
 
 import pytest
@@ -281,3 +282,16 @@
         {'large': 1, 'small': 1}
     ).term.configuration.current
     assert not ledger.has_its_part(POOL, 'large')
+
+
+@pytest.mark.parametrize('value', [math.nan, math.inf, -math.inf])
+def test_arrears_that_cannot_be_are_not_restored(value):
+    ledger, worker = (
+        create_ledger({'large': 3, 'small': 1}),
+        create_worker('w'),
+    )
+    ledger.restore({POOL: {'large': value, 'small': 0.5}}, 0.0)
+    assert set(ledger.export()[POOL]) == {'small'}
+    fill(ledger, worker)
+    steps = [create_step('large', 1), create_step('small', 2)]
+    assert sort(ledger, steps, [worker]) == ['small', 'large']
