Count a start in the room that a reserved VM has left

Cause: a start was noted with the reservations before its run was added to the worker, so that the VM kept the free room of before for the rest of the pass. Later steps were weighed against reservations for room that was taken, which used up the gain of these. Change: the run is added first. Result: test_start_beside_reservation_counts_in_its_free_room failed before and passes.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -366,7 +366,6 @@
             )
         task.starts += 1
         self.term.phases.mark('first_start')
-        self.lookahead.record_start(task, worker, now_s)
         if task.starts > 1:
             LOG.info(
                 'a task is started again',
@@ -377,6 +376,7 @@
                 failed=len(task.failed_runs),
             )
         self.term.fleet.add_run(run)
+        self.lookahead.record_start(task, worker, now_s)
         self.term.job_registry.mark_active(task)
         link = self.links[worker.worker_id]
         ticket = self.ticket_cache.get_ticket(task.step, worker.worker_id)
--- a/arbutusrock/engine/tests/test_lookahead.py
+++ b/arbutusrock/engine/tests/test_lookahead.py
@@ -41,14 +41,14 @@
             crash_tracker=types.SimpleNamespace(culprits={}),
         )
         for name in vms:
-            self._add_worker(name)
+            self.add_worker(name)
 
     def patch_clocks(self):
         return mock.patch.multiple(
             clocks, now_s=lambda: self.now_s, wall_time_s=lambda: self.now_s
         )
 
-    def _add_worker(self, name):
+    def add_worker(self, name, labels=()):
         worker = fleet.WorkerState(
             entry=platform_messages.WorkerEntry(
                 worker_id=name,
@@ -56,6 +56,7 @@
                 address='h:1',
                 vm=name,
                 capacity=Resources(cpu=CORES, memory_mb=64_000),
+                labels=labels,
             ),
             now_s=self.now_s,
         )
@@ -361,3 +362,15 @@
             'p', tiny, [worker], owner.now_s, blocked=False
         )
     assert limited == [worker]
+
+
+def test_start_beside_reservation_counts_in_its_free_room():
+    owner, runs = create_full_owner()
+    owner.submit(cpu=10_000, estimate_s=2.0)
+    owner.submit(cpu=2000, estimate_s=0.05)
+    owner.dispatch()
+    owner.now_s += 0.05
+    owner.end(runs[0])
+    (run,) = owner.dispatch()
+    reserved = owner.dispatcher.lookahead._plans['p'].reserved
+    assert reserved[run.worker.worker_id].free[0] == 2000
