Look at all workers for steps that few of them may run

Cause: reservations were planned on the 64 workers of a pool with the most free cores. The few that have a label, or are large enough, are full under load and so not among these, and a step bound to them got no reservation in a pool with more workers: it waited as long as small tasks arrived. Rooms are created only for workers that some claim may use. Result: test_labelled_step_gets_reservation_in_large_pool failed before and passes.

--- a/arbutusrock/engine/lookahead.py
+++ b/arbutusrock/engine/lookahead.py
@@ -30,6 +30,8 @@
 MAX_CLAIMS = 6
 # Workers of a pool that are looked at, those with most free first.
 MAX_ROOMS = 64
+# If fewer of them may run a step, all workers of the pool are looked at.
+MIN_ELIGIBLE = reservations.MAX_VMS
 # Steps that are weighed against the reservations of a plan, the first in rank
 # first; later ones are held back.
 MAX_WEIGHED = 64
@@ -98,13 +100,13 @@
                 kept.setdefault(id(item.claim.key), set()).add(worker_id)
         plan.by_worker, plan.held = {}, {}
         vm_count = len(workers)
-        workers = heapq.nlargest(
-            MAX_ROOMS, workers, key=lambda item: item.free_millicores
-        )
         claims = self._find_claims(pool, steps, workers, kept, now_s)
         planned = []
         if claims:
-            rooms = self._create_rooms(workers, now_s)
+            eligible = set().union(*(claim.eligible for claim in claims))
+            rooms = self._create_rooms(
+                [item for item in workers if item.worker_id in eligible], now_s
+            )
             planned = reservations.plan_reservations(
                 rooms,
                 claims,
@@ -121,6 +123,7 @@
         """Return the claims of steps that fit nowhere, the first in rank."""
         if len(steps) < 2 or not workers:
             return []
+        pool_workers, workers = workers, _find_most_free(workers)
         capacity = max((item.capacity for item in workers), key=_get_size)
         if not any(_may_claim(step, capacity) for step in steps):
             return []
@@ -148,12 +151,9 @@
             )
             if not self._is_blocked(step, request, workers, max_free):
                 continue
-            eligible = [
-                item.worker_id
-                for item in workers
-                if placement.could_fit(item, request)
-                and item.vm not in request.deprioritized_vms
-            ]
+            eligible = _find_eligible(workers, request)
+            if len(eligible) < MIN_ELIGIBLE:
+                eligible = _find_eligible(pool_workers, request)
             claims.append(
                 reservations.Claim(
                     key=step,
@@ -161,7 +161,7 @@
                     demand=placement_requests.get_amounts(request.demand),
                     count=len(step.waiting),
                     gang=step.plan.gang,
-                    eligible=eligible,
+                    eligible=[item.worker_id for item in eligible],
                     most_per_worker=step.plan.most_per_worker,
                     kept=kept.get(id(step), frozenset()),
                 )
@@ -448,6 +448,22 @@
     )
 
 
+def _find_most_free(workers):
+    return heapq.nlargest(
+        MAX_ROOMS, workers, key=lambda item: item.free_millicores
+    )
+
+
+def _find_eligible(workers, request):
+    """Return the workers that may get a reservation for a request."""
+    return _find_most_free(
+        item
+        for item in workers
+        if placement.could_fit(item, request)
+        and item.vm not in request.deprioritized_vms
+    )
+
+
 def _find_large_use(workers, capacity):
     """Return which part of the cores in use runs what may claim room."""
     used = large = 0
--- a/arbutusrock/engine/tests/test_lookahead.py
+++ b/arbutusrock/engine/tests/test_lookahead.py
@@ -374,3 +374,18 @@
     (run,) = owner.dispatch()
     reserved = owner.dispatcher.lookahead._plans['p'].reserved
     assert reserved[run.worker.worker_id].free[0] == 2000
+
+
+def test_labelled_step_gets_reservation_in_large_pool():
+    """The VMs with its label are full, and many others have more free."""
+    owner = Owner(vms=[])
+    for name in ('a', 'b'):
+        owner.add_worker(name, labels=('fast',))
+    fill(owner, [1.0, 1.0, 1.0, 1.0, 6.0, 6.0, 6.0, 6.0])
+    for number in range(lookahead.MAX_ROOMS):
+        owner.add_worker(f'other{number:03}')
+    owner.now_s += lookahead.PLAN_INTERVAL_S
+    owner.submit(cpu=10_000, estimate_s=2.0, label='fast')
+    owner.submit(cpu=CORES + 1, estimate_s=5.0)
+    assert owner.dispatch() == []
+    assert owner.reserved == {'a'}
