Plan reservations only for steps that still have waiting tasks

Cause: suspects of a crash are started before the reservations are planned. When the last waiting task of a large, bound or gang step was one, the plan took the first of its waiting tasks, of which there was none: StopIteration, which ends the ownership. Change: steps without waiting tasks are left out after the suspects. Result: test_step_whose_suspect_started_apart_makes_no_claim failed before with StopIteration and passes.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -134,6 +134,8 @@
         self._start_suspects(
             pool_state, steps, workers, candidates, suspect_vms, now_s
         )
+        # Some may have no waiting task left.
+        steps = [step for step in steps if step.waiting]
         self.lookahead.begin_pass(pool, steps, candidates, now_s)
         max_free = placement_requests.find_max_free(candidates)
         steps = self._sort_steps(pool, steps, workers, max_free, now_s)
--- a/arbutusrock/engine/tests/test_lookahead.py
+++ b/arbutusrock/engine/tests/test_lookahead.py
@@ -389,3 +389,29 @@
     owner.submit(cpu=CORES + 1, estimate_s=5.0)
     assert owner.dispatch() == []
     assert owner.reserved == {'a'}
+
+
+def test_step_whose_suspect_started_apart_makes_no_claim():
+    owner, runs = create_full_owner()
+    large = owner.submit(cpu=10_000, estimate_s=2.0)
+    large.job.progress.crashes['0.0.0'] = []
+    owner.submit(cpu=4000, estimate_s=5.0)
+    for run in runs[:4]:
+        owner.end(run)
+    owner.submit(cpu=10_000, estimate_s=2.0)
+    worker = runs[0].worker
+    owner.dispatcher.links['a'].send_reserved_start = (
+        lambda run, *, spec, ticket, until_durable: owner._start(
+            run, spec=spec
+        )
+    )
+    starter = owner.dispatcher.guarded_starter
+    with mock.patch.multiple(
+        starter,
+        must_isolate=lambda task, now_s: task.step is large,
+        choose_workers=lambda *args: [worker],
+        reserve=mock.Mock(),
+    ):
+        started = owner.dispatch()
+    assert started[0].task.step is large
+    assert not large.waiting
