Keep the verdicts on steps by the step itself

Cause: whether a step is held back was kept by its id for 0.1 s. The id of a step that was freed meanwhile may be given to a new one, which then got the verdict on the other. Change: the step is the key. Result: test_verdict_on_step_is_not_taken_for_that_on_another failed before and passes.

--- a/arbutusrock/engine/lookahead.py
+++ b/arbutusrock/engine/lookahead.py
@@ -304,7 +304,7 @@
         wait takes :data:`MAX_WAIT_FRACTION` of its slack, as durations have
         tails.
         """
-        held = plan.held.get(id(step))
+        held = plan.held.get(step)
         if held is not None or len(plan.held) >= MAX_WEIGHED:
             return held is not False
         slack_s, value = self._assess(step)
@@ -318,7 +318,7 @@
             for item in found:
                 item.claim.gain -= loss
             self.term.metrics.count('held_back_steps_total')
-        plan.held[id(step)] = held
+        plan.held[step] = held
         return held
 
     # Dispatch.
--- a/arbutusrock/engine/pool_reservations.py
+++ b/arbutusrock/engine/pool_reservations.py
@@ -116,7 +116,7 @@
         self.by_worker = {}
         # Promises by the id of the step, which they keep alive.
         self.promises = {}
-        # Whether a step is held back, by its id, since they were made.
+        # Whether a step is held back, by the step, since they were made.
         self.held = {}
         # Workers of the pass without reservations, and each
         # ReservedWorker by worker id.
--- a/arbutusrock/engine/tests/test_lookahead.py
+++ b/arbutusrock/engine/tests/test_lookahead.py
@@ -437,3 +437,16 @@
             'p', beside, [worker, runs[4].worker], owner.now_s, blocked=True
         )
     assert limited == [worker]
+
+
+def test_verdict_on_step_is_not_taken_for_that_on_another():
+    """A step that is kept cannot have its id given to a later one."""
+    owner, runs = create_full_owner()
+    owner.submit(cpu=14_000, estimate_s=2.0)
+    long = owner.submit(cpu=4000, estimate_s=5.0)
+    owner.dispatch()
+    owner.now_s += 0.2
+    owner.end(runs[0])
+    owner.dispatch()
+    plan = owner.dispatcher.lookahead._plans['p']
+    assert plan.held == {long: True}
