Let reservations lapse in a pool without usable VMs

Cause: a pool whose VMs were all cordoned, draining or silent was left before its reservations were planned, which then stayed open in the metrics and kept their steps in memory. Change: the plan is made with no workers. Result: test_reservations_lapse_when_no_vm_is_left failed before and passes.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -108,6 +108,7 @@
         term = self.term
         workers = [item for item in pool_workers if item.usable]
         if not workers:
+            self.lookahead.begin_pass(pool, steps, [], now_s)
             return
         pool_state = guarded_starts.PoolState(
             workers=pool_workers, waiting_steps=steps
--- a/arbutusrock/engine/tests/test_lookahead.py
+++ b/arbutusrock/engine/tests/test_lookahead.py
@@ -450,3 +450,18 @@
     owner.dispatch()
     plan = owner.dispatcher.lookahead._plans['p']
     assert plan.held == {long: True}
+
+
+def test_reservations_lapse_when_no_vm_is_left():
+    owner, _ = create_full_owner()
+    owner.submit(cpu=10_000, estimate_s=2.0)
+    owner.submit(cpu=4000, estimate_s=5.0)
+    owner.dispatch()
+    assert owner.reserved == {'a'}
+    for worker in owner.term.fleet.workers.values():
+        cordon(worker)
+    owner.now_s += lookahead.PLAN_INTERVAL_S
+    owner.dispatch()
+    assert owner.reserved == set()
+    metrics = owner.term.metrics
+    assert metrics.get_gauge('reservations_open', (('pool', 'p'),)) == 0
