Forget what accounts attained that were removed

Cause: the ledger kept a record of each account that ever had work in a full pool until the ownership ended. Change: those of accounts that a new configuration lacks are dropped. Result: test_attainment_of_removed_account_is_forgotten failed before and passes.

--- a/arbutusrock/engine/share_ledger.py
+++ b/arbutusrock/engine/share_ledger.py
@@ -69,6 +69,8 @@
             self._checked = current
             weights = {item.weight for item in current.accounts.values()}
             self._in_force = len(weights) > 1
+            for name in self._attained.keys() - current.accounts.keys():
+                del self._attained[name]
         return self._in_force
 
     def sort_steps(self, pool, waiting, steps, workers, rank, now_s):
--- a/arbutusrock/engine/tests/test_share_ledger.py
+++ b/arbutusrock/engine/tests/test_share_ledger.py
@@ -295,3 +295,21 @@
     fill(ledger, worker)
     steps = [create_step('large', 1), create_step('small', 2)]
     assert sort(ledger, steps, [worker]) == ['small', 'large']
+
+
+def test_attainment_of_removed_account_is_forgotten():
+    ledger, worker = (
+        create_ledger({'large': 1, 'small': 3}),
+        create_worker('w'),
+    )
+    fill(ledger, worker)
+    steps = [create_step('large', 1, 16), create_step('small', 2, 16)]
+    for tick in range(6):
+        sort(ledger, steps, [worker], now_s=tick * 0.2)
+    assert ledger.get_attainment('small') == 0.0
+    ledger.term.configuration.current = create_ledger(
+        {'large': 1, 'other': 3}
+    ).term.configuration.current
+    assert ledger.in_force
+    assert ledger.get_attainment('small') == 1.0
+    assert set(ledger._attained) == {'large'}
