--- a/arbutusrock/engine/tests/test_share_ledger.py
+++ b/arbutusrock/engine/tests/test_share_ledger.py
@@ -1,5 +1,6 @@
 """The order of waiting steps in a full pool, and what is kept of it."""
 
+import math
 import types
 
 import pytest
@@ -251,3 +252,64 @@
     worker.used_millicores = CORES * 1000
     steps = [create_step('large', 1), create_step('small', 2)]
     assert len(sort(ledger, steps, [worker])) == 2
+
+
+def create_divided_ledger():
+    """Return a ledger with a full pool, ``large`` having its part."""
+    ledger, worker = (
+        create_ledger({'large': 3, 'small': 1}),
+        create_worker('w'),
+    )
+    fill(ledger, worker)
+    steps = [create_step('large', 1), create_step('small', 2, 16)]
+    sort(ledger, steps, [worker])
+    assert ledger.has_its_part(POOL, 'large')
+    return ledger, worker
+
+
+def test_no_account_has_its_part_when_only_serving_tasks_wait():
+    ledger, worker = create_divided_ledger()
+    serving = plans.StepPlan(
+        count=1, demand=Resources(cpu=1000), long_running=True
+    )
+    sort(ledger, [create_step('large', 3, plan=serving)], [worker], 1.0)
+    assert not ledger.has_its_part(POOL, 'large')
+
+
+def test_no_account_has_its_part_when_weights_become_equal():
+    ledger, _ = create_divided_ledger()
+    ledger.term.configuration.current = create_ledger(
+        {'large': 1, 'small': 1}
+    ).term.configuration.current
+    assert not ledger.has_its_part(POOL, 'large')
+
+
+@pytest.mark.parametrize('value', [math.nan, math.inf, -math.inf])
+def test_arrears_that_cannot_be_are_not_restored(value):
+    ledger, worker = (
+        create_ledger({'large': 3, 'small': 1}),
+        create_worker('w'),
+    )
+    ledger.restore({POOL: {'large': value, 'small': 0.5}}, 0.0)
+    assert set(ledger.export()[POOL]) == {'small'}
+    fill(ledger, worker)
+    steps = [create_step('large', 1), create_step('small', 2)]
+    assert sort(ledger, steps, [worker]) == ['small', 'large']
+
+
+def test_attainment_of_removed_account_is_forgotten():
+    ledger, worker = (
+        create_ledger({'large': 1, 'small': 3}),
+        create_worker('w'),
+    )
+    fill(ledger, worker)
+    steps = [create_step('large', 1, 16), create_step('small', 2, 16)]
+    for tick in range(6):
+        sort(ledger, steps, [worker], now_s=tick * 0.2)
+    assert ledger.get_attainment('small') == 0.0
+    ledger.term.configuration.current = create_ledger(
+        {'large': 1, 'other': 3}
+    ).term.configuration.current
+    assert ledger.in_force
+    assert ledger.get_attainment('small') == 1.0
+    assert set(ledger._attained) == {'large'}
