Give up no reservation of a serving task for work in time

Cause: a task that runs until it is cancelled has no estimate, so its slack is what is left of an objective that it may not have. Its reservation counted as late, with a tenth of the value, and each small job in time was worth more: a large serving step never got its room in a stream of them. Change: its gain is unbounded, as its tier goes before all others. Result: test_large_serving_task_gets_its_room_in_stream_of_small_ones failed before and passes.

--- a/arbutusrock/engine/lookahead.py
+++ b/arbutusrock/engine/lookahead.py
@@ -291,6 +291,9 @@
         )
 
     def _estimate_gain(self, reservation, now_s):
+        if reservation.claim.key.plan.long_running:
+            # It has no time to be late for, and goes before all others.
+            return math.inf
         slack_s, value = self._assess(reservation.claim.key)
         if slack_s >= reservation.ready_at_s - now_s:
             return value
--- a/arbutusrock/engine/tests/test_lookahead.py
+++ b/arbutusrock/engine/tests/test_lookahead.py
@@ -465,3 +465,16 @@
     assert owner.reserved == set()
     metrics = owner.term.metrics
     assert metrics.get_gauge('reservations_open', (('pool', 'p'),)) == 0
+
+
+def test_large_serving_task_gets_its_room_in_stream_of_small_ones():
+    owner, runs = create_full_owner()
+    live = runs[:4]
+    serving = owner.submit(cpu=14_000, estimate_s=0.0, long_running=True)
+    for _ in range(20):
+        owner.submit(cpu=4000, estimate_s=1.0)
+        if live:
+            owner.end(live.pop(0))
+        owner.now_s += 0.25
+        live.extend(owner.dispatch())
+    assert not serving.waiting
