Write the roster only over the one that this node left

Cause: a transaction without an answer may be carried out seconds later while its condition holds. One that wrote an old roster beside a heartbeat depended only on the claim, so it could replace a newer roster. A worker with runs was then missing, and since only workers in the roster are waited for, the next owner could start inherited tasks a second time. Change: a transaction with the roster expects the version of its row, first the one that the claim had as a condition. Result: the new test, which carries the first attempt out late, failed before and passes.

--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -113,6 +113,7 @@
             configuration=self.configuration,
             metrics=self.metrics,
             heartbeat_at_s=self.elector.heartbeat_at_s,
+            roster_version=self.elector.roster_version,
         )
         if self.elector.heartbeat is not None:
             term.forecast.restore(
--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -99,6 +99,11 @@
         # Versions of the owner's rows; 0 stands for an absent row.
         self._versions = dict.fromkeys(OWNER_KEYS, 0)
 
+    @property
+    def roster_version(self):
+        """Version of the stored roster at the last claim; 0 without one."""
+        return self._versions[state_writer.KEY_ROSTER]
+
     def record_heartbeat(self, heartbeat):
         """Record a heartbeat of the owner, which may be this node."""
         self.heartbeat = heartbeat
--- a/arbutusrock/engine/state_writer.py
+++ b/arbutusrock/engine/state_writer.py
@@ -70,6 +70,7 @@
         self.flushes_started = 0
         self.flushes_completed = 0
         self.roster = None
+        self._roster_version = term.roster_version
         self._heartbeat_count = 0
         self._heartbeat_sent_at_s = 0.0
         self._versions = {}
@@ -189,6 +190,18 @@
             version=self.term.claim_version,
         )
 
+    def _create_roster_condition(self):
+        """Return the condition that the roster is as this node left it.
+
+        An attempt without an answer may be carried out after a newer roster
+        was written, and a later owner would not know of workers with runs.
+        """
+        return rows.Row(
+            table=rows.TABLE_OWNER,
+            key=KEY_ROSTER,
+            version=self._roster_version,
+        )
+
     async def _commit(self, progress, queued_rows, *, with_heartbeat):
         claim = self.create_claim_condition()
         puts, roster = [*progress, *queued_rows], None
@@ -202,10 +215,16 @@
         ):
             owner_rows, roster = self._create_owner_rows()
             puts += owner_rows
+        expected = [claim, *progress]
+        writes_roster = roster is not None and roster != self.roster
+        if writes_roster:
+            expected.append(self._create_roster_condition())
         sent_at_s = clocks.now_s()
-        version = await self._write([claim, *progress], puts)
+        version = await self._write(expected, puts)
         for row in progress:
             self._versions[row.key] = version
+        if writes_roster:
+            self._roster_version = version
         if roster is not None:
             self._heartbeat_sent_at_s = sent_at_s
             self._record_roster(roster)
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -46,6 +46,8 @@
     :param metrics: :class:`arbutusrock.metrics.Metrics`.
     :param heartbeat_at_s: when the last heartbeat of an earlier owner was
         seen; 0 when none was.
+    :param roster_version: version of the roster row at the claim; 0 when
+        there was none.
     """
 
     def __init__(
@@ -58,11 +60,13 @@
         configuration,
         metrics,
         heartbeat_at_s=0.0,
+        roster_version=0,
     ):
         self.epoch = epoch
         # When the newest request that confirmed the ownership was sent.
         self.confirmed_at_s = claim_sent_at_s
         self.claim_version = claim_version
+        self.roster_version = roster_version
         self.settings = settings
         self.configuration = configuration
         self.metrics = metrics
--- a/arbutusrock/engine/tests/samples.py
+++ b/arbutusrock/engine/tests/samples.py
@@ -33,7 +33,7 @@
     )
 
 
-def create_term(*, epoch):
+def create_term(*, epoch, **fields):
     """Return a term whose claim has version 7, without a configuration."""
     return term_module.Term(
         epoch=epoch,
@@ -44,6 +44,7 @@
             current=None, cordons=data_centre_cordons.DataCentreCordons()
         ),
         metrics=metrics.Metrics(),
+        **fields,
     )
 
 
--- a/arbutusrock/engine/tests/test_state_writer.py
+++ b/arbutusrock/engine/tests/test_state_writer.py
@@ -1,5 +1,7 @@
 """Tests of the rows that one flush of the owner writes."""
 
+import msgspec
+
 from arbutusrock.engine import fleet
 from arbutusrock.engine import plans
 from arbutusrock.engine import platform_messages
@@ -183,3 +185,61 @@
     assert sum(len(keys) for keys in store.written_keys) > 40
     assert max(store.row_bytes) <= 65536
     assert max(store.transaction_bytes) * 4 / 3 < 1_000_000
+
+
+class LateStore:
+    """Carries out the first transaction on the roster again when asked.
+
+    Its answer is lost, so that the owner sends it once more.
+    """
+
+    def __init__(self):
+        self.versions = {state_writer.KEY_CLAIM: 7, state_writer.KEY_ROSTER: 5}
+        self.roster = None
+        self.unanswered = None
+
+    async def transact(self, *, expected, puts):
+        if self.unanswered is None:
+            self.unanswered = (expected, puts)
+            raise rows.StoreSilent('no answer')
+        return self.carry_out(expected, puts)
+
+    def carry_out(self, expected, puts):
+        current = [
+            rows.Row(
+                table=row.table,
+                key=row.key,
+                version=self.versions.get(row.key, 0),
+            )
+            for row in expected
+        ]
+        if [row.version for row in current] != [
+            row.version for row in expected
+        ]:
+            raise rows.Conflicted(current)
+        version = max(self.versions.values()) + 1
+        for row in puts:
+            self.versions[row.key] = version
+            if row.key == state_writer.KEY_ROSTER:
+                self.roster = row.value
+        return version
+
+
+async def test_late_attempt_does_not_replace_newer_roster(monkeypatch):
+    """The next owner would not ask a worker that the old roster lacks."""
+    monkeypatch.setattr(state_writer, 'MIN_RETRY_S', 0.0)
+    owner_term = samples.create_term(epoch=1, roster_version=5)
+    store = LateStore()
+    writer = state_writer.StateWriter(
+        term=owner_term, store=store, on_heartbeat=lambda _heartbeat: None
+    )
+    add_worker(owner_term, 'i-1')
+    await writer.flush()
+    add_worker(owner_term, 'i-2')
+    await writer.flush()
+    assert owner_term.fleet.workers['i-2'].in_roster
+    try:
+        store.carry_out(*store.unanswered)
+    except rows.Conflicted:
+        pass
+    assert set(msgspec.msgpack.decode(store.roster)) == {'i-1', 'i-2'}
