Take no error of the owner monitor for the end of the owner

Cause: an address that cannot be parsed, as one without a port, ended the monitor's task with an exception, which counted as the end of the owner's process. Each node then claimed a unit that was owned, again and again. Change: a malformed address counts as one that cannot be connected to, and any other error is logged and says nothing about the owner. Result: the new test failed for three of five addresses before and passes.

--- a/arbutusrock/engine/owner_monitor.py
+++ b/arbutusrock/engine/owner_monitor.py
@@ -79,7 +79,18 @@
             finally:
                 monitoring.cancel()
                 changed.cancel()
-            if not self._owner_changed.is_set() and owner == self._owner:
+            if self._owner_changed.is_set() or owner != self._owner:
+                continue
+            if monitoring.exception() is not None:
+                # An error says nothing about the owner.
+                LOG.error(
+                    'the monitor of the owner has failed',
+                    owner=owner[0],
+                    epoch=owner[1],
+                    exc_info=monitoring.exception(),
+                )
+                await asyncio.sleep(RETRY_DELAY_S)
+            else:
                 LOG.info(
                     'the process of the owner has ended',
                     owner=owner[0],
@@ -98,7 +109,7 @@
                     await self._wait_for_loss(address)
                 except ConnectionRefusedError:
                     refusals += 1
-                except (OSError, TimeoutError) as exc:
+                except (OSError, TimeoutError, ValueError) as exc:
                     LOG.debug(
                         'the owner cannot be connected to',
                         owner=node,
@@ -122,6 +133,7 @@
         """Connect to an address and return when the connection is lost.
 
         :raises OSError: the connection could not be opened.
+        :raises ValueError: the address is malformed.
         """
         host, _, port = address.rpartition(':')
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/arbutusrock/engine/tests/test_owner_monitor.py
+++ b/arbutusrock/engine/tests/test_owner_monitor.py
@@ -138,3 +138,18 @@
         7,
     )
     tasks[0].cancel()
+
+
+@pytest.mark.parametrize('address', ['h', 'h:x', 'h:99999', ':0', 'a..b:1'])
+async def test_monitor_takes_no_malformed_address_for_an_end(
+    monkeypatch, address
+):
+    """An error in the monitor made each node claim a unit that is owned."""
+    monkeypatch.setattr(owner_monitor, 'RETRY_DELAY_S', 0.01)
+    watcher = owner_monitor.OwnerMonitor(find_address=lambda _name: address)
+    running = asyncio.ensure_future(watcher.run())
+    watcher.follow('other', 4)
+    await asyncio.sleep(0.1)
+    assert not watcher.has_ended
+    assert not running.done()
+    running.cancel()
