Leave out malformed addresses of other nodes

Cause: a row of the table of nodes that is not valid UTF-8 raised in the task that reads the table, which ended the node's process; all nodes read it.

--- a/arbutusrock/engine/peers.py
+++ b/arbutusrock/engine/peers.py
@@ -63,7 +63,7 @@
                 # the parts that need an answer.
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            addresses = {item.key: item.value.decode() for item in found}
+            addresses = _decode_addresses(found)
             # A late write of an earlier process of this node may follow.
             written = addresses.pop(self.node, '') == self._own_address
             self.addresses = addresses
@@ -101,3 +101,20 @@
         """Close the connections to all peers."""
         for client in self._clients.values():
             await client.close()
+
+
+def _decode_addresses(found):
+    """Return the addresses in rows by node, without those of no use."""
+    addresses = {}
+    for row in found:
+        address = (row.value or b'').decode(errors='replace')
+        host, _, port = address.rpartition(':')
+        if host and port.isascii() and port.isdigit():
+            addresses[row.key] = address
+        else:
+            LOG.error(
+                'the address of a node is malformed',
+                node=row.key,
+                address=address,
+            )
+    return addresses
