Take no undecodable answer at a peer's address for an error of the node

Cause: an answer with status 200 that is none of a peer, as of another process at its address, raised a DecodeError, which ended tasks of the node. A peer that left a transaction unanswered stayed the first to be asked. Change: such a transaction has an unknown outcome, and a reading call goes to the next peer; either way the peer is excluded for a while.

--- a/arbutusrock/engine/relay.py
+++ b/arbutusrock/engine/relay.py
@@ -259,23 +259,30 @@
                 reply = await self.peers.call(
                     name, body, timeout_s=wait_s + RELAY_TIMEOUT_S
                 )
+                answer = None if reply is None else _decode_answer(reply)
             except http.NotSent:
-                reply = None
-            except http.NoAnswer as exc:
+                answer = None
+            except (http.NoAnswer, msgspec.DecodeError) as exc:
+                # An answer that cannot be decoded is not one of a peer, as of
+                # a process that has taken its address.
                 if isinstance(call, Transact):
+                    self._exclude(name)
                     raise rows.StoreSilent(str(exc)) from exc
-                reply = None
-            if reply is not None:
+                answer = None
+            if answer is not None:
                 self._last_peer = name
                 self._unreachable_at_s = None
                 self.metrics.count('store_relayed')
-                return _check_answer(_decode_answer(reply))
-            self._excluded[name] = clocks.now_s() + PEER_EXCLUSION_S
-            if self._last_peer == name:
-                self._last_peer = None
+                return _check_answer(answer)
+            self._exclude(name)
         self._record_unreachable()
         return None
 
+    def _exclude(self, name):
+        self._excluded[name] = clocks.now_s() + PEER_EXCLUSION_S
+        if self._last_peer == name:
+            self._last_peer = None
+
     def _choose_peer(self):
         now_s = clocks.now_s()
         self._excluded = {
--- a/arbutusrock/engine/tests/test_relay.py
+++ b/arbutusrock/engine/tests/test_relay.py
@@ -203,3 +203,30 @@
     assert await older_call == ([], 7)
     assert store.peers.calls == 1
     assert not store.direct_path_down
+
+
+class ForeignPeers(FakePeers):
+    """One peer whose address another process has taken."""
+
+    async def call(self, name, body, *, timeout_s):
+        return b'# HELP calls'
+
+
+async def test_foreign_answer_of_peer_ends_no_call_with_decode_error():
+    """Such an error ended tasks of the node, and with them its process."""
+    direct = FakeStore()
+    direct.failure = rows.StoreRefused('down')
+    store = relay.FailoverStore(
+        direct=direct,
+        peers=ForeignPeers(other=FakeStore()),
+        metrics=metrics.Metrics(),
+    )
+    # Whether the transaction was carried out is not known.
+    with pytest.raises(rows.StoreSilent):
+        await store.transact()
+    # The peer is not asked again at once.
+    assert store.peers.choose(store._excluded) is None
+    store._excluded.clear()
+    with pytest.raises(rows.StoreRefused):
+        await store.read_range(rows.TABLE_JOBS)
+    await store.close()
