Wait before the next claim when the store refuses one

Cause: once the owner's process had ended, a node whose claims the store refused, as for its rate of calls, claimed again after 25 ms on average, each time with a read; all nodes did so together. Change: a refused claim is followed by the delay of other refused calls.

--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -276,9 +276,13 @@
             version = await self.store.transact(
                 expected=conditions, puts=[put]
             )
-        except (rows.Conflicted, rows.StoreRefused) as exc:
+        except rows.Conflicted as exc:
             LOG.info('the claim was not accepted', error=str(exc))
             return False
+        except rows.StoreRefused as exc:
+            LOG.info('the claim was refused', error=str(exc))
+            await asyncio.sleep(RETRY_DELAY_S)
+            return False
         except rows.StoreSilent:
             # The rows tell whether the claim took effect. If it does so
             # later, the next claim fails on its condition, and the rows are
--- a/arbutusrock/engine/tests/test_owner_monitor.py
+++ b/arbutusrock/engine/tests/test_owner_monitor.py
@@ -10,6 +10,7 @@
 
 from arbutusrock.engine import owner_monitor
 from arbutusrock.engine import ownership
+from arbutusrock.engine import rows
 from arbutusrock.engine import state_writer
 from arbutusrock.engine.tests import test_ownership
 
@@ -153,3 +154,39 @@
     assert not watcher.has_ended
     assert not running.done()
     running.cancel()
+
+
+class RefusingStore(SilentStore):
+    """A store that serves reads and refuses all transactions."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.claims = 0
+
+    async def transact(self, *, expected, puts):
+        self.claims += 1
+        raise rows.StoreBusy('too many calls')
+
+
+async def test_refused_claims_do_not_press_the_store(process):
+    """Claims followed each other without a delay once a process had ended."""
+    store = RefusingStore(test_ownership.Clock())
+    elector = ownership.OwnerElector(
+        store=store,
+        node='n1',
+        cores=2.0,
+        find_address=lambda _name: process.address,
+    )
+    loop = asyncio.get_running_loop()
+    tasks = [
+        loop.create_task(elector.monitor.run()),
+        loop.create_task(elector.acquire()),
+    ]
+    await _wait_until_connected(process)
+    process.end()
+    async with asyncio.timeout(TIMEOUT_S):
+        await elector.monitor.wait_until_ended()
+    await asyncio.sleep(1.0)
+    assert 1 <= store.claims <= 1.0 / ownership.RETRY_DELAY_S + 1
+    for task in tasks:
+        task.cancel()
