Ignore SIGHUP while the modules of a node are imported

Cause: until the server handles signals, SIGHUP has its default and ended a node whose sockets listened already and held callers in their backlog. Change: it is ignored from when the sockets listen; the settings that the node uses are read later.

--- a/arbutusrock/platform/__main__.py
+++ b/arbutusrock/platform/__main__.py
@@ -31,6 +31,13 @@
     return server
 
 
+def ignore_hangups():
+    """Ignore SIGHUP until the server handles it; by default it ends us."""
+    import signal
+
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def main(arguments=()):
     """Run the node until a signal stops it, or only validate the settings.
 
@@ -42,6 +49,7 @@
     listeners = listeners_module.open_listeners(
         listeners_module.find_settings_path()
     )
+    ignore_hangups()
     listening_cpu_s = time.process_time()
     return load_server().run(listeners, listening_cpu_s=listening_cpu_s)
 
--- a/arbutusrock/platform/tests/test_start.py
+++ b/arbutusrock/platform/tests/test_start.py
@@ -1,5 +1,6 @@
 """What a node imports before its sockets listen."""
 
+import os
 import subprocess
 import sys
 
@@ -84,3 +85,26 @@
     with pytest.raises(OSError, match='in use'):
         listeners.open_listeners(path)
     first.close()
+
+
+HANGUP_WHILE_IMPORTING = """
+import os, signal, types
+from arbutusrock.platform import __main__
+
+def load_server():
+    os.kill(os.getpid(), signal.SIGHUP)
+    return types.SimpleNamespace(run=lambda *_args, **_fields: 0)
+
+__main__.load_server = load_server
+raise SystemExit(__main__.main())
+"""
+
+
+def test_hangup_while_modules_are_imported_does_not_end_the_node(tmp_path):
+    """The default of the signal ended a node that was about to serve."""
+    process = subprocess.run(  # noqa: S603
+        [sys.executable, '-c', HANGUP_WHILE_IMPORTING],
+        check=False,
+        env={**os.environ, listeners.PATH_VARIABLE: str(tmp_path / 'absent')},
+    )
+    assert process.returncode == 0
