Leave a port out of range to the validation of the settings

Cause: a port above 65535, or a digit that is no decimal, raised an error before the settings were validated, which would have named the field. Change: such an address gets no early socket. Result: the new test failed for both before and passes.

--- a/arbutusrock/platform/listeners.py
+++ b/arbutusrock/platform/listeners.py
@@ -17,6 +17,7 @@
 PATH_VARIABLE = 'ARBUTUSROCK_BOOT'
 DEFAULT_PATH = '/etc/arbutusrock/boot.conf'
 LISTEN_BACKLOG = 512
+MAX_PORT = 65_535
 # Fields with the addresses on which others call a node. The metrics are on
 # the last port of the range and need no early socket.
 EARLY_FIELDS = {
@@ -53,7 +54,7 @@
     listeners = {}
     for purpose, field in EARLY_FIELDS.items():
         host, _, port = values.get(field, '').rpartition(':')
-        if host and port.isdigit():
+        if host and port.isdecimal() and int(port) <= MAX_PORT:
             listeners[purpose] = open_listener(host, int(port))
     return listeners
 
--- a/arbutusrock/platform/tests/test_start.py
+++ b/arbutusrock/platform/tests/test_start.py
@@ -108,3 +108,9 @@
         env={**os.environ, listeners.PATH_VARIABLE: str(tmp_path / 'absent')},
     )
     assert process.returncode == 0
+
+
+@pytest.mark.parametrize('port', ['70000', '\u00b2'])
+def test_open_listeners_leaves_invalid_port_to_the_validation(tmp_path, port):
+    path = write_settings(tmp_path, f'listen.frontend=127.0.0.1:{port}\n')
+    assert listeners.open_listeners(path) == {}
