Say when a confirmation of the ownership is not outlived, and note the fixes

Cause: the comment named only the takeover after missed heartbeats. Change: it names the takeover after the end of the process as well. Result: all tests of the package pass.

--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -22,7 +22,8 @@
 # process. It is half of the time that other nodes wait before they take over.
 MIN_STALL_S = 0.8
 # A confirmation of the ownership holds for this time from when the store was
-# asked. Other nodes take over after at least 1.6 s without a heartbeat.
+# asked. Other nodes take over after at least 1.6 s without a heartbeat, or at
+# once when the process of the owner has ended and can start nothing.
 CONFIRMATION_VALID_S = 1.4
 # The number of a run is epoch x this + count, so that runs of different owners
 # never share a number.
