--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -99,6 +99,11 @@
         # Versions of the owner's rows; 0 stands for an absent row.
         self._versions = dict.fromkeys(OWNER_KEYS, 0)
 
+    @property
+    def roster_version(self):
+        """Version of the stored roster at the last claim; 0 without one."""
+        return self._versions[state_writer.KEY_ROSTER]
+
     def record_heartbeat(self, heartbeat):
         """Record a heartbeat of the owner, which may be this node."""
         self.heartbeat = heartbeat
@@ -271,9 +276,13 @@
             version = await self.store.transact(
                 expected=conditions, puts=[put]
             )
-        except (rows.Conflicted, rows.StoreRefused) as exc:
+        except rows.Conflicted as exc:
             LOG.info('the claim was not accepted', error=str(exc))
             return False
+        except rows.StoreRefused as exc:
+            LOG.info('the claim was refused', error=str(exc))
+            await asyncio.sleep(RETRY_DELAY_S)
+            return False
         except rows.StoreSilent:
             # The rows tell whether the claim took effect. If it does so
             # later, the next claim fails on its condition, and the rows are
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -22,7 +22,8 @@
 # process. It is half of the time that other nodes wait before they take over.
 MIN_STALL_S = 0.8
 # A confirmation of the ownership holds for this time from when the store was
-# asked. Other nodes take over after at least 1.6 s without a heartbeat.
+# asked. Other nodes take over after at least 1.6 s without a heartbeat, or at
+# once when the process of the owner has ended and can start nothing.
 CONFIRMATION_VALID_S = 1.4
 # The number of a run is epoch x this + count, so that runs of different owners
 # never share a number.
@@ -46,6 +47,8 @@
     :param metrics: :class:`arbutusrock.metrics.Metrics`.
     :param heartbeat_at_s: when the last heartbeat of an earlier owner was
         seen; 0 when none was.
+    :param roster_version: version of the roster row at the claim; 0 when
+        there was none.
     """
 
     def __init__(
@@ -58,11 +61,13 @@
         configuration,
         metrics,
         heartbeat_at_s=0.0,
+        roster_version=0,
     ):
         self.epoch = epoch
         # When the newest request that confirmed the ownership was sent.
         self.confirmed_at_s = claim_sent_at_s
         self.claim_version = claim_version
+        self.roster_version = roster_version
         self.settings = settings
         self.configuration = configuration
         self.metrics = metrics
