Let heartbeats and the silence of a whole pool prove a belief wrong

A living owner whose listener refused twice would lose its unit; an owner cut off from its workers would take whole pools for lost and order VMs. Change: two new heartbeats take the end of a process back; silent VMs are left out only where they are at most half of their pool. Result: a test each that fails without the change.

--- a/arbutusrock/engine/owner_monitor.py
+++ b/arbutusrock/engine/owner_monitor.py
@@ -22,6 +22,9 @@
 # A listener that was refused once may be about to listen again, after a
 # restart; the second refusal decides.
 CONFIRM_DELAY_S = 0.03
+# Heartbeats after the supposed end of a process that prove it wrong. One may
+# be a write that the store carried out late.
+MIN_HEARTBEATS_OF_LIFE = 2
 LOG = logs.get_log('ownership')
 
 
@@ -38,6 +41,8 @@
         self._owner_changed = asyncio.Event()
         self._ended_epoch = None
         self._ended = asyncio.Event()
+        # Heartbeats seen since.
+        self._heartbeats = 0
 
     def follow(self, node, epoch):
         """Monitor the process of a node from now on.
@@ -49,9 +54,26 @@
         if owner == self._owner:
             return
         self._owner = owner
+        self._monitor_again()
+
+    def _monitor_again(self):
         self._ended.clear()
+        self._heartbeats = 0
         self._owner_changed.set()
 
+    def record_heartbeat(self):
+        """Note a new heartbeat of the present owner."""
+        if not self.has_ended:
+            return
+        self._heartbeats += 1
+        if self._heartbeats >= MIN_HEARTBEATS_OF_LIFE:
+            LOG.warning(
+                'the process of the owner has not ended',
+                owner=self._owner[0],
+                epoch=self._owner[1],
+            )
+            self._monitor_again()
+
     async def wait_until_ended(self):
         """Wait until the process of the present owner is known to be gone."""
         await self._ended.wait()
--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -212,7 +212,11 @@
                 self._roster = _decode_roster(row.value)
                 return False
             case state_writer.KEY_HEARTBEAT:
-                self.record_heartbeat(_decode_heartbeat(row.value))
+                heartbeat = _decode_heartbeat(row.value)
+                known = self.heartbeat
+                if known is None or heartbeat.number != known.number:
+                    self.monitor.record_heartbeat()
+                self.record_heartbeat(heartbeat)
                 return True
             case _:
                 return False
--- a/arbutusrock/engine/tests/test_owner_monitor.py
+++ b/arbutusrock/engine/tests/test_owner_monitor.py
@@ -104,6 +104,27 @@
     assert not monitor.has_ended
 
 
+async def test_two_heartbeats_prove_that_the_owner_lives(process, monitor):
+    """A listener that refused for a moment must not cost an owner its unit.
+
+    One heartbeat may be a write that the store carried out late.
+    """
+    monitor.follow('other', 4)
+    await _wait_until_connected(process)
+    process.end()
+    async with asyncio.timeout(TIMEOUT_S):
+        await monitor.wait_until_ended()
+    await process.listen()
+    monitor.record_heartbeat()
+    assert monitor.has_ended
+    monitor.record_heartbeat()
+    assert not monitor.has_ended
+    await _wait_until_connected(process)
+    process.end()
+    async with asyncio.timeout(TIMEOUT_S):
+        await monitor.wait_until_ended()
+
+
 class SilentStore(test_ownership.UnresponsiveOwnerStore):
     """A store whose watch calls last, as without any change."""
 
--- a/arbutusrock/engine/tests/test_vm_views.py
+++ b/arbutusrock/engine/tests/test_vm_views.py
@@ -9,13 +9,14 @@
 from arbutusrock.utils import clocks
 
 
-def create_view(*, unresponsive, silent_s):
-    """Return the view of a pool of two VMs, of which one is silent."""
+def create_view(*, unresponsive, silent_s, silent_count=1):
+    """Return the view of a pool of two VMs, of which some are silent."""
     controller, workers = test_cordons.create_controller('z1', 'z1')
     now_s = clocks.now_s()
     test_cordons.add_run(controller.term, workers[0], long_running=True)
-    workers[0].unresponsive = unresponsive
-    workers[0].last_reply_at_s = now_s - silent_s
+    for worker in workers[:silent_count]:
+        worker.unresponsive = unresponsive
+        worker.last_reply_at_s = now_s - silent_s
     registry = test_cordons.create_registry(controller.term, workers)
     (view,) = vm_views.create_pool_views(controller.term, registry, now_s)
     return view
@@ -30,3 +31,9 @@
 def test_short_silence_changes_nothing():
     assert len(create_view(unresponsive=True, silent_s=0.5).vms) == 2
     assert len(create_view(unresponsive=False, silent_s=2.0).vms) == 2
+
+
+def test_silence_of_a_whole_pool_changes_nothing():
+    """The owner is cut off from the workers; other VMs would not help."""
+    view = create_view(unresponsive=True, silent_s=2.0, silent_count=2)
+    assert len(view.vms) == 2
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -134,6 +134,7 @@
     A VM that is being moved counts for the pool that it joins.
     """
     workers = map_workers_by_vm(term.fleet)
+    silent = _find_silent_vms(term.fleet, now_s)
     views = {
         pool.name: pool_sizing.PoolView(name=pool.name, spare=pool.spare)
         for pool in term.configuration.current.pools.values()
@@ -142,7 +143,7 @@
         view = views.get(
             tracked.order.target if tracked.order else tracked.entry.pool
         )
-        if view is not None:
+        if view is not None and name not in silent:
             vm = _create_vm_view(
                 name, tracked, workers.get(name), now_s, view.spare
             )
@@ -156,6 +157,32 @@
     return list(views.values())
 
 
+def _find_silent_vms(fleet, now_s):
+    """Return the VMs that are no room of their pools, as they are silent.
+
+    Such a pool needs other VMs, also while the silent ones may still have
+    runs. Where more than half of a pool is silent, the owner is rather cut off
+    itself, and other VMs would not help.
+    """
+    totals, silent = {}, {}
+    for worker in fleet.workers.values():
+        pool = worker.entry.pool
+        if worker.ended:
+            continue
+        totals[pool] = totals.get(pool, 0) + 1
+        if (
+            worker.unresponsive
+            and now_s - worker.last_reply_at_s > MAX_SILENCE_S
+        ):
+            silent.setdefault(pool, set()).add(worker.vm)
+    return {
+        vm
+        for pool, vms in silent.items()
+        if 2 * len(vms) <= totals[pool]
+        for vm in vms
+    }
+
+
 def _is_cordoned(tracked, cordons):
     """Return whether a VM is in an evacuated data centre.
 
@@ -190,9 +217,6 @@
         )
     if worker is None or worker.entry.draining:
         return None
-    if worker.unresponsive and now_s - worker.last_reply_at_s > MAX_SILENCE_S:
-        # The pool needs another VM, also while it may still have runs.
-        return None
     idle_s = 0.0
     if not tracked.was_used or worker.cordon_reason == CORDON_SHRINK:
         idle_s = math.inf
