--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -108,6 +108,7 @@
         term = self.term
         workers = [item for item in pool_workers if item.usable]
         if not workers:
+            self.lookahead.begin_pass(pool, steps, [], now_s)
             return
         pool_state = guarded_starts.PoolState(
             workers=pool_workers, waiting_steps=steps
@@ -134,6 +135,8 @@
         self._start_suspects(
             pool_state, steps, workers, candidates, suspect_vms, now_s
         )
+        # Some may have no waiting task left.
+        steps = [step for step in steps if step.waiting]
         self.lookahead.begin_pass(pool, steps, candidates, now_s)
         max_free = placement_requests.find_max_free(candidates)
         steps = self._sort_steps(pool, steps, workers, max_free, now_s)
@@ -366,7 +369,6 @@
             )
         task.starts += 1
         self.term.phases.mark('first_start')
-        self.lookahead.record_start(task, worker, now_s)
         if task.starts > 1:
             LOG.info(
                 'a task is started again',
@@ -377,6 +379,7 @@
                 failed=len(task.failed_runs),
             )
         self.term.fleet.add_run(run)
+        self.lookahead.record_start(task, worker, now_s)
         self.term.job_registry.mark_active(task)
         link = self.links[worker.worker_id]
         ticket = self.ticket_cache.get_ticket(task.step, worker.worker_id)
--- a/arbutusrock/engine/owner_monitor.py
+++ b/arbutusrock/engine/owner_monitor.py
@@ -22,6 +22,9 @@
 # A listener that was refused once may be about to listen again, after a
 # restart; the second refusal decides.
 CONFIRM_DELAY_S = 0.03
+# Heartbeats after the supposed end of a process that prove it wrong. One may
+# be a write that the store carried out late.
+MIN_HEARTBEATS_OF_LIFE = 2
 LOG = logs.get_log('ownership')
 
 
@@ -38,6 +41,8 @@
         self._owner_changed = asyncio.Event()
         self._ended_epoch = None
         self._ended = asyncio.Event()
+        # Heartbeats seen since.
+        self._heartbeats = 0
 
     def follow(self, node, epoch):
         """Monitor the process of a node from now on.
@@ -49,9 +54,26 @@
         if owner == self._owner:
             return
         self._owner = owner
+        self._monitor_again()
+
+    def _monitor_again(self):
         self._ended.clear()
+        self._heartbeats = 0
         self._owner_changed.set()
 
+    def record_heartbeat(self):
+        """Note a new heartbeat of the present owner."""
+        if not self.has_ended:
+            return
+        self._heartbeats += 1
+        if self._heartbeats >= MIN_HEARTBEATS_OF_LIFE:
+            LOG.warning(
+                'the process of the owner has not ended',
+                owner=self._owner[0],
+                epoch=self._owner[1],
+            )
+            self._monitor_again()
+
     async def wait_until_ended(self):
         """Wait until the process of the present owner is known to be gone."""
         await self._ended.wait()
@@ -79,7 +101,18 @@
             finally:
                 monitoring.cancel()
                 changed.cancel()
-            if not self._owner_changed.is_set() and owner == self._owner:
+            if self._owner_changed.is_set() or owner != self._owner:
+                continue
+            if monitoring.exception() is not None:
+                # An error says nothing about the owner.
+                LOG.error(
+                    'the monitor of the owner has failed',
+                    owner=owner[0],
+                    epoch=owner[1],
+                    exc_info=monitoring.exception(),
+                )
+                await asyncio.sleep(RETRY_DELAY_S)
+            else:
                 LOG.info(
                     'the process of the owner has ended',
                     owner=owner[0],
@@ -98,7 +131,7 @@
                     await self._wait_for_loss(address)
                 except ConnectionRefusedError:
                     refusals += 1
-                except (OSError, TimeoutError) as exc:
+                except (OSError, TimeoutError, ValueError) as exc:
                     LOG.debug(
                         'the owner cannot be connected to',
                         owner=node,
@@ -122,6 +155,7 @@
         """Connect to an address and return when the connection is lost.
 
         :raises OSError: the connection could not be opened.
+        :raises ValueError: the address is malformed.
         """
         host, _, port = address.rpartition(':')
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/arbutusrock/engine/pool_reservations.py
+++ b/arbutusrock/engine/pool_reservations.py
@@ -63,6 +63,14 @@
             )
         )
 
+    def release(self):
+        """Let all work go there, as the reservations have been used.
+
+        It remains among the reserved ones for the rest of the pass, since
+        steps that fit on none of the others look at these only.
+        """
+        self.first_rank = (math.inf,)
+
     def leaves_room(self, rank, amounts, end_s):
         """Return whether work may go there beside the reservations."""
         if rank <= self.first_rank or end_s <= self.ready_at_s:
@@ -108,7 +116,7 @@
         self.by_worker = {}
         # Promises by the id of the step, which they keep alive.
         self.promises = {}
-        # Whether a step is held back, by its id, since they were made.
+        # Whether a step is held back, by the step, since they were made.
         self.held = {}
         # Workers of the pass without reservations, and each
         # ReservedWorker by worker id.
--- a/arbutusrock/engine/share_ledger.py
+++ b/arbutusrock/engine/share_ledger.py
@@ -69,6 +69,8 @@
             self._checked = current
             weights = {item.weight for item in current.accounts.values()}
             self._in_force = len(weights) > 1
+            for name in self._attained.keys() - current.accounts.keys():
+                del self._attained[name]
         return self._in_force
 
     def sort_steps(self, pool, waiting, steps, workers, rank, now_s):
@@ -88,6 +90,7 @@
             return
         waiting = [step for step in waiting if _is_shared(step)]
         if not waiting:
+            self._end_division(pool)
             return
         claims, capacity = self._create_claims(pool, waiting, workers, now_s)
         record = self._pools[pool]
@@ -125,6 +128,12 @@
         )
         self._log(pool, record, claims, levels, now_s)
 
+    def _end_division(self, pool):
+        """Note that a pool is no longer divided."""
+        record = self._pools.get(pool)
+        if record is not None:
+            record.due = None
+
     def _create_claims(self, pool, waiting, workers, now_s):
         """Return the claims on a pool and its capacity for shared tasks.
 
@@ -234,7 +243,7 @@
     def has_its_part(self, pool, account):
         """Return whether an account uses what it is due of a full pool."""
         record = self._pools.get(pool)
-        if record is None or record.due is None:
+        if record is None or record.due is None or not self.in_force:
             return False
         used = record.used.get(account, 0.0)
         return used > 0 and used >= record.due.get(account, 0.0)
@@ -263,6 +272,7 @@
             record.arrears_s = {
                 account: fair_shares.compute_arrears(sum_s, None, 0.0, age_s)
                 for account, sum_s in arrears_s.items()
+                if math.isfinite(sum_s)
             }
 
     def _log(self, pool, record, claims, levels, now_s):
--- a/arbutusrock/engine/tests/test_lookahead.py
+++ b/arbutusrock/engine/tests/test_lookahead.py
@@ -41,14 +41,14 @@
             crash_tracker=types.SimpleNamespace(culprits={}),
         )
         for name in vms:
-            self._add_worker(name)
+            self.add_worker(name)
 
     def patch_clocks(self):
         return mock.patch.multiple(
             clocks, now_s=lambda: self.now_s, wall_time_s=lambda: self.now_s
         )
 
-    def _add_worker(self, name):
+    def add_worker(self, name, labels=()):
         worker = fleet.WorkerState(
             entry=platform_messages.WorkerEntry(
                 worker_id=name,
@@ -56,6 +56,7 @@
                 address='h:1',
                 vm=name,
                 capacity=Resources(cpu=CORES, memory_mb=64_000),
+                labels=labels,
             ),
             now_s=self.now_s,
         )
@@ -361,3 +362,119 @@
             'p', tiny, [worker], owner.now_s, blocked=False
         )
     assert limited == [worker]
+
+
+def test_start_beside_reservation_counts_in_its_free_room():
+    owner, runs = create_full_owner()
+    owner.submit(cpu=10_000, estimate_s=2.0)
+    owner.submit(cpu=2000, estimate_s=0.05)
+    owner.dispatch()
+    owner.now_s += 0.05
+    owner.end(runs[0])
+    (run,) = owner.dispatch()
+    reserved = owner.dispatcher.lookahead._plans['p'].reserved
+    assert reserved[run.worker.worker_id].free[0] == 2000
+
+
+def test_labelled_step_gets_reservation_in_large_pool():
+    """The VMs with its label are full, and many others have more free."""
+    owner = Owner(vms=[])
+    for name in ('a', 'b'):
+        owner.add_worker(name, labels=('fast',))
+    fill(owner, [1.0, 1.0, 1.0, 1.0, 6.0, 6.0, 6.0, 6.0])
+    for number in range(lookahead.MAX_ROOMS):
+        owner.add_worker(f'other{number:03}')
+    owner.now_s += lookahead.PLAN_INTERVAL_S
+    owner.submit(cpu=10_000, estimate_s=2.0, label='fast')
+    owner.submit(cpu=CORES + 1, estimate_s=5.0)
+    assert owner.dispatch() == []
+    assert owner.reserved == {'a'}
+
+
+def test_step_whose_suspect_started_apart_makes_no_claim():
+    owner, runs = create_full_owner()
+    large = owner.submit(cpu=10_000, estimate_s=2.0)
+    large.job.progress.crashes['0.0.0'] = []
+    owner.submit(cpu=4000, estimate_s=5.0)
+    for run in runs[:4]:
+        owner.end(run)
+    owner.submit(cpu=10_000, estimate_s=2.0)
+    worker = runs[0].worker
+    owner.dispatcher.links['a'].send_reserved_start = (
+        lambda run, *, spec, ticket, until_durable: owner._start(
+            run, spec=spec
+        )
+    )
+    starter = owner.dispatcher.guarded_starter
+    with mock.patch.multiple(
+        starter,
+        must_isolate=lambda task, now_s: task.step is large,
+        choose_workers=lambda *args: [worker],
+        reserve=mock.Mock(),
+    ):
+        started = owner.dispatch()
+    assert started[0].task.step is large
+    assert not large.waiting
+
+
+def test_room_beside_reserved_task_is_open_in_the_same_pass():
+    """Also to steps of a size that no other VM has had room for."""
+    owner, runs = create_full_owner()
+    owner.submit(cpu=10_000, estimate_s=2.0)
+    long = owner.submit(cpu=8000, estimate_s=5.0)
+    owner.dispatch()
+    for run in runs[:4]:
+        owner.end(run)
+    owner.dispatch()
+    assert long.waiting
+    ahead = owner.dispatcher.lookahead
+    worker = runs[0].worker
+    assert worker.free_millicores == 6000
+    beside = owner.submit(cpu=4000, estimate_s=5.0)
+    assert ahead.holds_workers('p')
+    with owner.patch_clocks():
+        limited = ahead.limit_workers(
+            'p', beside, [worker, runs[4].worker], owner.now_s, blocked=True
+        )
+    assert limited == [worker]
+
+
+def test_verdict_on_step_is_not_taken_for_that_on_another():
+    """A step that is kept cannot have its id given to a later one."""
+    owner, runs = create_full_owner()
+    owner.submit(cpu=14_000, estimate_s=2.0)
+    long = owner.submit(cpu=4000, estimate_s=5.0)
+    owner.dispatch()
+    owner.now_s += 0.2
+    owner.end(runs[0])
+    owner.dispatch()
+    plan = owner.dispatcher.lookahead._plans['p']
+    assert plan.held == {long: True}
+
+
+def test_reservations_lapse_when_no_vm_is_left():
+    owner, _ = create_full_owner()
+    owner.submit(cpu=10_000, estimate_s=2.0)
+    owner.submit(cpu=4000, estimate_s=5.0)
+    owner.dispatch()
+    assert owner.reserved == {'a'}
+    for worker in owner.term.fleet.workers.values():
+        cordon(worker)
+    owner.now_s += lookahead.PLAN_INTERVAL_S
+    owner.dispatch()
+    assert owner.reserved == set()
+    metrics = owner.term.metrics
+    assert metrics.get_gauge('reservations_open', (('pool', 'p'),)) == 0
+
+
+def test_large_serving_task_gets_its_room_in_stream_of_small_ones():
+    owner, runs = create_full_owner()
+    live = runs[:4]
+    serving = owner.submit(cpu=14_000, estimate_s=0.0, long_running=True)
+    for _ in range(20):
+        owner.submit(cpu=4000, estimate_s=1.0)
+        if live:
+            owner.end(live.pop(0))
+        owner.now_s += 0.25
+        live.extend(owner.dispatch())
+    assert not serving.waiting
--- a/arbutusrock/engine/tests/test_owner_monitor.py
+++ b/arbutusrock/engine/tests/test_owner_monitor.py
@@ -10,6 +10,7 @@
 
 from arbutusrock.engine import owner_monitor
 from arbutusrock.engine import ownership
+from arbutusrock.engine import rows
 from arbutusrock.engine import state_writer
 from arbutusrock.engine.tests import test_ownership
 
@@ -103,6 +104,27 @@
     assert not monitor.has_ended
 
 
+async def test_two_heartbeats_prove_that_the_owner_lives(process, monitor):
+    """A listener that refused for a moment must not cost an owner its unit.
+
+    One heartbeat may be a write that the store carried out late.
+    """
+    monitor.follow('other', 4)
+    await _wait_until_connected(process)
+    process.end()
+    async with asyncio.timeout(TIMEOUT_S):
+        await monitor.wait_until_ended()
+    await process.listen()
+    monitor.record_heartbeat()
+    assert monitor.has_ended
+    monitor.record_heartbeat()
+    assert not monitor.has_ended
+    await _wait_until_connected(process)
+    process.end()
+    async with asyncio.timeout(TIMEOUT_S):
+        await monitor.wait_until_ended()
+
+
 class SilentStore(test_ownership.UnresponsiveOwnerStore):
     """A store whose watch calls last, as without any change."""
 
@@ -138,3 +160,54 @@
         7,
     )
     tasks[0].cancel()
+
+
+@pytest.mark.parametrize('address', ['h', 'h:x', 'h:99999', ':0', 'a..b:1'])
+async def test_monitor_takes_no_malformed_address_for_an_end(
+    monkeypatch, address
+):
+    """An error in the monitor made each node claim a unit that is owned."""
+    monkeypatch.setattr(owner_monitor, 'RETRY_DELAY_S', 0.01)
+    watcher = owner_monitor.OwnerMonitor(find_address=lambda _name: address)
+    running = asyncio.ensure_future(watcher.run())
+    watcher.follow('other', 4)
+    await asyncio.sleep(0.1)
+    assert not watcher.has_ended
+    assert not running.done()
+    running.cancel()
+
+
+class RefusingStore(SilentStore):
+    """A store that serves reads and refuses all transactions."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.claims = 0
+
+    async def transact(self, *, expected, puts):
+        self.claims += 1
+        raise rows.StoreBusy('too many calls')
+
+
+async def test_refused_claims_do_not_press_the_store(process):
+    """Claims followed each other without a delay once a process had ended."""
+    store = RefusingStore(test_ownership.Clock())
+    elector = ownership.OwnerElector(
+        store=store,
+        node='n1',
+        cores=2.0,
+        find_address=lambda _name: process.address,
+    )
+    loop = asyncio.get_running_loop()
+    tasks = [
+        loop.create_task(elector.monitor.run()),
+        loop.create_task(elector.acquire()),
+    ]
+    await _wait_until_connected(process)
+    process.end()
+    async with asyncio.timeout(TIMEOUT_S):
+        await elector.monitor.wait_until_ended()
+    await asyncio.sleep(1.0)
+    assert 1 <= store.claims <= 1.0 / ownership.RETRY_DELAY_S + 1
+    for task in tasks:
+        task.cancel()
