--- a/arbutusrock/engine/tests/test_owner_monitor.py
+++ b/arbutusrock/engine/tests/test_owner_monitor.py
@@ -133,8 +133,11 @@
         return [], after
 
 
-async def test_acquire_claims_when_owner_process_ends(process):
-    store = SilentStore(test_ownership.Clock())
+async def start_election(process, store):
+    """Start a node that follows a live owner.
+
+    :returns: its elector, and the tasks of its monitor and of its election.
+    """
     elector = ownership.OwnerElector(
         store=store,
         node='n1',
@@ -147,6 +150,13 @@
         loop.create_task(elector.acquire()),
     ]
     await _wait_until_connected(process)
+    return elector, tasks
+
+
+async def test_acquire_claims_when_owner_process_ends(process):
+    store = SilentStore(test_ownership.Clock())
+    _, tasks = await start_election(process, store)
+    loop = asyncio.get_running_loop()
     ended_at_s = loop.time()
     process.end()
     epoch, _, _ = await tasks[1]
@@ -192,18 +202,7 @@
 async def test_refused_claims_do_not_press_the_store(process):
     """Claims followed each other without a delay once a process had ended."""
     store = RefusingStore(test_ownership.Clock())
-    elector = ownership.OwnerElector(
-        store=store,
-        node='n1',
-        cores=2.0,
-        find_address=lambda _name: process.address,
-    )
-    loop = asyncio.get_running_loop()
-    tasks = [
-        loop.create_task(elector.monitor.run()),
-        loop.create_task(elector.acquire()),
-    ]
-    await _wait_until_connected(process)
+    elector, tasks = await start_election(process, store)
     process.end()
     async with asyncio.timeout(TIMEOUT_S):
         await elector.monitor.wait_until_ended()
