Size pools by the VMs that waiting serving tasks need

Callers see tasks of serving jobs without a run for ten seconds and more after a rack is lost or the job is accepted, while over a hundred VMs are off.

Cause: a pool counted waiting serving tasks by their cores. Where memory or the spread of a step binds, it asked for the one VM that it keeps in reserve, and for the next when that had arrived 1.6 s later. Class: a need that is measured in one resource although another binds.

Fail before: test_lost_serving_tasks_of_spread_step_get_vms_one_at_a_time and two more in test_vm_views.py.

Waiting tasks are placed on the VMs of the pool and on new ones by all resources, labels and spread; the VMs that they need count in the target. A restarted task tells how long it has waited, and the line on pools how many VMs serving tasks need.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -377,6 +377,7 @@
                 worker=worker.worker_id,
                 starts=task.starts,
                 failed=len(task.failed_runs),
+                waited_s=round(now_s - task.queued_at_s, 3),
             )
         self.term.fleet.add_run(run)
         self.lookahead.record_start(task, worker, now_s)
--- a/arbutusrock/engine/tests/test_vm_views.py
+++ b/arbutusrock/engine/tests/test_vm_views.py
@@ -1,13 +1,20 @@
 """Tests of what counts as room of a pool.
 
-Failure: the VM of a lasting task falls silent. The pool counted it as room and
-gave its last good VM to another pool, so that the task found none for 20 s.
+Failures: the VM of a lasting task falls silent. The pool counted it as room
+and gave its last good VM to another pool: the task found none for 20 s.
+Serving tasks that memory or the spread of their step kept apart were counted
+by their cores, and got VMs one after the other.
 """
 
+from arbutusrock.engine import plans
 from arbutusrock.engine.tests import test_cordons
 from arbutusrock.engine import vm_views
+from arbutusrock.scheduling import pool_sizing
+from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
 
+CAPACITY = test_cordons.CAPACITY
+
 
 def create_view(*, unresponsive, silent_s, silent_count=1):
     """Return the view of a pool of two VMs, of which some are silent."""
@@ -37,3 +44,43 @@
     """The owner is cut off from the workers; other VMs would not help."""
     view = create_view(unresponsive=True, silent_s=2.0, silent_count=2)
     assert len(view.vms) == 2
+
+
+def count_target_vms(*, lost, **fields):
+    """Return the target of a pool of ten VMs when serving tasks are lost.
+
+    :param lost: number of tasks of the step; all of them wait.
+    """
+    controller, workers = test_cordons.create_controller(*['z1'] * 10)
+    term = controller.term
+    registry = test_cordons.create_registry(term, workers)
+    plan = plans.StepPlan(count=lost, long_running=True, **fields)
+    submission = plans.Submission(
+        queue='q',
+        pool='p',
+        account='a',
+        accepted_ms=0.0,
+        plan=plans.JobPlan(spec='', steps=(plan,)),
+    )
+    term.job_registry.add('job', submission)
+    now_s = clocks.now_s()
+    term.job_registry.start_due_occurrences(clocks.wall_time_s(), now_s)
+    (view,) = vm_views.create_pool_views(term, registry, now_s)
+    return pool_sizing.compute_target_vms(view, CAPACITY.cpu)
+
+
+def test_lost_serving_tasks_of_spread_step_get_vms_one_at_a_time():
+    demand = Resources(cpu=100)
+    target_vms = count_target_vms(lost=8, demand=demand, most_per_worker=1)
+    assert target_vms == 8 + pool_sizing.RESERVE_VMS
+
+
+def test_lost_serving_tasks_with_large_memory_get_vms_one_at_a_time():
+    demand = Resources(cpu=100, memory_mb=CAPACITY.memory_mb // 3 + 1)
+    target_vms = count_target_vms(lost=8, demand=demand)
+    assert target_vms == 4 + pool_sizing.RESERVE_VMS
+
+
+def test_serving_tasks_that_fit_one_vm_ask_for_no_more():
+    target_vms = count_target_vms(lost=4, demand=Resources(cpu=100))
+    assert target_vms == 1 + pool_sizing.RESERVE_VMS
--- a/arbutusrock/engine/vm_controller.py
+++ b/arbutusrock/engine/vm_controller.py
@@ -313,6 +313,7 @@
             f'vms={len(view.vms)}'
             f' evacuated={sum(vm.cordoned for vm in view.vms)}'
             f' lasting={view.long_running_millicores // 1000}'
+            f' lasting_vms={view.long_running_vms}'
             f' needed={view.needed_millicores / 1000:.0f}'
             f' overdue={view.overdue_millicores / 1000:.0f}'
             f' expected={view.expected_millicores / 1000:.0f}'
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -7,8 +7,11 @@
 
 from arbutusrock.engine import job_state
 from arbutusrock.engine import occurrence_estimates
+from arbutusrock.engine import placement_requests
 from arbutusrock.scheduling import consolidation
 from arbutusrock.scheduling import pool_sizing
+from arbutusrock.scheduling import quotas
+from arbutusrock.scheduling import serving_room
 from arbutusrock.scheduling import wave_selection
 from arbutusrock.utils import clocks
 
@@ -151,7 +154,7 @@
                 vm.cordoned = _is_cordoned(tracked, term.cordons)
                 view.vms.append(vm)
     _add_running(views, term)
-    _add_waiting(views, term)
+    _add_waiting(views, term, vm_registry, silent, now_s)
     _add_needs(views, term)
     _add_forecast(list(views.values()), term, now_s)
     return list(views.values())
@@ -251,17 +254,93 @@
         views[name].long_running_vms = len(vms)
 
 
-def _add_waiting(views, term):
+def _add_waiting(views, term, vm_registry, silent, now_s):
     """Add the demand of long-running tasks that wait for a worker."""
     for pool, steps in term.job_registry.waiting_steps.items():
         view = views.get(pool)
-        if view is None:
+        serving = [
+            step
+            for step in steps.values()
+            if step.plan.long_running and not step.plan.fills
+        ]
+        if view is None or not serving:
             continue
-        for step in steps.values():
-            if step.plan.long_running and not step.plan.fills:
-                view.long_running_millicores += step.plan.demand.cpu * len(
-                    step.waiting
-                )
+        view.long_running_millicores += sum(
+            step.plan.demand.cpu * len(step.waiting) for step in serving
+        )
+        view.long_running_vms += serving_room.count_room_vms(
+            [
+                waiting
+                for step in serving
+                if (waiting := _create_waiting_tasks(term, step, now_s))
+            ],
+            _create_room_vms(term, pool, silent, now_s),
+            _get_vm_amounts(vm_registry),
+            max_new=len(vm_registry.vms),
+        )
+
+
+def _create_waiting_tasks(term, step, now_s):
+    """Return the tasks of a step that wait for room, or None.
+
+    Tasks of an earlier owner's job may still run on a worker that has not
+    answered. They count from the time on after which a silent VM is no room.
+    """
+    if not term.may_start(step.job) or (
+        step.job.inherited and now_s < term.began_at_s + MAX_SILENCE_S
+    ):
+        return None
+    account = term.configuration.current.accounts.get(
+        step.job.submission.account
+    )
+    count = len(step.waiting)
+    if account is not None:
+        count = quotas.count_fitting(
+            term.fleet.get_usage(step.job.submission.account),
+            step.plan.demand,
+            account.upper_limit,
+            most=count,
+        )
+    if not count:
+        return None
+    return serving_room.WaitingTasks(
+        count=count,
+        demand=placement_requests.get_amounts(step.plan.demand),
+        label=step.plan.label,
+        most_per_vm=step.plan.most_per_worker,
+        tasks_by_vm=step.runs_by_vm,
+    )
+
+
+def _create_room_vms(term, pool, silent, now_s):
+    """Return a :class:`serving_room.RoomVM` per VM that may get tasks."""
+    return [
+        serving_room.RoomVM(
+            vm=worker.vm,
+            free=placement_requests.get_free_amounts(worker),
+            labels=worker.entry.labels,
+            serves=any(
+                _is_long_running(run) and not run.task.step.plan.fills
+                for run in worker.runs.values()
+            ),
+        )
+        for worker in term.fleet.find_pool_workers(pool)
+        if worker.usable
+        and worker.vm not in silent
+        and not term.vm_health.is_excluded(worker.vm, now_s)
+    ]
+
+
+def _get_vm_amounts(vm_registry):
+    """Return the median amount of each resource on a VM."""
+    amounts = [
+        placement_requests.get_amounts(tracked.entry.capacity)
+        for tracked in vm_registry.vms.values()
+    ]
+    return [
+        sorted(column)[len(column) // 2]
+        for column in zip(*amounts, strict=True)
+    ]
 
 
 def _add_forecast(views, term, now_s):
--- a/arbutusrock/scheduling/pool_sizing.py
+++ b/arbutusrock/scheduling/pool_sizing.py
@@ -98,7 +98,8 @@
     :param expected_millicores: forecast of the demand of jobs when a VM
         ordered now has arrived.
     :param used_millicores: what the tasks of the pool use now.
-    :param long_running_vms: number of VMs that run long-running tasks.
+    :param long_running_vms: number of VMs that run long-running tasks, or
+        that such tasks wait for.
     :param standby_vms: number of empty VMs to hold for an expected burst.
     :param off_peak: the pool has no burst, or one that is fading.
     """
--- a/arbutusrock/scheduling/quotas.py
+++ b/arbutusrock/scheduling/quotas.py
@@ -5,7 +5,7 @@
 requests that were not answered.
 """
 
-__all__ = ['fits_limit']
+__all__ = ['count_fitting', 'fits_limit']
 
 
 def fits_limit(used, demand, limit):
@@ -29,5 +29,27 @@
     )
 
 
+def count_fitting(used, demand, limit, *, most):
+    """Return how many tasks of ``demand`` may run beside ``used``.
+
+    :param most: number of tasks that are to run.
+
+    >>> from arbutusrock.scheduling import Resources
+    >>> count_fitting(
+    ...     Resources(cpu=1000), Resources(cpu=1500), Resources(cpu=5000),
+    ...     most=4)
+    2
+    """
+    count = most
+    for have, need, bound in (
+        (used.cpu, demand.cpu, limit.cpu),
+        (used.memory_mb, demand.memory_mb, limit.memory_mb),
+        (used.accelerators, demand.accelerators, limit.accelerators),
+    ):
+        if bound and need:
+            count = min(count, (bound - have) // need)
+    return max(0, count)
+
+
 def _fits(used, demand, limit):
     return not limit or not demand or used + demand <= limit
