Show that serving suspects wait for each other beside idle workers

Two tests that fail: a pass over four workers starts one of four serving tasks that were alone on lost workers, however long they have waited.

--- a/arbutusrock/engine/tests/test_crash_tracker.py
+++ b/arbutusrock/engine/tests/test_crash_tracker.py
@@ -181,3 +181,27 @@
         controller.end_incarnation(run.worker, fleet.IncarnationEnd.REPLACED)
     assert all(len(run.task.crashes) == 2 for run in runs)
     assert not job.ended
+
+
+def test_serving_task_waits_without_end_to_start_apart():
+    """Its account has no further worker to risk, as others run for long.
+
+    Four serving tasks were alone on workers that were lost together.
+    """
+    controller = create_controller()
+    run, _ = start_runs(controller, long_running=True)
+    task = run.task
+    starter = guarded_starts.GuardedStarter(
+        term=controller.term, crash_tracker=controller.crash_tracker
+    )
+    task.step.job.progress.crashes['0.0.0'] = [
+        crash_attribution.CrashRecord(
+            run=1, survived_s=9.0, suspect=True, sole=True
+        )
+    ]
+    task.queued_at_s = 100.0
+    assert starter.must_isolate(task, 101.0)
+    assert not starter.must_isolate(task, 102.1)
+    # Unless its crashes are not stored yet.
+    task.crashes_durable_at_flush = 1
+    assert starter.must_isolate(task, 102.1)
--- a/arbutusrock/engine/tests/test_dispatcher.py
+++ b/arbutusrock/engine/tests/test_dispatcher.py
@@ -9,6 +9,7 @@
 from arbutusrock.engine import plans
 from arbutusrock.engine.tests import test_share_ledger as samples
 from arbutusrock.scheduling import configuration
+from arbutusrock.scheduling import crash_attribution
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
 
@@ -16,8 +17,11 @@
 WEIGHTS = {'large': 8.0, 'middle': 3.0, 'small': 1.0}
 
 
-def dispatch(steps, workers=()):
-    """Make one pass with waiting steps; return the term and the workers."""
+def dispatch(steps, workers=(), *, waited_s=0.0):
+    """Make one pass with waiting steps; return the term and the workers.
+
+    :param waited_s: how long their tasks have waited.
+    """
     term = samples.create_ledger(WEIGHTS).term
     term.configuration.current = configuration.FleetConfiguration(
         version=1,
@@ -41,7 +45,7 @@
     for step in steps:
         waiting[step.job.job_id] = step
         for task in step.tasks:
-            task.queued_at_s = now_s
+            task.queued_at_s = now_s - waited_s
     tickets = mock.Mock()
     tickets.get_allowed_ids.return_value = None
     tickets.get_ticket.return_value = ''
@@ -54,6 +58,24 @@
     return term, workers
 
 
+def create_serving_step(tasks):
+    """Return a step of ``large`` whose tasks last, one on a VM."""
+    return samples.create_step(
+        'large',
+        1,
+        plan=plans.StepPlan(
+            count=tasks,
+            demand=Resources(cpu=1000),
+            long_running=True,
+            most_per_worker=1,
+        ),
+    )
+
+
+def count_runs(step):
+    return sum(len(task.runs) for task in step.tasks)
+
+
 STEPS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(sorted(WEIGHTS)),
@@ -106,3 +128,23 @@
     used = {name: term.fleet.get_usage(name).cpu for name in WEIGHTS}
     # All else goes to the large account, beyond its part too.
     assert used == {'large': 40_000, 'middle': 4000, 'small': 4000}
+
+
+def test_serving_suspects_wait_for_each_other_beside_idle_workers():
+    """They were alone on workers that were lost together.
+
+    The account may risk one of four workers, until the task there has run
+    for as long as before its crash.
+    """
+    others = samples.create_step('small', 2)
+    for waited_s, started in ((1.0, 1), (3.0, 4)):
+        step = create_serving_step(4)
+        for task in step.tasks:
+            step.job.progress.crashes[task.progress_key] = [
+                crash_attribution.CrashRecord(
+                    run=1, survived_s=9.0, suspect=True, sole=True
+                )
+            ]
+        workers = [samples.create_worker(f'w{number}') for number in range(4)]
+        dispatch([step, others], workers, waited_s=waited_s)
+        assert count_runs(step) == started
