Let serving suspects wait for isolation no longer than others

What callers saw: a serving task had no run for seconds while VMs of its pool had room. Cause: a task that was alone on a worker that was lost is a likely culprit, and those were started apart only, however long they had waited. An account may have such tasks on a quarter of the workers of a pool, each until it has run for as long as before its crash, up to ten seconds; the others of it waited. VMs that are lost together leave several such tasks. Evidence: a pass over four idle workers started one of four tasks that had waited for 3 s (test_serving_suspects_wait_for_each_other_beside_idle_workers). Change: a task that serves starts like any other one after the time that already held for suspects without such a crash, once its crashes are stored. It works as the wait no longer depends on other suspects. A deadly serving task is still given up after four crashes (tests/test_site_crashes.py passes).

--- a/arbutusrock/engine/guarded_starts.py
+++ b/arbutusrock/engine/guarded_starts.py
@@ -35,6 +35,11 @@
     return crash_attribution.count_sole_crashes(task.crashes) > 0
 
 
+def has_waited_for_isolation(task, now_s):
+    """Return whether a task has waited its time to be started apart."""
+    return now_s - task.queued_at_s >= isolation.MAX_ISOLATION_WAIT_S
+
+
 def is_available(worker, now_s):
     """Return whether runs may start on a worker beside those it has."""
     return worker.guarded_run is None and worker.held_until_s <= now_s
@@ -82,12 +87,12 @@
         """Return whether a waiting task must be started apart from others."""
         if not is_suspect(task):
             return False
-        waited_s = now_s - task.queued_at_s
-        return (
-            is_likely(task)
-            or waited_s < isolation.MAX_ISOLATION_WAIT_S
-            or not self.crash_tracker.is_durable(task)
-        )
+        if not self.crash_tracker.is_durable(task):
+            return True
+        # The users of a serving task miss it while it waits, and most of its
+        # kind are lost with their workers rather than the cause of a crash.
+        bounded = task.step.plan.long_running or not is_likely(task)
+        return not (bounded and has_waited_for_isolation(task, now_s))
 
     def choose_workers(self, pool, tasks, workers, request):
         """Return a worker for each task, or None if they have to wait.
--- a/arbutusrock/scheduling/isolation.py
+++ b/arbutusrock/scheduling/isolation.py
@@ -29,8 +29,8 @@
 # A suspect waits this long for an empty worker before it starts beside
 # other tasks.
 MAX_WAIT_S = 1.0
-# A suspect that was never the only one in a crash waits this long to be
-# started apart; afterwards it starts like any other task.
+# A suspect that was never the only one in a crash, or that serves, waits this
+# long to be started apart; afterwards it starts like any other task.
 MAX_ISOLATION_WAIT_S = 2.0
 # Part of the workers of a pool on which an account may have suspects at once.
 MAX_RISKED_FRACTION = 0.25
