--- a/arbutusrock/engine/tests/test_dispatcher.py
+++ b/arbutusrock/engine/tests/test_dispatcher.py
@@ -17,10 +17,12 @@
 WEIGHTS = {'large': 8.0, 'middle': 3.0, 'small': 1.0}
 
 
-def dispatch(steps, workers=(), *, waited_s=0.0):
+def dispatch(steps, workers=(), *, waited_s=0.0, culprits=()):
     """Make one pass with waiting steps; return the term and the workers.
 
     :param waited_s: how long their tasks have waited.
+    :param culprits: names of tasks of the account ``large`` that have just
+        crashed a worker.
     """
     term = samples.create_ledger(WEIGHTS).term
     term.configuration.current = configuration.FleetConfiguration(
@@ -53,7 +55,9 @@
         term=term,
         links={worker.worker_id: mock.Mock() for worker in workers},
         ticket_cache=tickets,
-        crash_tracker=mock.Mock(culprits={}),
+        crash_tracker=mock.Mock(
+            culprits={'large': dict.fromkeys(culprits, now_s)}
+        ),
     ).dispatch()
     return term, workers
 
@@ -148,3 +152,14 @@
         workers = [samples.create_worker(f'w{number}') for number in range(4)]
         dispatch([step, others], workers, waited_s=waited_s)
         assert count_runs(step) == started
+
+
+def test_serving_tasks_of_confined_account_wait_beside_idle_workers():
+    """Three of its tasks were alone on workers that were lost together."""
+    culprits = ['x', 'y', 'z']
+    others = samples.create_step('small', 2)
+    for waited_s, started in ((1.0, 2), (3.0, 8)):
+        step = create_serving_step(8)
+        workers = [samples.create_worker(f'w{number}') for number in range(8)]
+        dispatch([step, others], workers, waited_s=waited_s, culprits=culprits)
+        assert count_runs(step) == started
