Confine serving tasks no longer than they may wait to start apart

What callers saw: serving tasks had no run for up to ten seconds while VMs of their pool had room. Cause: three tasks of an account that were the only suspects in crashes confine its new tasks to a quarter of the workers for ten seconds. VMs that are lost together leave as many, and the serving tasks that were on them are themselves new tasks then; where a step has a bound on its tasks on one VM, most of them fit nowhere in that part. Change: a serving step is confined until its oldest waiting task has waited as long as a suspect waits to start apart. It works as its wait then has a bound below the time that losing a worker leaves.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -168,7 +168,7 @@
                 continue
             before = len(step.waiting)
             allowed = self.guarded_starter.limit_workers(
-                pool_state, step.job.submission.account, candidates
+                pool_state, step, candidates, now_s
             )
             usable = self.lookahead.limit_workers(
                 pool, step, allowed, now_s, blocked=blocked
--- a/arbutusrock/engine/guarded_starts.py
+++ b/arbutusrock/engine/guarded_starts.py
@@ -151,18 +151,23 @@
             ),
         )
 
-    def limit_workers(self, pool, account, workers):
-        """Return the workers that new tasks of an account may get.
+    def limit_workers(self, pool, step, workers, now_s):
+        """Return the workers that waiting tasks of a step may get.
 
-        All of them, unless it is confined.
+        All of them, unless its account is confined. A serving step is
+        confined as long only as its tasks may have to wait to start apart.
 
         :param pool: :class:`PoolState`.
         """
+        account = step.job.submission.account
         culprits = self.crash_tracker.culprits
         if account not in culprits or not isolation.is_confined(
-            culprits, account, clocks.now_s()
+            culprits, account, now_s
         ):
             return workers
+        first = next(iter(step.waiting.values()))
+        if step.plan.long_running and has_waited_for_isolation(first, now_s):
+            return workers
         risked, own_runs = set(), {}
         for worker in pool.workers:
             for run in worker.runs.values():
