--- a/arbutusrock/engine/tests/test_job_registry.py
+++ b/arbutusrock/engine/tests/test_job_registry.py
@@ -43,3 +43,21 @@
     registry.cancel(first, 0.0)
     registry.start_due_occurrences(1e9, 0.0)
     assert second.occurrences
+
+
+def test_failed_runs_of_serving_task_end_no_job():
+    registry = job_registry.JobRegistry()
+    plan = plans.JobPlan(
+        spec='', steps=(plans.StepPlan(count=1, long_running=True),)
+    )
+    job = registry.add(
+        '1' * 16,
+        msgspec.structs.replace(samples.create_submission(), plan=plan),
+    )
+    registry.start_due_occurrences(1e9, 0.0)
+    task = job.occurrences[0].steps[0].tasks[0]
+    for run in range(20):
+        assert not registry.record_failed_run(
+            task, run, max_attempts=3, wall_s=0.0
+        )
+    assert not job.ended
--- a/arbutusrock/engine/tests/test_run_controller.py
+++ b/arbutusrock/engine/tests/test_run_controller.py
@@ -2,7 +2,10 @@
 
 import types
 
+import pytest
+
 from arbutusrock.engine import fleet
+from arbutusrock.engine import job_state
 from arbutusrock.engine import plans
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine import run_controller
@@ -113,3 +116,54 @@
         task=adopted.task, worker=types.SimpleNamespace(vm='m-2')
     )
     assert straggler_controller.find_sibling_durations(other) == []
+
+
+@pytest.mark.parametrize(
+    'kind',
+    [
+        platform_messages.CompletionKind.STOPPED,
+        platform_messages.CompletionKind.LAPSED,
+        platform_messages.CompletionKind.BROKEN,
+        platform_messages.CompletionKind.ALONE,
+    ],
+)
+def test_only_failed_runs_count_as_attempts(kind):
+    controller = samples.create_run_controller(
+        [
+            platform_messages.WorkerEntry(
+                worker_id='i-1', pool='p', address='h:1'
+            )
+        ],
+        epoch=1,
+    )
+    registry = controller.term.job_registry
+    job = registry.add('0' * 16, samples.create_submission())
+    registry.start_due_occurrences(1e9, 0.0)
+    task = job.occurrences[0].steps[0].tasks[0]
+    worker = controller.term.fleet.workers['i-1']
+    for number in range(1, 20):
+        registry.mark_active(task)
+        run = job_state.Run(
+            number=number,
+            name=task.name,
+            task=task,
+            account='a',
+            worker=worker,
+            demand=task.step.plan.demand,
+            now_s=0.0,
+        )
+        controller.term.fleet.add_run(run)
+        completion = platform_messages.CompletionReport(
+            number=number,
+            task=task.name,
+            run=number,
+            kind=kind,
+            checkpoint='',
+        )
+        reply = platform_messages.RenewalReply(
+            clock_ms=0.0, born_ms=0, running=(), ended=(completion,)
+        )
+        controller.handle_renewal(worker, reply, 0.0)
+        assert task.status is job_state.TaskStatus.WAITING
+    assert not job.ended
+    assert not task.failed_runs
