--- a/arbutusrock/engine/tests/test_crash_tracker.py
+++ b/arbutusrock/engine/tests/test_crash_tracker.py
@@ -205,3 +205,32 @@
     # Unless its crashes are not stored yet.
     task.crashes_durable_at_flush = 1
     assert starter.must_isolate(task, 102.1)
+
+
+def test_worker_of_serving_suspect_takes_no_other_task_for_ten_seconds():
+    """Its earlier run had survived for long when its worker was lost.
+
+    Several such tasks keep all workers of a small pool from the others.
+    """
+    controller = create_controller()
+    run, _ = start_runs(controller, long_running=True)
+    worker = run.worker
+    crashes = run.task.step.job.progress.crashes
+    crashes['0.0.0'] = [
+        crash_attribution.CrashRecord(
+            run=0, survived_s=9.0, suspect=True, sole=True
+        )
+    ]
+    worker.guarded_run = run
+    worker.clock_read_at_s = 11.9
+    controller.crash_tracker.record_progress(run)
+    assert not guarded_starts.is_available(worker, 11.9)
+    worker.clock_read_at_s = 12.1
+    controller.crash_tracker.record_progress(run)
+    assert guarded_starts.is_available(worker, 12.1)
+    assert controller.term.dispatch_due.is_set()
+    # It stays a suspect, for its next start, until it has run for longer.
+    assert crashes
+    worker.clock_read_at_s = 19.5
+    controller.crash_tracker.record_progress(run)
+    assert not crashes
