Keep other tasks from the worker of a suspect for two seconds at most

What callers saw: serving tasks had no run for seconds while VMs of their pool had room. Cause: no task was started beside a suspect until it had run for as long as before its crash, which is up to ten seconds for a task whose worker was lost some seconds after a start. After VMs were lost together each account could keep two kinds of such workers in a small pool, and the sizing of pools counts them as room. Evidence: the worker of a task whose earlier run was lost after 9 s took no other task for 9.15 s (test_worker_of_serving_suspect_takes_no_other_task_for_ten_seconds). Change: others may start beside it after two seconds, while it stays a suspect for its next start until it has outlived its crashes. It works as a deadly task acts soon after its start; one that acts later is still the one with crashes when its worker crashes again, so it is blamed before settled neighbours, which are what is risked. tests/test_site_crashes.py passes.

--- a/arbutusrock/engine/crash_tracker.py
+++ b/arbutusrock/engine/crash_tracker.py
@@ -132,17 +132,21 @@
                 self._drop(worker, key)
 
     def record_progress(self, run):
-        """Clear a task once a run of it has outlived all its crashes."""
+        """Clear a task once a run of it has outlived all its crashes.
+
+        Others may start beside it after a while in any case.
+        """
         task, guarded = run.task, run.worker.guarded_run is run
         if task is None or not (guarded or task.crashes):
             return
-        if not crash_attribution.is_cleared(task.crashes, run.survived_s):
-            return
-        if task.step.plan.gang and not _is_gang_cleared(task.step):
-            return
-        if guarded:
+        cleared = crash_attribution.is_cleared(
+            task.crashes, run.survived_s
+        ) and (not task.step.plan.gang or _is_gang_cleared(task.step))
+        if guarded and (cleared or run.survived_s >= isolation.MAX_GUARD_S):
             run.worker.guarded_run = None
             self.term.request_dispatch()
+        if not cleared:
+            return
         self.drop_run(run)
         if task.crashes:
             LOG.info(
--- a/arbutusrock/scheduling/isolation.py
+++ b/arbutusrock/scheduling/isolation.py
@@ -17,6 +17,7 @@
 from arbutusrock.scheduling import placement
 
 __all__ = [
+    'MAX_GUARD_S',
     'MAX_ISOLATION_WAIT_S',
     'Choice',
     'IsolationCandidate',
@@ -32,6 +33,10 @@
 # A suspect that was never the only one in a crash, or that serves, waits this
 # long to be started apart; afterwards it starts like any other task.
 MAX_ISOLATION_WAIT_S = 2.0
+# No task is started beside a suspect until it has been seen running for this
+# time, or for as long as before its crashes. A worker without other tasks is
+# room that others of the pool wait for.
+MAX_GUARD_S = 2.0
 # Part of the workers of a pool on which an account may have suspects at once.
 MAX_RISKED_FRACTION = 0.25
 # Tasks of an account that must have been the only suspect in a crash lately
