Give no VM of a pool away for one that does not answer

Callers of an accepted job got no run at all: not after 30 s, with two sound VMs switched off.

Cause: a new owner counts a worker that has not answered yet as room. It gave the two idle VMs of the pool away in its first pass. Then all VMs of the pool were silent, which was taken for an owner that is cut off, so that the dark VM counted as room for as long as it was registered. Class: a belief without an end, from the silence of too few.

Evidence: a takeover beside a dark worker on the stand-ins, test_pool_with_dark_worker_gives_its_last_vms_away: no start within 30 s. test_pool_of_silent_vms_gets_no_others fails before, too.

Silent VMs stay room for a short time, but no other VM is given away for them. That the owner is cut off is told by the silence of most workers of all pools, and believed for no longer than a lease. The test of an owner that is cut off keeps its bounds under a new name, as it has one pool only.

--- a/arbutusrock/engine/tests/test_vm_views.py
+++ b/arbutusrock/engine/tests/test_vm_views.py
@@ -6,6 +6,8 @@
 by their cores, and got VMs one after the other.
 """
 
+import msgspec
+
 from arbutusrock.engine import plans
 from arbutusrock.engine.tests import test_cordons
 from arbutusrock.engine import vm_views
@@ -16,9 +18,18 @@
 CAPACITY = test_cordons.CAPACITY
 
 
-def create_view(*, unresponsive, silent_s, silent_count=1):
-    """Return the view of a pool of two VMs, of which some are silent."""
-    controller, workers = test_cordons.create_controller('z1', 'z1')
+def create_view(*, unresponsive, silent_s, silent_count=1, others=0):
+    """Return the view of a pool of two VMs, of which some are silent.
+
+    :param others: number of workers in another pool; then both are silent.
+    """
+    controller, workers = test_cordons.create_controller(
+        *['z1'] * (2 + others)
+    )
+    for worker in workers[2:]:
+        worker.entry = msgspec.structs.replace(worker.entry, pool='other')
+    workers = workers[:2]
+    silent_count = 2 if others else silent_count
     now_s = clocks.now_s()
     test_cordons.add_run(controller.term, workers[0], long_running=True)
     for worker in workers[:silent_count]:
@@ -40,12 +51,20 @@
     assert len(create_view(unresponsive=False, silent_s=2.0).vms) == 2
 
 
-def test_silence_of_a_whole_pool_changes_nothing():
+def test_silence_of_all_workers_changes_nothing():
     """The owner is cut off from the workers; other VMs would not help."""
     view = create_view(unresponsive=True, silent_s=2.0, silent_count=2)
     assert len(view.vms) == 2
 
 
+def test_pool_of_silent_vms_gets_no_others():
+    """It counted as room for as long as its VMs were registered."""
+    view = create_view(unresponsive=True, silent_s=7.0, silent_count=2)
+    assert not view.vms
+    view = create_view(unresponsive=True, silent_s=2.0, others=3)
+    assert not view.vms
+
+
 def count_target_vms(*, lost, **fields):
     """Return the target of a pool of ten VMs when serving tasks are lost.
 
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -36,6 +36,9 @@
 # Time from the end of a VM's move until its worker has registered and answered
 # the owner.
 REGISTRATION_DELAY_S = 0.3
+# While most workers are silent, the owner is rather cut off itself, and other
+# VMs would not help. Not for longer than a lease, as work waits for them.
+MAX_CUT_OFF_S = 6.0
 
 
 def map_workers_by_vm(fleet):
@@ -164,25 +167,19 @@
     """Return the VMs that are no room of their pools, as they are silent.
 
     Such a pool needs other VMs, also while the silent ones may still have
-    runs. Where more than half of a pool is silent, the owner is rather cut off
-    itself, and other VMs would not help.
+    runs.
     """
-    totals, silent = {}, {}
-    for worker in fleet.workers.values():
-        pool = worker.entry.pool
-        if worker.ended:
-            continue
-        totals[pool] = totals.get(pool, 0) + 1
-        if (
-            worker.unresponsive
-            and now_s - worker.last_reply_at_s > MAX_SILENCE_S
-        ):
-            silent.setdefault(pool, set()).add(worker.vm)
+    workers = [item for item in fleet.workers.values() if not item.ended]
+    silences_s = {
+        worker.vm: now_s - worker.last_reply_at_s
+        for worker in workers
+        if worker.unresponsive
+        and now_s - worker.last_reply_at_s > MAX_SILENCE_S
+    }
+    if 2 * len(silences_s) <= len(workers):
+        return set(silences_s)
     return {
-        vm
-        for pool, vms in silent.items()
-        if 2 * len(vms) <= totals[pool]
-        for vm in vms
+        vm for vm, silent_s in silences_s.items() if silent_s > MAX_CUT_OFF_S
     }
 
 
@@ -230,6 +227,7 @@
         millicores=worker.capacity.cpu,
         movable=movable and worker.in_service and not worker.runs,
         idle_s=idle_s,
+        silent=worker.unresponsive or not worker.has_answered,
     )
 
 
--- a/arbutusrock/scheduling/pool_sizing.py
+++ b/arbutusrock/scheduling/pool_sizing.py
@@ -55,6 +55,8 @@
     :param movable: it is up, empty and not reserved for anything else.
     :param idle_s: how long it has been empty.
     :param arriving: it is moving into the pool.
+    :param silent: its worker does not answer now. It is room, as that may be
+        short, but no other VM is given away for it.
     :param cordoned: its data centre is evacuated.
     """
 
@@ -64,6 +66,7 @@
         'movable',
         'idle_s',
         'arriving',
+        'silent',
         'cordoned',
     )
 
@@ -75,6 +78,7 @@
         movable,
         idle_s=0.0,
         arriving=False,
+        silent=False,
         cordoned=False,
     ):
         self.vm = vm
@@ -82,6 +86,7 @@
         self.movable = movable
         self.idle_s = idle_s
         self.arriving = arriving
+        self.silent = silent
         self.cordoned = cordoned
 
 
@@ -297,6 +302,7 @@
             missing[pool.name] = max(0, target_in_time - full_vms)
             overdue[pool.name] = -excess - missing[pool.name]
             continue
+        excess = max(0, excess - sum(vm.silent for vm in pool.vms))
         idle = sorted(
             (vm for vm in pool.vms if vm.movable and not vm.cordoned),
             key=lambda vm: (-vm.idle_s, vm.vm),
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -6,6 +6,7 @@
 
 from arbutusrock.engine import ownership
 from arbutusrock.engine import retention
+from arbutusrock.utils import clocks
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
@@ -329,3 +330,24 @@
         what='its rows are removed',
     )
     assert JOB not in site.nodes[0].node.leader.term.job_registry.jobs
+
+
+async def test_pool_with_dark_worker_gives_its_last_vms_away(site):
+    """An accepted job waits beside a dark worker after a takeover."""
+    await start_nodes(site, 2)
+    owner = await wait_owner(site)
+    term = owner.node.leader.term
+    await wait_until(
+        lambda: sum(item.usable for item in term.fleet.workers.values()) == 3,
+        what='all workers can be used',
+    )
+    term.stopping = True
+    await site.submit('alpha', JOB, [create_step(4)])
+    dark = next(iter(site.workers.values()))
+    dark.faults.unresponsive = True
+    await site.kill_node(owner)
+    began_at_s = (await wait_owner(site)).node.leader.term.began_at_s
+    await wait_until(
+        lambda: len(site.ledger) == 4, what='all tasks start', timeout_s=30
+    )
+    assert clocks.now_s() - began_at_s < 8
