--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -50,6 +50,9 @@
         self.guarded_starter = guarded_starts.GuardedStarter(
             term=term, crash_tracker=crash_tracker
         )
+        # Only jobs stored before this version of the store, by pool, may have
+        # runs of an earlier owner that this one has not heard of.
+        self._inherited_versions = {}
         self._ranker = job_ranks.JobRanker(term=term)
         self.lookahead = lookahead.Lookahead(
             term=term, ranker=self._ranker, ticket_cache=ticket_cache
@@ -94,6 +97,7 @@
             if steps
         }
         self.lookahead.forget_pools(waiting)
+        self._inherited_versions = term.fleet.find_inherited_versions(now_s)
         workers = {pool: [] for pool in waiting}
         for worker in term.fleet.workers.values():
             pool = worker.entry.pool
@@ -124,14 +128,7 @@
             for item in workers
             if guarded_starts.is_available(item, now_s)
         ]
-        inherited_runs_possible = term.fleet.may_have_inherited_runs(
-            pool, now_s
-        )
-        steps = [
-            step
-            for step in steps
-            if self._may_start(step, inherited_runs_possible)
-        ]
+        steps = [step for step in steps if self._may_start(step, pool)]
         self._start_suspects(
             pool_state, steps, workers, candidates, suspect_vms, now_s
         )
@@ -197,11 +194,13 @@
         )
         return fitting
 
-    def _may_start(self, step, inherited_runs_possible):
-        inherited = inherited_runs_possible and step.job.inherited
-        return self.term.may_start(step.job) and (
-            step.plan.speculative or not inherited
-        )
+    def _may_start(self, step, pool):
+        job = step.job
+        if not self.term.may_start(job):
+            return False
+        if not job.inherited or step.plan.speculative:
+            return True
+        return job.stored_version >= self._inherited_versions.get(pool, 0)
 
     def _start_step(self, step, workers, suspect_vms, now_s):
         """Start waiting tasks of a step while they fit.
--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -3,15 +3,11 @@
 import asyncio
 import enum
 
+from arbutusrock.scheduling import dark_workers
 from arbutusrock.scheduling import Resources
 
-__all__ = ['Fleet', 'IncarnationEnd', 'MIN_CLOCK_RATE', 'WorkerState']
+__all__ = ['Fleet', 'IncarnationEnd', 'WorkerState']
 
-# Rate of the slowest steady clock of a worker: it may be 2% slow.
-MIN_CLOCK_RATE = 0.98
-# Margin after the computed end of a lease, for delays of timers and of the
-# network.
-LEASE_MARGIN_S = 0.3
 # Runs that a log line about their worker names, the newest first.
 MAX_LOGGED_RUNS = 20
 
@@ -30,14 +26,18 @@
     """One incarnation of a worker, and the runs on it.
 
     :param entry: :class:`platform_messages.WorkerEntry`.
-    :param inherited_leases_end_at_s: until then an earlier owner's runs
-        may be there although the worker has not answered yet.
+    :param inherited_lease: :class:`dark_workers.InheritedLease`: until when
+        an earlier owner's runs may be there although the worker has not
+        answered yet; None when there are none.
     :param cordons: container of the data centres that are evacuated now.
+    :param withheld: container of the ids of the workers that get neither a
+        longer lease nor runs now.
     """
 
     __slots__ = (
         'entry',
         'cordons',
+        'withheld',
         'runs',
         'entry_read_at_s',
         'listed_capacity',
@@ -51,7 +51,7 @@
         'clock_ms',
         'clock_read_at_s',
         'lease_until_ms',
-        'inherited_leases_end_at_s',
+        'inherited_lease',
         'ack_cursor',
         'last_completion',
         'pending_acks',
@@ -66,10 +66,17 @@
     )
 
     def __init__(
-        self, *, entry, now_s, inherited_leases_end_at_s=0.0, cordons=()
+        self,
+        *,
+        entry,
+        now_s,
+        inherited_lease=None,
+        cordons=(),
+        withheld=(),
     ):
         self.entry = entry
         self.cordons = cordons
+        self.withheld = withheld
         self.runs = {}
         self.entry_read_at_s = now_s
         # Capacity in the list of VMs, and when that list was requested.
@@ -88,7 +95,7 @@
         self.clock_read_at_s = now_s
         # Latest end of a lease that was ever sent, on its clock.
         self.lease_until_ms = None
-        self.inherited_leases_end_at_s = inherited_leases_end_at_s
+        self.inherited_lease = inherited_lease or dark_workers.InheritedLease()
         # Completions up to this number are durable, so that the worker may
         # forget them.
         self.ack_cursor = 0
@@ -188,12 +195,26 @@
         return (
             self.has_answered
             and self.in_roster
+            and not self.is_withheld
             and not self.unresponsive
             and not self.ended
             and not self.entry.draining
             and self.unregistered_since_s is None
         )
 
+    @property
+    def is_withheld(self):
+        """Whether a stored heartbeat may name it as dark.
+
+        The next owner relies on it that its lease is not extended then.
+        """
+        return self.worker_id in self.withheld
+
+    @property
+    def is_silent(self):
+        """Whether it does not answer, or has not answered yet."""
+        return not self.ended and (self.unresponsive or not self.has_answered)
+
     @property
     def in_evacuated_data_centre(self):
         """Whether its data centre is evacuated, so that it gets no new runs.
@@ -230,21 +251,29 @@
             self.clock_ms = clock_ms
             self.clock_read_at_s = now_s
 
-    def is_lease_expired(self, now_s):
-        """Return whether all leases that were ever sent there have expired.
+    def get_lease_left_s(self, now_s):
+        """Return the time until all leases ever sent there have ended (s).
 
-        Assumes the slowest clock that a worker may have. Runs end with
-        their lease, so nothing is running there then.
+        Assumes the slowest clock that a worker may have.
         """
-        if now_s < self.inherited_leases_end_at_s:
-            return False
+        left_s = max(0.0, self.inherited_lease.end_at_s - now_s)
         if self.lease_until_ms is None:
-            return True
-        min_clock_ms = (
-            self.clock_ms
-            + (now_s - self.clock_read_at_s) * 1000 * MIN_CLOCK_RATE
+            return left_s
+        return max(
+            left_s,
+            dark_workers.compute_lease_left_s(
+                self.lease_until_ms,
+                self.clock_ms,
+                now_s - self.clock_read_at_s,
+            ),
         )
-        return min_clock_ms > self.lease_until_ms + LEASE_MARGIN_S * 1000
+
+    def is_lease_expired(self, now_s):
+        """Return whether all leases that were ever sent there have expired.
+
+        Runs end with their lease, so nothing is running there then.
+        """
+        return not self.get_lease_left_s(now_s)
 
 
 class Fleet:
@@ -273,18 +302,55 @@
             if worker.entry.pool == pool
         ]
 
-    def may_have_inherited_runs(self, pool, now_s):
-        """Return whether a pool may have runs of an earlier owner.
+    def find_possible_run_holders(self, now_s):
+        """Return the workers that may have runs of an earlier owner.
 
-        These are on workers that have not answered this owner yet.
+        These have not answered this owner yet.
         """
-        return any(
-            not worker.has_answered
+        return [
+            worker
+            for worker in self.workers.values()
+            if not worker.has_answered
             and not worker.ended
-            and now_s < worker.inherited_leases_end_at_s
-            for worker in self.find_pool_workers(pool)
+            and now_s < worker.inherited_lease.end_at_s
+        ]
+
+    def find_silent(self, now_s):
+        """Return the workers that do not answer.
+
+        :returns: ``(worker_id, silent_s, lease_left_s)`` of each.
+        """
+        return [
+            (
+                worker.worker_id,
+                now_s - worker.last_reply_at_s,
+                worker.get_lease_left_s(now_s),
+            )
+            for worker in self.workers.values()
+            if worker.is_silent
+        ]
+
+    def has_withheld(self):
+        """Return whether a worker that answers again is still withheld."""
+        return any(
+            worker.is_withheld and not worker.is_silent and not worker.ended
+            for worker in self.workers.values()
         )
 
+    def find_inherited_versions(self, now_s):
+        """Return which jobs may have runs of an earlier owner.
+
+        :returns: version of the store by pool: only jobs stored before it
+            may have such runs in the pool. Other pools have none.
+        """
+        versions = {}
+        for worker in self.find_possible_run_holders(now_s):
+            pool = worker.entry.pool
+            versions[pool] = max(
+                versions.get(pool, 0), worker.inherited_lease.before_version
+            )
+        return versions
+
     def add_run(self, run):
         """Add a run to its worker, and its demand to what its account uses."""
         worker = run.worker
--- /dev/null
+++ b/arbutusrock/engine/inherited_waits.py
@@ -0,0 +1,80 @@
+"""Records how long pools wait for workers that may have inherited runs."""
+
+from arbutusrock import logs
+from arbutusrock.utils import clocks
+
+__all__ = ['InheritedWaits']
+
+LOG = logs.get_log('takeover')
+
+
+class InheritedWaits:
+    """How long each pool waits for workers that have not answered.
+
+    :param fleet: :class:`arbutusrock.engine.fleet.Fleet`.
+    :param metrics: :class:`arbutusrock.metrics.Metrics`.
+    """
+
+    __slots__ = (
+        'fleet',
+        'metrics',
+        '_began_at_s',
+        '_holders',
+        '_named',
+        '_waits_s',
+        '_waiting',
+    )
+
+    def __init__(self, *, fleet, metrics):
+        self.fleet = fleet
+        self.metrics = metrics
+        self._began_at_s = 0.0
+        self._holders = []
+        self._named = set()
+        # Seconds by pool, and the pools that still wait.
+        self._waits_s = {}
+        self._waiting = set()
+
+    def begin(self, named):
+        """Begin once the workers are known.
+
+        :param named: ids of the workers that the earlier owner named as dark.
+        :returns: number of workers that are waited for.
+        """
+        self._began_at_s = clocks.now_s()
+        self._named = named
+        self._holders = self.fleet.find_possible_run_holders(self._began_at_s)
+        self._waiting = {worker.entry.pool for worker in self._holders}
+        skipped = named - {worker.worker_id for worker in self._holders}
+        for name, value in (
+            ('takeover_workers_waited_for', len(self._holders)),
+            ('takeover_workers_named', len(named)),
+            ('takeover_workers_skipped', len(skipped)),
+        ):
+            self.metrics.set_gauge(name, value)
+        return len(self._holders)
+
+    def update(self):
+        """Record the pools that do not wait any more; log when none does."""
+        if not self._waiting:
+            return
+        now_s = clocks.now_s()
+        waiting = {
+            worker.entry.pool
+            for worker in self.fleet.find_possible_run_holders(now_s)
+        }
+        for pool in self._waiting - waiting:
+            waited_s = round(now_s - self._began_at_s, 2)
+            self._waits_s[pool] = waited_s
+            self.metrics.set_gauge(
+                'takeover_wait_seconds', waited_s, (('pool', pool),)
+            )
+        self._waiting &= waiting
+        if not self._waiting:
+            LOG.info(
+                'no pool waits for runs of the earlier owner any more',
+                workers=len(self._holders),
+                silent=sum(worker.is_silent for worker in self._holders),
+                named=len(self._named),
+                waited_s=self._waits_s,
+            )
--- a/arbutusrock/engine/job_registry.py
+++ b/arbutusrock/engine/job_registry.py
@@ -41,6 +41,7 @@
         progress=None,
         inherited=False,
         read_at_s=0.0,
+        stored_version=0,
     ):
         """Add an accepted job and return it; a known job stays unchanged."""
         job = self.jobs.get(job_id)
@@ -52,6 +53,7 @@
             progress=progress or plans.JobProgress(),
             inherited=inherited,
             read_at_s=read_at_s,
+            stored_version=stored_version,
         )
         self.jobs[job_id] = job
         if not job.ended:
--- a/arbutusrock/engine/job_state.py
+++ b/arbutusrock/engine/job_state.py
@@ -265,6 +265,7 @@
     :param inherited: whether it was accepted before this node became the
         owner.
     :param read_at_s: when this owner read it; 0 for an inherited job.
+    :param stored_version: version of the store at which it was stored.
     """
 
     __slots__ = (
@@ -274,6 +275,7 @@
         'progress_version',
         'inherited',
         'read_at_s',
+        'stored_version',
         'occurrences',
         'next_occurrence',
         'started',
@@ -283,7 +285,14 @@
     )
 
     def __init__(
-        self, *, job_id, submission, progress, inherited, read_at_s=0.0
+        self,
+        *,
+        job_id,
+        submission,
+        progress,
+        inherited,
+        read_at_s=0.0,
+        stored_version=0,
     ):
         self.job_id = job_id
         self.submission = submission
@@ -291,6 +300,7 @@
         self.progress_version = 0
         self.inherited = inherited
         self.read_at_s = read_at_s
+        self.stored_version = stored_version
         # Occurrences that have started and are not finished, by number.
         self.occurrences = {}
         self.next_occurrence = 0
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -285,6 +285,7 @@
             progress=plans.decode_progress(state.value) if state else None,
             inherited=inherited,
             read_at_s=0.0 if inherited else clocks.now_s(),
+            stored_version=row.version,
         )
         job.started = state is not None
         job.excess = self._is_excess(submission)
@@ -358,6 +359,7 @@
         while True:
             await asyncio.sleep(STALL_CHECK_INTERVAL_S)
             self.term.phases.report_due(self.term.epoch)
+            self.term.inherited_waits.update()
             if self.term.detect_stall():
                 LOG.warning('the process stalled')
                 self.term.request_flush()
--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -115,6 +115,8 @@
             metrics=self.metrics,
             heartbeat_at_s=self.elector.heartbeat_at_s,
             roster_version=self.elector.roster_version,
+            heartbeat_version=self.elector.heartbeat_version,
+            named_leases=self.elector.named_leases,
         )
         if self.elector.heartbeat is not None:
             term.forecast.restore(
--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -14,6 +14,7 @@
 from arbutusrock.engine import rows
 from arbutusrock.engine import state_writer
 from arbutusrock import logs
+from arbutusrock.scheduling import dark_workers
 from arbutusrock.utils import clocks
 
 __all__ = ['Claim', 'OwnerElector']
@@ -92,6 +93,12 @@
         # Newest heartbeat of the owner, and when it was seen.
         self.heartbeat = None
         self.heartbeat_at_s = 0.0
+        # Leases of the workers that the last heartbeat before the last claim
+        # of this node names, by id.
+        self.named_leases = {}
+        # Newest stored heartbeat, and when it was read first.
+        self._stored_heartbeat = None
+        self._stored_heartbeat_at_s = 0.0
         # When the last claim of this node was sent.
         self.claim_sent_at_s = 0.0
         self._claim = None
@@ -104,6 +111,11 @@
         """Version of the stored roster at the last claim; 0 without one."""
         return self._versions[state_writer.KEY_ROSTER]
 
+    @property
+    def heartbeat_version(self):
+        """Version of the stored heartbeat at the last claim; 0 without one."""
+        return self._versions[state_writer.KEY_HEARTBEAT]
+
     def record_heartbeat(self, heartbeat):
         """Record a heartbeat of the owner, which may be this node."""
         self.heartbeat = heartbeat
@@ -194,6 +206,7 @@
         """Apply a row; return whether it shows that an owner is active."""
         if row.value is None:
             return False
+        changed = row.version != self._versions[row.key]
         self._versions[row.key] = row.version
         match row.key:
             case state_writer.KEY_CLAIM:
@@ -217,6 +230,9 @@
                 if known is None or heartbeat.number != known.number:
                     self.monitor.record_heartbeat()
                 self.record_heartbeat(heartbeat)
+                if changed:
+                    self._stored_heartbeat = heartbeat
+                    self._stored_heartbeat_at_s = self.heartbeat_at_s
                 return True
             case _:
                 return False
@@ -260,7 +276,24 @@
         # All rows of the last owner must be unchanged. A roster written
         # since the last read may name workers with runs, which this node
         # would not ask for them.
-        return await self._write_claim(claim, expected=OWNER_KEYS)
+        if not await self._write_claim(claim, expected=OWNER_KEYS):
+            return False
+        self.named_leases = self._find_named_leases(previous)
+        return True
+
+    def _find_named_leases(self, claim):
+        """Return the leases that the last heartbeat of an owner names.
+
+        :param claim: of that owner; None without one.
+        """
+        if claim is None or self._stored_heartbeat is None:
+            return {}
+        return dark_workers.decode_names(
+            self._stored_heartbeat.dark,
+            epoch=claim.epoch,
+            version=self.heartbeat_version,
+            read_at_s=self._stored_heartbeat_at_s,
+        )
 
     async def _write_claim(self, claim, *, expected):
         """Write a claim unless one of the expected rows has changed."""
--- a/arbutusrock/engine/registration_controller.py
+++ b/arbutusrock/engine/registration_controller.py
@@ -13,6 +13,7 @@
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine import rows
 from arbutusrock import logs
+from arbutusrock.scheduling import dark_workers
 from arbutusrock.utils import clocks
 
 __all__ = ['RegistrationController']
@@ -60,29 +61,38 @@
         :param listed: rows of all registrations, read after the claim.
         :param roster: workers that the earlier owner used: id to (pool, VM).
         """
-        until_s = self.term.inherited_leases_end_at_s
         entries = [self.decode(row.key, row.value) for row in listed]
         entries = [entry for entry in entries if entry is not None]
         may_hold_runs = find_possible_holders(entries, roster)
         for entry in entries:
-            inherits = entry.worker_id in may_hold_runs
+            holders = may_hold_runs.get(entry.worker_id, ())
             self._add(
                 entry,
-                inherited_leases_end_at_s=until_s if inherits else 0.0,
+                inherited_lease=self._find_inherited_lease(holders),
                 loaded=True,
             )
-        self._add_unregistered(roster, until_s)
+        self._add_unregistered(roster)
         self.run_controller.crash_tracker.restore()
         self.term.phases.expect_workers(len(may_hold_runs))
+        named = self.term.named_leases.keys() & roster.keys()
         LOG.info(
             'the roster of the earlier owner is read',
             roster=len(roster),
             registered=len(entries),
             may_hold_runs=len(may_hold_runs),
+            named=len(named),
+            waited_for=self.term.inherited_waits.begin(named),
             unregistered=len(self.term.fleet.workers) - len(entries),
         )
 
-    def _add_unregistered(self, roster, until_s):
+    def _find_inherited_lease(self, worker_ids):
+        return dark_workers.find_inherited_lease(
+            worker_ids,
+            self.term.named_leases,
+            self.term.inherited_leases_end_at_s,
+        )
+
+    def _add_unregistered(self, roster):
         """Add workers of the earlier owner that are not registered.
 
         The runs that it started there may go on until their lease expires.
@@ -98,22 +108,24 @@
             unregistered = fleet_module.WorkerState(
                 entry=entry,
                 now_s=clocks.now_s(),
-                inherited_leases_end_at_s=until_s,
+                inherited_lease=self._find_inherited_lease([worker_id]),
                 cordons=self.term.cordons,
+                withheld=self.term.dark_workers,
             )
             unregistered.unregistered_since_s = clocks.now_s()
             unregistered.unresponsive = True
             workers[worker_id] = unregistered
 
-    def _add(self, entry, *, inherited_leases_end_at_s=0.0, loaded=False):
+    def _add(self, entry, *, inherited_lease=None, loaded=False):
         worker = fleet_module.WorkerState(
             entry=entry,
             now_s=clocks.now_s(),
-            inherited_leases_end_at_s=inherited_leases_end_at_s,
+            inherited_lease=inherited_lease,
             cordons=self.term.cordons,
+            withheld=self.term.dark_workers,
         )
         self.term.fleet.workers[entry.worker_id] = worker
-        if not (inherited_leases_end_at_s or loaded):
+        if not (inherited_lease or loaded):
             LOG.info(
                 'a worker is registered',
                 worker=entry.worker_id,
@@ -161,8 +173,7 @@
             # runs of an earlier owner may still be there.
             del self.term.fleet.workers[entry.worker_id]
             successor = self._add(
-                entry,
-                inherited_leases_end_at_s=worker.inherited_leases_end_at_s,
+                entry, inherited_lease=worker.inherited_lease
             )
             self.run_controller.crash_tracker.replace_worker(worker, successor)
             return
@@ -263,7 +274,7 @@
 
 
 def find_possible_holders(entries, roster):
-    """Return ids of registered workers that may hold runs of earlier owners.
+    """Return the registered workers that may hold runs of earlier owners.
 
     A worker gets no run before it is in the stored roster, and leaves the
     roster only when its incarnation is over. So one that is not in it holds
@@ -273,15 +284,18 @@
 
     :param entries: registrations, read after the claim.
     :param roster: the earlier owner's: worker id to (pool, VM).
+    :returns: by id, the workers in the roster whose runs it may have.
     """
     registered = {entry.worker_id for entry in entries}
-    hidden_vms = {
-        vm
-        for worker_id, (_, vm) in roster.items()
-        if vm and worker_id not in registered
-    }
-    return {
-        entry.worker_id
-        for entry in entries
-        if entry.worker_id in roster or entry.vm in hidden_vms
-    }
+    hidden = {}
+    for worker_id, (_, vm) in roster.items():
+        if vm and worker_id not in registered:
+            hidden.setdefault(vm, []).append(worker_id)
+    found = {}
+    for entry in entries:
+        holders = list(hidden.get(entry.vm, ()))
+        if entry.worker_id in roster:
+            holders.append(entry.worker_id)
+        if holders:
+            found[entry.worker_id] = holders
+    return found
--- a/arbutusrock/engine/state_writer.py
+++ b/arbutusrock/engine/state_writer.py
@@ -35,17 +35,20 @@
 LOG = logs.get_log('journal')
 
 
-class OwnerHeartbeat(msgspec.Struct, kw_only=True):
+class OwnerHeartbeat(msgspec.Struct, kw_only=True, omit_defaults=True):
     """Heartbeat row of the owner, with figures that other nodes use.
 
     :param waiting: number of jobs without a started task, by queue.
     :param bursts: learned properties of the bursts, by pool.
+    :param dark: names of silent workers for the next owner, as of
+        :meth:`arbutusrock.scheduling.dark_workers.DarkWorkers.name`.
     """
 
     node: str
     number: int
     waiting: dict[str, int] = {}
     bursts: dict[str, tuple[float, float]] = {}
+    dark: object = None
 
 
 class StateWriter:
@@ -71,6 +74,7 @@
         self.flushes_completed = 0
         self.roster = None
         self._roster_version = term.roster_version
+        self._heartbeat_version = term.heartbeat_version
         self._heartbeat_count = 0
         self._heartbeat_sent_at_s = 0.0
         self._versions = {}
@@ -156,11 +160,14 @@
 
     def _create_owner_rows(self):
         self._heartbeat_count += 1
+        now_s = clocks.now_s()
+        names = self.term.dark_workers.name(self.term.fleet.find_silent(now_s))
         heartbeat = OwnerHeartbeat(
             node=self.term.settings.name,
             number=self._heartbeat_count,
             waiting=self.term.job_registry.count_unstarted_jobs(),
-            bursts=self.term.forecast.export_bursts(clocks.now_s()),
+            bursts=self.term.forecast.export_bursts(now_s),
+            dark=names or None,
         )
         self.on_heartbeat(heartbeat)
         puts = [
@@ -180,7 +187,7 @@
                     value=msgspec.msgpack.encode(roster),
                 )
             )
-        return puts, roster
+        return puts, roster, bool(names)
 
     def create_claim_condition(self):
         """Return the condition that holds while this node owns the unit."""
@@ -190,35 +197,42 @@
             version=self.term.claim_version,
         )
 
-    def _create_roster_condition(self):
-        """Return the condition that the roster is as this node left it.
+    @staticmethod
+    def _create_condition(key, version):
+        """Return the condition that a row is as this node left it.
 
-        An attempt without an answer may be carried out after a newer roster
-        was written, and a later owner would not know of workers with runs.
+        An attempt without an answer may be carried out after a newer row was
+        written. After such a roster a later owner would not know of workers
+        with runs, and after such a heartbeat that names workers it would not
+        know of longer leases.
         """
-        return rows.Row(
-            table=rows.TABLE_OWNER,
-            key=KEY_ROSTER,
-            version=self._roster_version,
-        )
+        return rows.Row(table=rows.TABLE_OWNER, key=key, version=version)
 
     async def _commit(self, progress, queued_rows, *, with_heartbeat):
         claim = self.create_claim_condition()
-        puts, roster = [*progress, *queued_rows], None
+        puts, roster, names = [*progress, *queued_rows], None, False
         # Between heartbeats a flush writes only progress, unless the roster
-        # has changed: new workers get no runs before they are in it.
+        # has changed: new workers get no runs before they are in it. The same
+        # holds for workers that were dark.
         if with_heartbeat and (
             not progress
             or clocks.now_s() - self._heartbeat_sent_at_s
             > HEARTBEAT_INTERVAL_S / 2
             or build_roster(self.term.fleet) != self.roster
+            or self.term.fleet.has_withheld()
         ):
-            owner_rows, roster = self._create_owner_rows()
+            owner_rows, roster, names = self._create_owner_rows()
             puts += owner_rows
         expected = [claim, *progress]
         writes_roster = roster is not None and roster != self.roster
         if writes_roster:
-            expected.append(self._create_roster_condition())
+            expected.append(
+                self._create_condition(KEY_ROSTER, self._roster_version)
+            )
+        if names:
+            expected.append(
+                self._create_condition(KEY_HEARTBEAT, self._heartbeat_version)
+            )
         sent_at_s = clocks.now_s()
         version = await self._write(expected, puts)
         for row in progress:
@@ -227,6 +241,8 @@
             self._roster_version = version
         if roster is not None:
             self._heartbeat_sent_at_s = sent_at_s
+            self._heartbeat_version = version
+            self.term.dark_workers.record_durable(version)
             self._record_roster(roster)
         self.term.record_confirmation(sent_at_s)
 
@@ -251,7 +267,9 @@
                     expected=expected, puts=puts
                 )
             except rows.Conflicted as exc:
-                return self._resolve_conflict(expected, puts, exc.rows)
+                version = self._resolve_conflict(expected, puts, exc.rows)
+                if version:
+                    return version
             except (rows.StoreRefused, rows.StoreSilent) as exc:
                 if not failing:
                     LOG.warning(
@@ -270,12 +288,21 @@
     def _resolve_conflict(self, expected, puts, found):
         """Return the version of rows that an earlier attempt wrote.
 
+        :returns: 0 when none did, and the transaction is to be repeated as a
+            late attempt has replaced the heartbeat by an older one.
         :raises term_module.OwnershipLost: when the claim has changed.
         """
         by_key = {(row.table, row.key): row for row in found}
         claim = by_key.get((rows.TABLE_OWNER, KEY_CLAIM))
         if claim is None or claim.version != self.term.claim_version:
             raise term_module.OwnershipLost('the claim has changed')
+        stored = by_key.get((rows.TABLE_OWNER, KEY_HEARTBEAT))
+        for condition in _find_heartbeat(expected if stored else ()):
+            if stored.value in [put.value for put in _find_heartbeat(puts)]:
+                return stored.version
+            if stored.version != condition.version:
+                condition.version = stored.version
+                return 0
         for put in puts:
             row = by_key.get((put.table, put.key))
             if row is not None and row.value == put.value:
@@ -292,6 +319,10 @@
             worker.flush_done.set()
 
 
+def _find_heartbeat(found):
+    return [row for row in found if row.key == KEY_HEARTBEAT]
+
+
 def build_roster(fleet):
     """Return the workers that may hold runs: (pool, VM) by worker id."""
     return {
--- a/arbutusrock/engine/takeover_phases.py
+++ b/arbutusrock/engine/takeover_phases.py
@@ -65,7 +65,7 @@
 
     def record_answer(self, worker):
         """Record an answer; the first of a possible holder of runs counts."""
-        if worker.has_answered or not worker.inherited_leases_end_at_s:
+        if worker.has_answered or not worker.inherited_lease.end_at_s:
             return
         self._answered += 1
         self.mark('first_worker')
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -3,10 +3,12 @@
 import asyncio
 
 from arbutusrock.engine import fleet as fleet_module
+from arbutusrock.engine import inherited_waits
 from arbutusrock.engine import job_registry
 from arbutusrock.engine import share_ledger
 from arbutusrock.engine import takeover_phases
 from arbutusrock.scheduling import admission
+from arbutusrock.scheduling import dark_workers
 from arbutusrock.scheduling import estimates
 from arbutusrock.scheduling import forecast
 from arbutusrock.scheduling import quotas
@@ -49,6 +51,9 @@
         seen; 0 when none was.
     :param roster_version: version of the roster row at the claim; 0 when
         there was none.
+    :param heartbeat_version: as ``roster_version``, of the heartbeat row.
+    :param named_leases: :class:`dark_workers.InheritedLease` by id of the
+        workers that the last heartbeat of the earlier owner names.
     """
 
     def __init__(
@@ -62,12 +67,17 @@
         metrics,
         heartbeat_at_s=0.0,
         roster_version=0,
+        heartbeat_version=0,
+        named_leases=None,
     ):
         self.epoch = epoch
         # When the newest request that confirmed the ownership was sent.
         self.confirmed_at_s = claim_sent_at_s
         self.claim_version = claim_version
         self.roster_version = roster_version
+        self.heartbeat_version = heartbeat_version
+        self.named_leases = named_leases or {}
+        self.dark_workers = dark_workers.DarkWorkers(epoch=epoch)
         self.settings = settings
         self.configuration = configuration
         self.metrics = metrics
@@ -80,6 +90,9 @@
         self.lease_s = min(LEASE_S, settings.longest_lease_s)
         self.job_registry = job_registry.JobRegistry()
         self.fleet = fleet_module.Fleet()
+        self.inherited_waits = inherited_waits.InheritedWaits(
+            fleet=self.fleet, metrics=metrics
+        )
         self.vm_health = vm_health.VMHealth()
         self.duration_estimator = estimates.DurationEstimator()
         self.rate_limiter = admission.AccountRateLimiter()
@@ -108,8 +121,8 @@
         """When all leases granted by an earlier owner have ended."""
         return (
             self.began_at_s
-            + self.lease_s / fleet_module.MIN_CLOCK_RATE
-            + fleet_module.LEASE_MARGIN_S
+            + self.lease_s / dark_workers.MIN_CLOCK_RATE
+            + dark_workers.LEASE_MARGIN_S
         )
 
     def create_run_number(self):
--- a/arbutusrock/engine/tests/test_registration_controller.py
+++ b/arbutusrock/engine/tests/test_registration_controller.py
@@ -59,7 +59,7 @@
 def test_pool_waits_only_for_workers_in_the_roster(entries, roster, waits):
     fleet = load_fleet([create_entry(*entry) for entry in entries], roster)
     now_s = clocks.now_s()
-    assert fleet.may_have_inherited_runs('p', now_s) is waits
+    assert ('p' in fleet.find_inherited_versions(now_s)) is waits
 
 
 def test_answers_end_the_wait():
@@ -68,7 +68,7 @@
         {'w1': ('p', 'vm-1')},
     )
     fleet.workers['w1'].has_answered = True
-    assert not fleet.may_have_inherited_runs('p', clocks.now_s())
+    assert not fleet.find_inherited_versions(clocks.now_s())
 
 
 def test_worker_outside_the_roster_gets_no_runs_before_it_is_written():
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -32,6 +32,9 @@
 RETRY_DELAY_S = 0.25
 # Poll time while a suspect starts, beside which no other task may start.
 GUARDED_POLL_WAIT_S = 0.1
+# Poll time until a heartbeat without a worker that was dark is durable: its
+# lease is extended with the next renewal.
+WITHHELD_POLL_WAIT_S = 0.05
 # How long a worker is reserved for a run before its order must be sent.
 RESERVATION_TIMEOUT_S = 1.0
 # Interval of renewals while the store does not make received completions
@@ -114,7 +117,9 @@
         # A renewal that was not answered may still arrive later. So the lease
         # of an unresponsive worker is not extended, and expires for certain.
         lease_until_ms = (
-            None if worker.unresponsive else self._extend_lease(sent_at_s)
+            None
+            if worker.unresponsive or worker.is_withheld
+            else self._extend_lease(sent_at_s)
         )
         reply = await self.client.renew_lease(
             epoch=self.term.epoch,
@@ -142,6 +147,8 @@
         """Return how long the worker may hold back its reply to a renewal."""
         if self.worker.guarded_run is not None:
             return GUARDED_POLL_WAIT_S
+        if self.worker.is_withheld:
+            return WITHHELD_POLL_WAIT_S
         starting = any(
             run.ready_at_s is None
             and run.task is not None
