--- a/arbutusrock/engine/inherited_waits.py
+++ b/arbutusrock/engine/inherited_waits.py
@@ -51,7 +51,7 @@
             ('takeover_workers_named', len(named)),
             ('takeover_workers_skipped', len(skipped)),
         ):
-            self.metrics.set_gauge(name, value)
+            self.metrics.count(name, amount=value)
         return len(self._holders)
 
     def update(self):
@@ -66,8 +66,8 @@
         for pool in self._waiting - waiting:
             waited_s = round(now_s - self._began_at_s, 2)
             self._waits_s[pool] = waited_s
-            self.metrics.set_gauge(
-                'takeover_wait_seconds', waited_s, (('pool', pool),)
+            self.metrics.count(
+                'takeover_wait_seconds', (('pool', pool),), waited_s
             )
         self._waiting &= waiting
         if not self._waiting:
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -6,9 +6,11 @@
 
 from arbutusrock.engine import ownership
 from arbutusrock.engine import retention
+from arbutusrock.utils import clocks
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
+from tests.site_checks import OTHER_JOB
 from tests.site_checks import start_nodes
 from tests.site_checks import wait_owner
 from tests.site_checks import wait_state
@@ -329,3 +331,83 @@
         what='its rows are removed',
     )
     assert JOB not in site.nodes[0].node.leader.term.job_registry.jobs
+
+
+@pytest.mark.parametrize('stored_after_naming', [True, False])
+async def test_accepted_job_does_not_wait_for_dark_worker(
+    site, stored_after_naming
+):
+    """The owner is killed beside a worker that it has named as dark.
+
+    A job that was stored after that cannot have a run there, and an earlier
+    one waits only for the rest of the lease. Both waited for a full lease,
+    counted from the claim.
+    """
+    await start_nodes(site, 2)
+    owner = await wait_owner(site)
+    term = owner.node.leader.term
+    await wait_until(
+        lambda: sum(item.usable for item in term.fleet.workers.values()) == 3,
+        what='all workers can be used',
+    )
+    # The pool keeps its VMs, as the others have work.
+    lasting = create_step(2, longRunning=True, antiAffinity=1)
+    await site.submit('alpha', OTHER_JOB, [lasting], spec=LASTING_SPEC)
+    await wait_until(lambda: count_running(site) == 2, what='it is at work')
+    dark = next(item for item in site.workers.values() if not item.running)
+    # The job is accepted, but this owner does not come to start it.
+    term.stopping = True
+    if not stored_after_naming:
+        await site.submit('alpha', JOB, [create_step(4)])
+    dark.faults.unresponsive = True
+    await wait_until(
+        lambda: dark.worker_id in term.dark_workers, what='it is named'
+    )
+    await owner.node.leader.state_writer.wait_until_durable()
+    if stored_after_naming:
+        await site.submit('alpha', JOB, [create_step(4)])
+    else:
+        state = term.fleet.workers[dark.worker_id]
+        await wait_until(
+            lambda: state.get_lease_left_s(clocks.now_s()) < 0.5,
+            what='its lease has nearly ended',
+        )
+        await owner.node.leader.state_writer.wait_until_durable()
+    await site.kill_node(owner)
+    claimed_at_s = (await wait_owner(site)).node.leader.term.began_at_s
+    await wait_until(lambda: len(site.ledger) == 6, what='all tasks start')
+    assert clocks.now_s() - claimed_at_s < 1.5
+    metrics = site.nodes[0].node.metrics
+    assert metrics.get_count('takeover_workers_named') == 1
+
+
+async def test_dark_worker_gets_no_longer_lease_while_it_is_named(site):
+    """It answers again while the store takes no heartbeat without it.
+
+    A later owner would read the last one, and rely on the rest in it.
+    """
+    (node,) = await start_nodes(site, 1)
+    term = node.node.leader.term
+    await site.submit(
+        'alpha', JOB, [create_step(3, longRunning=True)], spec=LASTING_SPEC
+    )
+    await wait_until(lambda: len(site.ledger) == 3, what='all tasks start')
+    dark = next(item for item in site.workers.values() if item.running)
+    dark.faults.unresponsive = True
+    await wait_until(
+        lambda: dark.worker_id in term.dark_workers, what='it is named'
+    )
+    await node.node.leader.state_writer.wait_until_durable()
+    site.store.faults.busy = True
+    lease_until_ms = dark.lease_until_ms
+    dark.faults.clear()
+    state = term.fleet.workers[dark.worker_id]
+    await wait_until(lambda: not state.is_silent, what='it answers again')
+    await asyncio.sleep(1.0)
+    assert dark.lease_until_ms == lease_until_ms
+    assert not state.usable
+    site.store.faults.clear()
+    await wait_until(
+        lambda: dark.lease_until_ms > lease_until_ms, what='it is extended'
+    )
+    assert state.usable
