--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -228,9 +228,6 @@
             return
         if not worker.has_answered or worker.unresponsive:
             self.term.request_dispatch()
-            if worker.is_withheld:
-                # A heartbeat without it is due.
-                self.term.request_flush()
         self.term.phases.record_answer(worker)
         worker.has_answered = True
         worker.unresponsive = False
--- a/arbutusrock/engine/tests/test_ownership.py
+++ b/arbutusrock/engine/tests/test_ownership.py
@@ -128,3 +128,33 @@
     elapsed_s = clock.now - began_at_s
     assert ownership.HEARTBEAT_TIMEOUT_S <= elapsed_s <= latest_s + 0.02
     assert max(store.waits_s) <= ownership.WATCH_TIMEOUT_S
+
+
+@pytest.mark.parametrize(
+    ('dark', 'named'),
+    [
+        ([4, {'i-1': [2000, 3]}], {'i-1'}),
+        # Of an owner before the last one.
+        ([3, {'i-1': [2000, 3]}], set()),
+        # From a version of the store that is still to come.
+        ([4, {'i-1': [2000, 6]}], set()),
+        ('unreadable', set()),
+        (None, set()),
+    ],
+)
+async def test_acquire_reads_names_of_dark_workers(monkeypatch, dark, named):
+    """Their rest counts from when the heartbeat was read first."""
+    clock = Clock()
+    monkeypatch.setattr(ownership.clocks, 'now_s', clock.now_s)
+    store = LateWriteStore(clock)
+    heartbeat = state_writer.OwnerHeartbeat(node='other', number=1, dark=dark)
+    store.owner_rows[state_writer.KEY_HEARTBEAT] = (heartbeat, 5)
+    elector = ownership.OwnerElector(store=store, node='n1')
+    read_at_s = clock.now
+    await elector.acquire()
+    # The first claim fails, and all rows are read again.
+    assert store.conflict_count == 1
+    assert elector.named_leases.keys() == named
+    for lease in elector.named_leases.values():
+        assert lease.end_at_s == read_at_s + 2.0 < clock.now + 2.0
+        assert lease.before_version == 3
--- a/arbutusrock/engine/tests/test_registration_controller.py
+++ b/arbutusrock/engine/tests/test_registration_controller.py
@@ -1,11 +1,14 @@
 """Which registered workers a new owner waits for."""
 
+import math
+
 import pytest
 
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine import registration_controller
 from arbutusrock.engine import rows
 from arbutusrock.engine.tests import samples
+from arbutusrock.scheduling import dark_workers
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
 
@@ -20,9 +23,13 @@
     )
 
 
-def load_fleet(entries, roster):
-    """Return the fleet of an owner that has read these rows."""
+def load_fleet(entries, roster, named=None):
+    """Return the fleet of an owner that has read these rows.
+
+    :param named: leases of the workers that the last heartbeat names.
+    """
     controller = samples.create_run_controller([], epoch=2)
+    controller.term.named_leases = named or {}
     registrations = registration_controller.RegistrationController(
         term=controller.term,
         store=None,
@@ -76,3 +83,34 @@
     worker = fleet.workers['w0']
     worker.has_answered = True
     assert not worker.usable
+
+
+@pytest.mark.parametrize(
+    ('registered', 'named', 'before_version'),
+    [
+        ([('w1', 'vm-1')], {'w1': 1.0}, 30),
+        ([('w1', 'vm-1')], {'w1': 0.0}, None),
+        ([], {'w1': 1.0}, 30),
+        # A registration that is over may hide the worker that is named.
+        ([('w0', 'vm-1')], {'w1': 1.0}, 30),
+        ([('w0', 'vm-1')], {'w0': 1.0}, math.inf),
+        ([('w1', 'vm-1')], {'w2': 1.0}, math.inf),
+    ],
+)
+def test_pool_waits_for_the_rest_that_is_named(
+    registered, named, before_version
+):
+    now_s = clocks.now_s()
+    leases = {
+        worker_id: dark_workers.InheritedLease(
+            end_at_s=now_s + left_s, before_version=30
+        )
+        for worker_id, left_s in named.items()
+    }
+    entries = [create_entry(*entry) for entry in registered]
+    fleet = load_fleet(entries, {'w1': ('p', 'vm-1')}, leases)
+    versions = fleet.find_inherited_versions(now_s + 0.5)
+    assert versions.get('p') == before_version
+    assert not (
+        before_version == 30 and fleet.find_inherited_versions(now_s + 1.1)
+    )
--- a/arbutusrock/engine/tests/test_state_writer.py
+++ b/arbutusrock/engine/tests/test_state_writer.py
@@ -20,6 +20,7 @@
 
     def __init__(self):
         self.written_keys = []
+        self.expected_versions = []
         self.row_bytes = []
         self.transaction_bytes = []
         self.conflict = None
@@ -29,6 +30,7 @@
         if self.conflict is not None:
             raise rows.Conflicted(self.conflict)
         self.written_keys.append([row.key for row in puts])
+        self.expected_versions.append({r.key: r.version for r in expected})
         sizes = [len(row.value) for row in puts]
         self.row_bytes += sizes
         self.transaction_bytes.append(sum(sizes))
@@ -243,3 +245,51 @@
     except rows.Conflicted:
         pass
     assert set(msgspec.msgpack.decode(store.roster)) == {'i-1', 'i-2'}
+
+
+async def test_only_heartbeat_with_names_expects_the_last_one():
+    """A late attempt of it would hide that a lease was extended since."""
+    owner_term, store, writer = create_state_writer()
+    add_worker(owner_term, 'i-1')
+    worker = owner_term.fleet.workers['i-1']
+    worker.has_answered = True
+    await writer.flush()
+    worker.unresponsive = True
+    worker.withheld = owner_term.dark_workers
+    await writer.flush()
+    assert worker.is_withheld
+    worker.unresponsive = False
+    await writer.flush()
+    beats = [
+        item.get(state_writer.KEY_HEARTBEAT)
+        for item in store.expected_versions
+    ]
+    assert beats == [None, 1, None]
+    assert not worker.is_withheld
+
+
+async def test_heartbeat_with_names_is_repeated_after_a_late_older_one():
+    """The older one has no condition, and has replaced the last one."""
+    owner_term, store, writer = create_state_writer()
+    add_worker(owner_term, 'i-1')
+    await writer.flush()
+    transact, conflicts = store.transact, []
+
+    async def transact_late(*, expected, puts):
+        if not conflicts:
+            conflicts.append(expected[-1].version)
+            raise rows.Conflicted(
+                [
+                    rows.Row(
+                        table=rows.TABLE_OWNER, key=key, value=b'', version=n
+                    )
+                    for key, n in ((state_writer.KEY_CLAIM, 7), ('beat', 5))
+                ]
+            )
+        return await transact(expected=expected, puts=puts)
+
+    store.transact = transact_late
+    await writer.flush()
+    assert conflicts == [1]
+    assert store.expected_versions[-1][state_writer.KEY_HEARTBEAT] == 5
+    assert writer.flushes_completed == writer.flushes_started
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -128,9 +128,13 @@
             wait_s=self._choose_poll_wait_s() if long_poll else 0,
         )
         if isinstance(reply, platform_messages.RenewalReply):
+            was_silent = worker.is_silent
             if worker.unresponsive:
                 LOG.info('a worker answers again', worker=worker.worker_id)
             self.run_controller.handle_renewal(worker, reply, sent_at_s)
+            if was_silent and worker.is_withheld:
+                # A heartbeat that does not name it is due.
+                self.term.request_flush()
             return
         match reply.outcome:
             case platform_messages.OrderOutcome.FENCED:
--- a/arbutusrock/scheduling/tests/test_dark_workers.py
+++ b/arbutusrock/scheduling/tests/test_dark_workers.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from arbutusrock.scheduling import dark_workers
@@ -248,12 +249,12 @@
         if lease is not None:
             if worker.is_reachable(now_s):
                 return None
-            if restarted_at_s is None and stored_version is not None:
-                if (
-                    now_s >= lease.end_at_s
-                    or stored_version >= lease.before_version
-                ):
-                    restarted_at_s = now_s
+            may_start = stored_version is not None and (
+                now_s >= lease.end_at_s
+                or stored_version >= lease.before_version
+            )
+            if restarted_at_s is None and may_start:
+                restarted_at_s = now_s
             if restarted_at_s is not None and worker.has_task:
                 return now_s
             # Another worker refuses its renewals.
@@ -316,3 +317,42 @@
     schedule = PLAIN | faults
     assert find_second_run(schedule, planted) is not None
     assert find_second_run(schedule) is None
+
+
+LEAVES = st.none() | st.booleans() | st.integers() | st.floats() | st.text()
+
+
+@hypothesis.given(
+    st.recursive(
+        LEAVES,
+        lambda data: (
+            st.lists(data, max_size=3)
+            | st.dictionaries(st.text(), data, max_size=3)
+        ),
+    )
+)
+def test_unreadable_names_are_not_used(data):
+    for found in (data, [1, data], [1, {'w': data}], [1, {'w': [data, 0]}]):
+        names = dark_workers.decode_names(
+            found, epoch=1, version=9, read_at_s=5.0
+        )
+        assert all(
+            lease.end_at_s >= 5.0 and 0 < lease.before_version <= 9
+            for lease in names.values()
+        )
+
+
+def test_names_are_few_and_those_of_the_longest_silent():
+    silent = [(f'i-{number:04}', number, 5.3) for number in range(200)]
+    names = dark_workers.DarkWorkers(epoch=1).name(silent)
+    assert list(names[1])[0] == 'i-0199'
+    assert len(names[1]) == dark_workers.MAX_NAMED
+    assert len(msgspec.msgpack.encode(names)) < 3000
+
+
+def test_names_of_an_earlier_epoch_are_not_used():
+    """The owner in between has written no heartbeat, and withheld nobody."""
+    names = dark_workers.DarkWorkers(epoch=3).name([('w', 2.0, 1.0)])
+    fields = {'version': 9, 'read_at_s': 5.0}
+    assert dark_workers.decode_names(names, epoch=3, **fields)
+    assert not dark_workers.decode_names(names, epoch=4, **fields)
