Pass on no wait for a worker that is only assumed

Cause: an owner that is cut off from the store alone goes on extending leases until another worker refuses it, about a second after the claim. The next owner's 5.4 s do not cover that. When that owner was lost too, the third one waited 5.4 s anew and so covered it; with the names it took over the second one's rest, and could start tasks that still ran on the silent worker.

Change: a worker that has not answered, and that the owner before had not named, is not named while it is waited for. The owner after that waits in full, as before. What a single takeover assumes is unchanged.

Test: test_wait_that_is_only_assumed_is_not_passed_on failed before.

--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import math
 
 from arbutusrock.scheduling import dark_workers
 from arbutusrock.scheduling import Resources
@@ -268,6 +269,18 @@
             ),
         )
 
+    def is_lease_assumed(self, now_s):
+        """Return whether the end of its lease is only assumed.
+
+        An earlier owner that has not named it, and that is cut off from the
+        store alone, may extend its lease until another worker refuses that.
+        """
+        return (
+            not self.has_answered
+            and self.inherited_lease.before_version == math.inf
+            and now_s < self.inherited_lease.end_at_s
+        )
+
     def is_lease_expired(self, now_s):
         """Return whether all leases that were ever sent there have expired.
 
@@ -316,7 +329,7 @@
         ]
 
     def find_silent(self, now_s):
-        """Return the workers that do not answer.
+        """Return the workers that do not answer, with a proven bound.
 
         :returns: ``(worker_id, silent_s, lease_left_s)`` of each.
         """
@@ -327,7 +340,7 @@
                 worker.get_lease_left_s(now_s),
             )
             for worker in self.workers.values()
-            if worker.is_silent
+            if worker.is_silent and not worker.is_lease_assumed(now_s)
         ]
 
     def has_withheld(self):
--- a/arbutusrock/engine/tests/test_registration_controller.py
+++ b/arbutusrock/engine/tests/test_registration_controller.py
@@ -114,3 +114,30 @@
     assert not (
         before_version == 30 and fleet.find_inherited_versions(now_s + 1.1)
     )
+
+
+@pytest.mark.parametrize(
+    ('named', 'after_s', 'passed_on'),
+    [
+        # Its lease may be extended still, by an owner that was replaced.
+        ({}, 2.0, []),
+        ({}, 6.0, ['w1']),
+        ({'w1': 3.0}, 2.0, ['w1']),
+    ],
+)
+def test_wait_that_is_only_assumed_is_not_passed_on(named, after_s, passed_on):
+    """Two owners are lost in a row, beside a worker that neither reached.
+
+    The first one is cut off from the store alone, and reaches the worker.
+    """
+    now_s = clocks.now_s()
+    leases = {
+        worker_id: dark_workers.InheritedLease(
+            end_at_s=now_s + left_s, before_version=30
+        )
+        for worker_id, left_s in named.items()
+    }
+    entries = [create_entry('w1', 'vm-1')]
+    fleet = load_fleet(entries, {'w1': ('p', 'vm-1')}, leases)
+    silent = fleet.find_silent(now_s + after_s)
+    assert [worker_id for worker_id, _, _ in silent] == passed_on
