Ignore unknown rows in the owner's table again

Cause: the comparison of versions that was added for the names looked up the key without a default, so that a row of a later version raised KeyError in the elector of each node. Such rows were ignored before.

Test: test_acquire_ignores_an_unknown_row_of_the_owner failed before.

--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -206,7 +206,7 @@
         """Apply a row; return whether it shows that an owner is active."""
         if row.value is None:
             return False
-        changed = row.version != self._versions[row.key]
+        changed = row.version != self._versions.get(row.key)
         self._versions[row.key] = row.version
         match row.key:
             case state_writer.KEY_CLAIM:
--- a/arbutusrock/engine/tests/test_ownership.py
+++ b/arbutusrock/engine/tests/test_ownership.py
@@ -158,3 +158,14 @@
     for lease in elector.named_leases.values():
         assert lease.end_at_s == read_at_s + 2.0 < clock.now + 2.0
         assert lease.before_version == 3
+
+
+async def test_acquire_ignores_an_unknown_row_of_the_owner(monkeypatch):
+    """A later version may store a row that this one does not know."""
+    clock = Clock()
+    monkeypatch.setattr(ownership.clocks, 'now_s', clock.now_s)
+    store = LateWriteStore(clock)
+    store.owner_rows['later'] = ({}, 3)
+    elector = ownership.OwnerElector(store=store, node='n1')
+    epoch, _, _ = await elector.acquire()
+    assert epoch == 5
