Plant two more faults in the checks of dark workers

Two faults planted in the module passed all checks: a worker withheld only once the heartbeat that names it is durable, and a version that is kept over a gap in which the worker was not named. A schedule and a test now find them.

--- a/arbutusrock/scheduling/tests/test_dark_workers.py
+++ b/arbutusrock/scheduling/tests/test_dark_workers.py
@@ -113,8 +113,11 @@
         self.late_writes = []
         self.started = False
         self.stored_version = None
+        self.is_named_durably = False
 
     def is_withheld(self):
+        if self.planted == 'withheld once durable':
+            return self.is_named_durably
         return 'w' in self.names and self.planted != 'not withheld'
 
     def extend(self, now_s):
@@ -180,6 +183,7 @@
         elif written or self.store.heartbeat == self.writing:
             self.written_by_us = self.store.heartbeat_version
             self.names.record_durable(self.written_by_us)
+            self.is_named_durably = bool(self.writing[1])
             self.holds_orders = False
             self.beat_at_s = self.writing[0] + HEARTBEAT_S
             self.writing = None
@@ -291,6 +295,15 @@
         # It answers again while heartbeats are not written.
         ('not withheld', {'write_span': (3.6, 6.0)}),
         ('released when sent', {'write_span': (4.05, 6.0)}),
+        # The heartbeat that names it is written, but not answered.
+        (
+            'withheld once durable',
+            {
+                'write_fault': 'late',
+                'write_span': (3.0, 6.0),
+                'write_delay_s': 1.4,
+            },
+        ),
         # The heartbeat that named it is written after later ones.
         (
             'no condition',
@@ -350,6 +363,20 @@
     assert len(msgspec.msgpack.encode(names)) < 3000
 
 
+def test_worker_named_again_after_a_gap_has_a_new_version():
+    """A job stored in the gap may have been started there."""
+    names = dark_workers.DarkWorkers(epoch=1)
+    silent = [('w', 2.0, 1.0)]
+    versions = []
+    for number, found in enumerate([silent, silent, [], silent, silent]):
+        data = names.name(found)
+        assert 'w' in names
+        versions.append(data[1]['w'][1] if data else None)
+        names.record_durable(10 + number)
+        assert ('w' in names) is bool(found)
+    assert versions == [0, 10, None, 0, 13]
+
+
 def test_names_of_an_earlier_epoch_are_not_used():
     """The owner in between has written no heartbeat, and withheld nobody."""
     names = dark_workers.DarkWorkers(epoch=3).name([('w', 2.0, 1.0)])
