--- a/arbutusrock/engine/state_writer.py
+++ b/arbutusrock/engine/state_writer.py
@@ -219,7 +219,7 @@
             or clocks.now_s() - self._heartbeat_sent_at_s
             > HEARTBEAT_INTERVAL_S / 2
             or build_roster(self.term.fleet) != self.roster
-            or self.term.fleet.has_withheld()
+            or (self.term.dark_workers and self.term.fleet.has_withheld())
         ):
             owner_rows, roster, names = self._create_owner_rows()
             puts += owner_rows
