Estimate the speed of VMs from the progress of their runs

Cause: slow VMs were seen run by run only; placement and pool sizes took each VM for a sound one, and runs of the tail were restarted on sound VMs.

Change: scheduling/vm_speeds.py judges VMs by the progress of their runs; placement, stragglers and pool room use it. A test named the parts that an owner hands over, and counted those that are too old; the new part joins both.

--- a/arbutusrock/commands/node.py
+++ b/arbutusrock/commands/node.py
@@ -10,6 +10,7 @@
     'workers',
     'usable',
     'evacuated',
+    'slow',
     'cores',
     'cores_used',
     'runs',
--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -11,6 +11,7 @@
 from arbutusrock.engine import job_state
 from arbutusrock.engine import lookahead
 from arbutusrock.engine import placement_requests
+from arbutusrock.engine import run_speeds
 from arbutusrock import logs
 from arbutusrock.scheduling import placement
 from arbutusrock.scheduling import Resources
@@ -225,9 +226,7 @@
             request = placement_requests.create_request(
                 self.term, step, task, suspect_vms, allowed
             )
-            eligible = placement.find_eligible_workers(
-                workers, task.deprioritized_vms, now_s - task.queued_at_s
-            )
+            eligible = self._find_eligible_workers(workers, task, now_s)
             worker = placement.choose_worker(eligible, request)
             if worker is None and len(eligible) < len(workers):
                 # It waits for the workers that it had to leave out; other
@@ -240,6 +239,21 @@
             self._start_run(task, worker, number, now_s)
         return True
 
+    def _find_eligible_workers(self, workers, task, now_s):
+        """Return the workers that a task may use, given how long it waits."""
+        waited_s = now_s - task.queued_at_s
+        slow_vms = self.term.vm_speeds.slow_vms
+        if slow_vms and not task.step.plan.long_running:
+            workers = placement.find_sound_workers(
+                workers,
+                slow_vms,
+                waited_s,
+                run_speeds.compute_expected_s(self.term, task.step),
+            )
+        return placement.find_eligible_workers(
+            workers, task.deprioritized_vms, waited_s
+        )
+
     def _start_gang(self, step, workers, suspect_vms, allowed, now_s):
         """Start all tasks of a gang under one run number, or none."""
         count = len(step.waiting)
@@ -396,7 +410,7 @@
     def _find_worker(self, task):
         """Return a worker for one more run of a task, or None.
 
-        Suspect and deprioritized VMs are left out.
+        Suspect, slow and deprioritized VMs are left out.
         """
         term, step = self.term, task.step
         now_s = clocks.now_s()
@@ -409,6 +423,7 @@
             and guarded_starts.is_available(worker, now_s)
             and worker.worker_id in self.links
             and worker.vm not in task.deprioritized_vms
+            and worker.vm not in term.vm_speeds.slow_vms
             and not term.vm_health.is_suspect(worker.vm, now_s)
         ]
         allowed = self.ticket_cache.get_allowed_ids(step, workers, now_s)
--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -48,6 +48,7 @@
         'has_answered',
         'unresponsive',
         'last_reply_at_s',
+        'report_clock_ms',
         'clock_ms',
         'clock_read_at_s',
         'lease_until_ms',
@@ -82,6 +83,8 @@
         self.has_answered = False
         self.unresponsive = False
         self.last_reply_at_s = now_s
+        # Its steady clock at its last report of what runs there.
+        self.report_clock_ms = None
         # Its steady clock at its last answer, and when that was received on
         # the owner's clock.
         self.clock_ms = None
@@ -218,6 +221,12 @@
             return None
         return self.clock_ms + (now_s - self.clock_read_at_s) * 1000
 
+    def record_report(self, clock_ms, now_s):
+        """Record the clock and the time of a report of what runs there."""
+        self.record_clock(clock_ms, now_s)
+        self.report_clock_ms = clock_ms
+        self.last_reply_at_s = now_s
+
     def record_clock(self, clock_ms, now_s):
         """Record the worker's clock from an answer.
 
--- a/arbutusrock/engine/owner_knowledge.py
+++ b/arbutusrock/engine/owner_knowledge.py
@@ -10,6 +10,7 @@
 from arbutusrock.engine import rows
 from arbutusrock import logs
 from arbutusrock.scheduling import knowledge_ageing
+from arbutusrock.scheduling import vm_speeds
 from arbutusrock.utils import clocks
 
 __all__ = ['KEY', 'OwnerKnowledge', 'create_knowledge']
@@ -25,6 +26,7 @@
 MAX_DURATIONS_AGE_S = 600.0
 MAX_VM_HEALTH_AGE_S = 4.0
 MAX_SHARES_AGE_S = 10.0
+MAX_VM_SPEEDS_AGE_S = vm_speeds.EVIDENCE_S
 LOG = logs.get_log('knowledge')
 
 
@@ -200,6 +202,15 @@
         data_type=dict[str, tuple[list[str], float]],
         max_age_s=MAX_VM_HEALTH_AGE_S,
     )
+    knowledge.register(
+        'vm_speeds',
+        export=term.vm_speeds.export,
+        restore=lambda data, age_s: term.vm_speeds.restore(
+            data, age_s, clocks.now_s()
+        ),
+        data_type=dict[str, float],
+        max_age_s=MAX_VM_SPEEDS_AGE_S,
+    )
     knowledge.register(
         'shares',
         export=term.share_ledger.export,
--- a/arbutusrock/engine/placement_requests.py
+++ b/arbutusrock/engine/placement_requests.py
@@ -35,6 +35,7 @@
         deprioritized_vms=task.deprioritized_vms,
         allowed=allowed,
         suspect_vms=suspect_vms,
+        slow_vms=term.vm_speeds.slow_vms,
     )
 
 
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -9,6 +9,7 @@
 from arbutusrock.engine import job_state
 from arbutusrock.engine import plans
 from arbutusrock.engine import platform_messages
+from arbutusrock.engine import run_speeds
 from arbutusrock.engine import term as term_module
 from arbutusrock import logs
 from arbutusrock.scheduling import crash_attribution
@@ -222,8 +223,7 @@
         if born_ms and reply.born_ms and reply.born_ms != born_ms:
             self.end_incarnation(worker, fleet.IncarnationEnd.RESTARTED)
             return
-        worker.record_clock(reply.clock_ms, now_s)
-        worker.last_reply_at_s = now_s
+        worker.record_report(reply.clock_ms, now_s)
         if not worker.has_answered and self._has_unloaded_job(reply, now_s):
             return
         if not worker.has_answered or worker.unresponsive:
@@ -316,9 +316,9 @@
     def _record_duration(self, task, run, now_s):
         """Record the duration of a task, for estimates and its siblings.
 
-        A run that resumed from a checkpoint has done a part only, and does
-        not count; nor does one that an earlier owner started.
+        A run that resumed, or that an earlier owner started, does not count.
         """
+        run_speeds.record_end(self.term, run, now_s)
         if run is None or run.started_at_s is None or task.checkpoint:
             return
         task.run_duration_s = now_s - run.started_at_s
--- a/arbutusrock/engine/status.py
+++ b/arbutusrock/engine/status.py
@@ -19,6 +19,7 @@
 
     :param usable: workers that can be given runs now.
     :param evacuated: workers whose data centre is evacuated.
+    :param slow: workers whose VM is judged slow.
     :param cores_used: cores in use by running tasks.
     :param waiting_tasks: tasks that wait for a worker.
     """
@@ -27,6 +28,7 @@
     workers: int
     usable: int
     evacuated: int
+    slow: int = 0
     cores: float
     cores_used: float
     runs: int
@@ -122,6 +124,7 @@
         workers=len(workers),
         usable=sum(worker.usable for worker in workers),
         evacuated=sum(item.in_evacuated_data_centre for item in workers),
+        slow=sum(item.vm in term.vm_speeds.slow_vms for item in workers),
         cores=sum(item.capacity.cpu for item in workers) / 1000,
         cores_used=sum(item.used_millicores for item in workers) / 1000,
         runs=sum(len(item.runs) for item in workers),
@@ -151,3 +154,6 @@
         name = 'workers_failing' if worker.unresponsive else 'workers_in_touch'
         value = metrics.get_gauge(name, pool)
         metrics.set_gauge(name, value + 1, pool)
+        if worker.vm in term.vm_speeds.slow_vms and not worker.ended:
+            slow = metrics.get_gauge('vms_slow', pool)
+            metrics.set_gauge('vms_slow', slow + 1, pool)
--- a/arbutusrock/engine/straggler_controller.py
+++ b/arbutusrock/engine/straggler_controller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from arbutusrock.engine import job_state
+from arbutusrock.engine import run_speeds
 from arbutusrock import logs
 from arbutusrock.scheduling import stragglers
 from arbutusrock.utils import clocks
@@ -37,32 +37,43 @@
             if self.term.holds_orders:
                 continue
             now_s = clocks.now_s()
-            for worker in list(self.term.fleet.workers.values()):
-                if worker.in_service and not worker.cordon_reason:
-                    self._check_worker(worker, now_s)
-
-    def _check_worker(self, worker, now_s):
-        for run in list(worker.runs.values()):
-            if run.state is not job_state.RunState.RUNNING or run.task is None:
-                continue
-            plan = run.task.step.plan
-            if plan.long_running or plan.gang:
+            self.check(now_s)
+
+    def check(self, now_s):
+        """Check all runs once, after the speeds of their VMs."""
+        views = [
+            (run, self._create_view(run, worker))
+            for worker in self.term.fleet.workers.values()
+            if worker.in_service
+            for run in worker.runs.values()
+            if run_speeds.is_comparable(run)
+        ]
+        for run, view in views:
+            run_speeds.record_progress(self.term, run, view.expected_s, now_s)
+        run_speeds.update(self.term, [run for run, _ in views], now_s)
+        for run, view in views:
+            if run.worker.cordon_reason or not run_speeds.is_comparable(run):
                 continue
-            view = self._create_view(run, worker)
+            estimate = self.term.vm_speeds.get(run.worker.vm)
+            view.vm_speed = estimate.speed
+            view.vm_sound = estimate.known_sound
             remedy = stragglers.choose_remedy(view)
             if remedy is not stragglers.Remedy.NONE:
                 self._apply_remedy(run, view, remedy, now_s)
 
-    @staticmethod
-    def _create_view(run, worker):
+    def _create_view(self, run, worker):
         plan = run.task.step.plan
+        durations_s = run_speeds.find_sibling_durations(run)
         return stragglers.RunView(
             age_s=worker.last_reply_at_s - run.confirmed_at_s,
             percent=run.percent,
             stalled_s=worker.last_reply_at_s - run.last_progress_at_s,
-            sibling_durations_s=find_sibling_durations(run),
+            sibling_durations_s=durations_s,
             speculative=plan.speculative,
             checkpointing=plan.checkpointing,
+            expected_s=run_speeds.compute_expected_s(
+                self.term, run.task.step, durations_s
+            ),
         )
 
     def _apply_remedy(self, run, view, remedy, now_s):
@@ -89,32 +100,6 @@
                 remedy=remedy.value,
                 percent=run.percent,
                 age_s=round(view.age_s, 2),
+                vm_speed=round(view.vm_speed, 2),
                 siblings=len(view.sibling_durations_s),
             )
-
-
-def find_sibling_durations(run):
-    """Return durations of the other tasks of a run's step on other VMs.
-
-    The VM of the run itself may be what is slow. The duration of a task that
-    is still running is extrapolated from its progress, if it is known when
-    it started.
-    """
-    durations_s = []
-    for task in run.task.step.tasks:
-        if (
-            task.run_duration_s is not None
-            and task.completed_on_vm != run.worker.vm
-        ):
-            durations_s.append(task.run_duration_s)
-        for other in task.runs:
-            worker = other.worker
-            if (
-                worker.vm == run.worker.vm
-                or other.started_at_s is None
-                or other.percent <= 0
-            ):
-                continue
-            age_s = worker.last_reply_at_s - other.started_at_s
-            durations_s.append(age_s * 100 / other.percent)
-    return durations_s
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -11,6 +11,7 @@
 from arbutusrock.scheduling import forecast
 from arbutusrock.scheduling import quotas
 from arbutusrock.scheduling import vm_health
+from arbutusrock.scheduling import vm_speeds
 from arbutusrock.utils import clocks
 
 __all__ = ['CONFIRMATION_VALID_S', 'LEASE_S', 'OwnershipLost', 'Term']
@@ -81,6 +82,7 @@
         self.job_registry = job_registry.JobRegistry()
         self.fleet = fleet_module.Fleet()
         self.vm_health = vm_health.VMHealth()
+        self.vm_speeds = vm_speeds.VMSpeeds()
         self.duration_estimator = estimates.DurationEstimator()
         self.rate_limiter = admission.AccountRateLimiter()
         self.forecast = forecast.Forecast()
--- a/arbutusrock/engine/tests/test_owner_knowledge.py
+++ b/arbutusrock/engine/tests/test_owner_knowledge.py
@@ -56,8 +56,8 @@
     ratio = term.duration_estimator.get_duration_ratio('q', 'other')
     assert ratio == pytest.approx(1.5, abs=0.05)
     assert not term.vm_health.is_suspect('vm-1', clocks.now_s())
-    # The health of VMs and the shares.
-    assert count_discarded(term, 'too old') == 2
+    # The health and speeds of VMs, and the shares.
+    assert count_discarded(term, 'too old') == 3
 
 
 @pytest.mark.parametrize(
@@ -162,4 +162,5 @@
         'durations',
         'shares',
         'vm_health',
+        'vm_speeds',
     }
--- a/arbutusrock/engine/tests/test_run_controller.py
+++ b/arbutusrock/engine/tests/test_run_controller.py
@@ -6,7 +6,7 @@
 from arbutusrock.engine import plans
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine import run_controller
-from arbutusrock.engine import straggler_controller
+from arbutusrock.engine import run_speeds
 from arbutusrock.engine.tests import samples
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
@@ -112,4 +112,4 @@
     other = types.SimpleNamespace(
         task=adopted.task, worker=types.SimpleNamespace(vm='m-2')
     )
-    assert straggler_controller.find_sibling_durations(other) == []
+    assert run_speeds.find_sibling_durations(other) == []
--- a/arbutusrock/scheduling/placement.py
+++ b/arbutusrock/scheduling/placement.py
@@ -5,7 +5,9 @@
 capacity left afterwards, so that large tasks still fit and empty VMs stay
 empty. Workers on the rack of its data are preferred, and VMs on which the
 task failed are the last choice. A worker that is still slow after its start
-comes after those that are not.
+comes after those that are not. A VM that works slowly comes after all sound
+ones, and gets a task only once that has waited for as long as it would lose
+there.
 """
 
 __all__ = [
@@ -14,6 +16,7 @@
     'choose_worker',
     'could_fit',
     'find_eligible_workers',
+    'find_sound_workers',
 ]
 
 # A task waits this long for free capacity outside the VMs on which it failed:
@@ -36,6 +39,7 @@
         allows all.
     :param suspect_vms: VMs with recent failures, used only before the
         deprioritized ones.
+    :param slow_vms: speeds of the VMs that work slowly, by VM.
     """
 
     __slots__ = (
@@ -47,6 +51,7 @@
         'deprioritized_vms',
         'allowed',
         'suspect_vms',
+        'slow_vms',
     )
 
     def __init__(
@@ -60,6 +65,7 @@
         deprioritized_vms=frozenset(),
         allowed=None,
         suspect_vms=frozenset(),
+        slow_vms=None,
     ):
         self.demand = demand
         self.label = label
@@ -69,6 +75,7 @@
         self.deprioritized_vms = deprioritized_vms
         self.allowed = allowed
         self.suspect_vms = suspect_vms
+        self.slow_vms = slow_vms or {}
 
 
 def _fits(worker, request, taken=None):
@@ -124,6 +131,7 @@
     return (
         worker.vm in request.deprioritized_vms,
         worker.vm in request.suspect_vms,
+        -request.slow_vms.get(worker.vm, 1.0),
         bool(request.data_rack) and worker.entry.rack != request.data_rack,
         worker.entry.cold_ms > 0,
         worker.free_millicores - request.demand.cpu,
@@ -131,6 +139,26 @@
     )
 
 
+def find_sound_workers(workers, slow_vms, waited_s, duration_s):
+    """Return the workers whose VMs work fast enough for a task.
+
+    A slow one does once the task has waited for as long as it would lose
+    there; where all are slow, all do.
+
+    :param slow_vms: speeds of the VMs that work slowly, by VM.
+    :param waited_s: how long the task has waited.
+    :param duration_s: duration that is expected of it on a sound VM.
+    """
+    if not slow_vms:
+        return workers
+    sound = [
+        worker
+        for worker in workers
+        if waited_s >= duration_s * (1 / slow_vms.get(worker.vm, 1.0) - 1)
+    ]
+    return sound or workers
+
+
 def find_eligible_workers(workers, deprioritized_vms, waited_s):
     """Return the workers that a task may use now.
 
--- a/arbutusrock/scheduling/stragglers.py
+++ b/arbutusrock/scheduling/stragglers.py
@@ -6,6 +6,11 @@
 siblings on other VMs is slowed down by its own VM. Where the step allows
 extra runs, one is started on another VM; otherwise the run is stopped and
 restarted elsewhere.
+
+One task in thirty takes seven times as long on any VM. Where other runs show
+that the VM works as expected, a run far behind is one of these: elsewhere it
+would take as long again, so it stays. A VM that is known to be slow is left as
+soon as its run would end sooner elsewhere.
 """
 
 import enum
@@ -14,6 +19,8 @@
 
 # Younger runs are not judged: starting and reporting take some time.
 MIN_AGE_S = 0.7
+# The same on a VM that is known to be slow.
+MIN_AGE_ON_SLOW_VM_S = 0.3
 # A run whose percentage has not risen for this time is stalled.
 STALL_TIMEOUT_S = 1.3
 # A run is slow when it takes this many times the median of its siblings.
@@ -43,6 +50,9 @@
         other VMs.
     :param speculative: an extra run may be started beside it.
     :param checkpointing: the run saves its progress when it is stopped.
+    :param expected_s: duration of such a task on a sound VM.
+    :param vm_speed: speed at which its VM works; 1 as expected.
+    :param vm_sound: other runs show that its VM works as expected.
     """
 
     __slots__ = (
@@ -52,6 +62,9 @@
         'sibling_durations_s',
         'speculative',
         'checkpointing',
+        'expected_s',
+        'vm_speed',
+        'vm_sound',
     )
 
     def __init__(
@@ -63,6 +76,9 @@
         sibling_durations_s=(),
         speculative=False,
         checkpointing=False,
+        expected_s=0.0,
+        vm_speed=1.0,
+        vm_sound=False,
     ):
         self.age_s = age_s
         self.percent = percent
@@ -70,6 +86,9 @@
         self.sibling_durations_s = sibling_durations_s
         self.speculative = speculative
         self.checkpointing = checkpointing
+        self.expected_s = expected_s
+        self.vm_speed = vm_speed
+        self.vm_sound = vm_sound
 
 
 def choose_remedy(run):
@@ -86,7 +105,11 @@
     >>> choose_remedy(view(1.0, 15, 0.1)).value
     'restart'
     """
-    if run.age_s < MIN_AGE_S or not (is_stalled(run) or _is_slow(run)):
+    if run.vm_speed < 1:
+        min_age_s, is_slow = MIN_AGE_ON_SLOW_VM_S, _ends_sooner_elsewhere
+    else:
+        min_age_s, is_slow = MIN_AGE_S, _is_slow
+    if run.age_s < min_age_s or not (is_stalled(run) or is_slow(run)):
         return Remedy.NONE
     return Remedy.COPY if run.speculative else Remedy.RESTART
 
@@ -96,9 +119,16 @@
     return run.stalled_s > STALL_TIMEOUT_S
 
 
+def _ends_sooner_elsewhere(run):
+    """Return whether a run on a slow VM would end well sooner elsewhere."""
+    left_s = run.expected_s * (1 - run.percent / 100)
+    restart_s = left_s if run.checkpointing else run.expected_s
+    return restart_s < left_s / run.vm_speed * MAX_RESTART_FRACTION
+
+
 def _is_slow(run):
     """Return whether a run is far behind its siblings and a restart pays."""
-    if len(run.sibling_durations_s) < MIN_SIBLINGS:
+    if run.vm_sound or len(run.sibling_durations_s) < MIN_SIBLINGS:
         return False
     median_s = sorted(run.sibling_durations_s)[
         len(run.sibling_durations_s) // 2
