Leave the speed of VMs out of pool sizes, and test its uses

Change: pool sizing counts VMs as before. Tests of placement, stragglers, and of reports through the pass of the stragglers.

--- a/arbutusrock/engine/tests/test_cordons.py
+++ b/arbutusrock/engine/tests/test_cordons.py
@@ -45,7 +45,7 @@
     return controller, workers
 
 
-def add_run(term, worker, **fields):
+def add_run(term, worker, *, job_id=JOB, **fields):
     plan = plans.StepPlan(count=1, demand=Resources(cpu=1000), **fields)
     submission = plans.Submission(
         queue='q',
@@ -54,7 +54,7 @@
         accepted_ms=0.0,
         plan=plans.JobPlan(spec='', steps=(plan,)),
     )
-    job = term.job_registry.add(JOB, submission)
+    job = term.job_registry.add(job_id, submission)
     term.job_registry.start_due_occurrences(
         clocks.wall_time_s(), clocks.now_s()
     )
--- /dev/null
+++ b/arbutusrock/engine/tests/test_run_speeds.py
@@ -0,0 +1,103 @@
+"""Speeds of VMs through reports, stragglers and placement."""
+
+from unittest import mock
+
+import pytest
+
+from arbutusrock.engine import job_state
+from arbutusrock.engine import placement_requests
+from arbutusrock.engine import run_speeds
+from arbutusrock.engine import straggler_controller
+from arbutusrock.engine.tests import test_cordons
+from arbutusrock.scheduling import placement
+from arbutusrock.utils import clocks
+
+
+def create_pool():
+    """Return a controller with two workers, of which the first has a run."""
+    controller, workers = test_cordons.create_controller('z1', 'z1')
+    run = test_cordons.add_run(controller.term, workers[0], estimate_ms=1000.0)
+    run.state = job_state.RunState.RUNNING
+    return controller, workers, run
+
+
+def mark_slow(term, vm):
+    """Have the next pass take a VM for slow, as the earlier owner did."""
+    term.vm_speeds.restore({vm: 0.2}, 0.0, clocks.now_s())
+
+
+def report(worker, run, *, percent, age_s):
+    now_s = clocks.now_s()
+    run.started_at_s = run.confirmed_at_s = now_s - age_s
+    run.percent, run.last_progress_at_s = percent, now_s
+    worker.record_report(1000.0 * now_s, now_s)
+
+
+def check(controller):
+    dispatcher = mock.Mock()
+    dispatcher.has_free_capacity.return_value = True
+    checked = straggler_controller.StragglerController(
+        term=controller.term,
+        run_controller=mock.Mock(),
+        dispatcher=dispatcher,
+    )
+    checked.check(clocks.now_s())
+    return checked.run_controller.stop_run.called
+
+
+def test_tail_stays_on_a_sound_vm_and_work_leaves_a_slow_one():
+    controller, (worker, other), run = create_pool()
+    report(worker, run, percent=10.0, age_s=0.5)
+    assert not check(controller)
+    mark_slow(controller.term, worker.vm)
+    assert check(controller)
+    report(worker, run, percent=90.0, age_s=0.5)
+    assert not check(controller)
+
+
+def test_slow_vm_elsewhere_moves_no_run():
+    controller, (worker, other), run = create_pool()
+    report(worker, run, percent=10.0, age_s=0.5)
+    mark_slow(controller.term, other.vm)
+    assert not check(controller)
+
+
+def test_reports_of_runs_of_two_jobs_mark_their_vm():
+    controller, (worker, _), run = create_pool()
+    term = controller.term
+    other = test_cordons.add_run(
+        term, worker, job_id='1' * 16, estimate_ms=1000.0
+    )
+    other.state = job_state.RunState.RUNNING
+    begin_s = clocks.now_s()
+    for item in (run, other):
+        item.confirmed_at_s = begin_s - 0.4
+    for tick in range(5):
+        now_s = begin_s + tick * 0.25
+        for item in (run, other):
+            item.percent = 10.0 + 4 * tick
+            item.last_progress_at_s = now_s
+        worker.record_report(1000.0 * now_s, now_s)
+        for item in (run, other):
+            run_speeds.record_progress(term, item, 1.0, now_s)
+        run_speeds.update(term, [run, other], now_s)
+    assert term.vm_speeds.slow_vms.keys() == {worker.vm}
+    assert term.vm_speeds.get(worker.vm).speed == pytest.approx(0.16, abs=0.05)
+
+
+def test_starts_count_for_nothing_in_the_time_of_reports():
+    """The clock of a start order's answer is newer than the percentage."""
+    _, (worker, _), _ = create_pool()
+    worker.record_report(1000.0, clocks.now_s())
+    worker.record_clock(3000.0, clocks.now_s())
+    assert worker.report_clock_ms == 1000.0
+
+
+def test_equal_speeds_change_no_request():
+    controller, workers, run = create_pool()
+    request = placement_requests.create_request(
+        controller.term, run.task.step, run.task, frozenset(), None
+    )
+    assert request.slow_vms == {}
+    found = placement.find_sound_workers(workers, request.slow_vms, 0.0, 1.0)
+    assert found is workers
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -135,7 +135,6 @@
     """
     workers = map_workers_by_vm(term.fleet)
     silent = _find_silent_vms(term.fleet, now_s)
-    slow_vms = term.vm_speeds.slow_vms
     views = {
         pool.name: pool_sizing.PoolView(name=pool.name, spare=pool.spare)
         for pool in term.configuration.current.pools.values()
@@ -150,8 +149,6 @@
             )
             if vm is not None:
                 vm.cordoned = _is_cordoned(tracked, term.cordons)
-                if name in slow_vms and not vm.arriving:
-                    vm.millicores = int(vm.millicores * slow_vms[name])
                 view.vms.append(vm)
     _add_running(views, term)
     _add_waiting(views, term)
--- a/arbutusrock/scheduling/tests/test_placement.py
+++ b/arbutusrock/scheduling/tests/test_placement.py
@@ -1,5 +1,7 @@
 """Placement of single tasks and gangs on workers."""
 
+from hypothesis import given
+from hypothesis import strategies
 import msgspec
 
 from arbutusrock.engine import fleet
@@ -85,3 +87,43 @@
     assert choose([cold], create_request()) == 'a'
     # Data that is far away costs more than a slow start.
     assert choose([cold, far], create_request(data_rack='r1')) == 'a'
+
+
+def test_slow_vm_gets_a_task_once_it_waited_for_what_it_loses_there():
+    slow, sound = create_worker('a', free=1500), create_worker('b')
+    speeds = {'a': 0.25}
+    request = create_request(slow_vms=speeds)
+    assert choose([slow, sound], request) == 'b'
+    find = placement.find_sound_workers
+    assert find([slow, sound], speeds, 2.9, 1.0) == [sound]
+    assert find([slow, sound], speeds, 3.0, 1.0) == [slow, sound]
+    # Where all are slow, waiting for another one is of no use.
+    assert find([slow], speeds, 0.0, 1.0) == [slow]
+
+
+@given(
+    strategies.lists(strategies.integers(0, 9000), min_size=1, max_size=8),
+    strategies.integers(0, 9000),
+)
+def test_speed_of_one_decides_nothing(free, cpu):
+    workers = [
+        create_worker(f'{number}', free=millicores, rack=f'r{number % 2}')
+        for number, millicores in enumerate(free)
+    ]
+    plain = create_request(cpu, data_rack='r1')
+    equal = create_request(
+        cpu,
+        data_rack='r1',
+        slow_vms={worker.vm: 1.0 for worker in workers},
+    )
+    assert choose(workers, plain) == choose(workers, equal)
+    for count in (1, 3):
+        chosen = [
+            placement.choose_gang_workers(
+                workers, request, count, same_rack=True
+            )
+            for request in (plain, equal)
+        ]
+        assert chosen[0] == chosen[1]
+    found = placement.find_sound_workers(workers, equal.slow_vms, 0.0, 1.0)
+    assert found == workers
--- a/arbutusrock/scheduling/vm_speeds.py
+++ b/arbutusrock/scheduling/vm_speeds.py
@@ -302,9 +302,7 @@
             if not observations:
                 del self._observations[vm]
         self._inherited = {
-            vm: item
-            for vm, item in self._inherited.items()
-            if now_s < item[1]
+            vm: item for vm, item in self._inherited.items() if now_s < item[1]
         }
         self._estimates = {
             vm: self.estimate(vm, now_s)
