--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -13,6 +13,7 @@
 from arbutusrock.scheduling import forecast
 from arbutusrock.scheduling import quotas
 from arbutusrock.scheduling import vm_health
+from arbutusrock.scheduling import vm_speeds
 from arbutusrock.utils import clocks
 
 __all__ = ['CONFIRMATION_VALID_S', 'LEASE_S', 'OwnershipLost', 'Term']
@@ -94,6 +95,7 @@
             fleet=self.fleet, metrics=metrics
         )
         self.vm_health = vm_health.VMHealth()
+        self.vm_speeds = vm_speeds.VMSpeeds()
         self.duration_estimator = estimates.DurationEstimator()
         self.rate_limiter = admission.AccountRateLimiter()
         self.forecast = forecast.Forecast()
