--- a/arbutusrock/engine/tests/test_crash_tracker.py
+++ b/arbutusrock/engine/tests/test_crash_tracker.py
@@ -234,3 +234,30 @@
     worker.clock_read_at_s = 19.5
     controller.crash_tracker.record_progress(run)
     assert not crashes
+
+
+def test_next_owner_blames_released_suspect_for_crash_by_its_neighbour():
+    """Others run beside it, and its owner is killed with their worker.
+
+    A task that lasts no longer is given up after two crashes of its own.
+    """
+    controller = create_controller()
+    run, _ = start_runs(controller)
+    tracker, worker = controller.crash_tracker, run.worker
+    progress = run.task.step.job.progress
+    progress.crashes['0.0.0'] = [
+        crash_attribution.CrashRecord(
+            run=0, survived_s=9.0, suspect=True, sole=True
+        )
+    ]
+    worker.guarded_run = run
+    tracker.state_writer.wait_for_flush = lambda number: None
+    tracker.record_start(run)
+    worker.clock_read_at_s = 12.1
+    tracker.record_progress(run)
+    assert guarded_starts.is_available(worker, 12.1)
+    (stored,) = progress.unresolved['0.0.0']
+    assert not stored.sole
+    worker.clock_read_at_s = 19.5
+    tracker.record_progress(run)
+    assert not progress.unresolved
--- a/arbutusrock/engine/tests/test_vm_views.py
+++ b/arbutusrock/engine/tests/test_vm_views.py
@@ -6,8 +6,11 @@
 by their cores, and got VMs one after the other.
 """
 
+import types
+
 import msgspec
 
+from arbutusrock.engine import job_state
 from arbutusrock.engine import plans
 from arbutusrock.engine.tests import test_cordons
 from arbutusrock.engine import vm_views
@@ -65,14 +68,38 @@
     assert not view.vms
 
 
-def count_target_vms(*, lost, **fields):
+def add_other_run(term, worker, demand):
+    """Add a run, on a worker, of which only the demand is known."""
+    run = job_state.Run(
+        number=term.create_run_number(),
+        name=f'other-{worker.vm}',
+        task=None,
+        account='other',
+        worker=worker,
+        demand=demand,
+        now_s=clocks.now_s(),
+    )
+    term.fleet.add_run(run)
+
+
+def count_target_vms(*, lost, jobs=1, limit=None, used=None, **fields):
     """Return the target of a pool of ten VMs when serving tasks are lost.
 
-    :param lost: number of tasks of the step; all of them wait.
+    :param lost: number of tasks of a step; all of them wait.
+    :param jobs: number of jobs with such a step, of one account.
+    :param limit: upper limit of the account.
+    :param used: demand of a task of another kind on each VM.
     """
     controller, workers = test_cordons.create_controller(*['z1'] * 10)
     term = controller.term
     registry = test_cordons.create_registry(term, workers)
+    if limit is not None:
+        term.configuration.current.accounts['a'] = types.SimpleNamespace(
+            upper_limit=limit
+        )
+    if used is not None:
+        for worker in workers:
+            add_other_run(term, worker, used)
     plan = plans.StepPlan(count=lost, long_running=True, **fields)
     submission = plans.Submission(
         queue='q',
@@ -81,7 +108,8 @@
         accepted_ms=0.0,
         plan=plans.JobPlan(spec='', steps=(plan,)),
     )
-    term.job_registry.add('job', submission)
+    for number in range(jobs):
+        term.job_registry.add(f'job-{number}', submission)
     now_s = clocks.now_s()
     term.job_registry.start_due_occurrences(clocks.wall_time_s(), now_s)
     (view,) = vm_views.create_pool_views(term, registry, now_s)
@@ -103,3 +131,24 @@
 def test_serving_tasks_that_fit_one_vm_ask_for_no_more():
     target_vms = count_target_vms(lost=4, demand=Resources(cpu=100))
     assert target_vms == 1 + pool_sizing.RESERVE_VMS
+
+
+def test_lost_serving_tasks_wait_for_vms_without_room_for_them():
+    """Other tasks have the memory of all VMs, and few of their cores."""
+    target_vms = count_target_vms(
+        lost=4,
+        demand=Resources(cpu=100, memory_mb=CAPACITY.memory_mb // 2),
+        most_per_worker=1,
+        used=Resources(cpu=100, memory_mb=CAPACITY.memory_mb * 3 // 4),
+    )
+    assert target_vms == 10 + 4 + pool_sizing.RESERVE_VMS
+
+
+def test_steps_of_one_account_each_ask_for_vms_up_to_its_limit():
+    target_vms = count_target_vms(
+        lost=2,
+        jobs=8,
+        demand=Resources(cpu=100, memory_mb=CAPACITY.memory_mb),
+        limit=Resources(memory_mb=3 * CAPACITY.memory_mb),
+    )
+    assert target_vms == 3 + pool_sizing.RESERVE_VMS
