Count the limit of an account once for all its waiting serving steps

Each waiting step asked for VMs up to all that its account had left: eight steps of two tasks, with room for three tasks in the limit, asked for 16 VMs that nothing could use, for as long as they waited. Fails before: test_steps_of_one_account_each_ask_for_vms_up_to_its_limit.

--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -11,6 +11,7 @@
 from arbutusrock.scheduling import consolidation
 from arbutusrock.scheduling import pool_sizing
 from arbutusrock.scheduling import quotas
+from arbutusrock.scheduling import Resources
 from arbutusrock.scheduling import serving_room
 from arbutusrock.scheduling import wave_selection
 from arbutusrock.utils import clocks
@@ -254,6 +255,7 @@
 
 def _add_waiting(views, term, vm_registry, silent, now_s):
     """Add the demand of long-running tasks that wait for a worker."""
+    usage = {}
     for pool, steps in term.job_registry.waiting_steps.items():
         view = views.get(pool)
         serving = [
@@ -270,7 +272,7 @@
             [
                 waiting
                 for step in serving
-                if (waiting := _create_waiting_tasks(term, step, now_s))
+                if (waiting := _create_waiting_tasks(term, step, usage, now_s))
             ],
             _create_room_vms(term, pool, silent, now_s),
             _get_vm_amounts(vm_registry),
@@ -278,32 +280,37 @@
         )
 
 
-def _create_waiting_tasks(term, step, now_s):
+def _create_waiting_tasks(term, step, usage, now_s):
     """Return the tasks of a step that wait for room, or None.
 
     Tasks of an earlier owner's job may still run on a worker that has not
     answered. They count from the time on after which a silent VM is no room.
+
+    :param usage: what each account uses, with the waiting tasks of the steps
+        before; those of the step are added.
     """
     if not term.may_start(step.job) or (
         step.job.inherited and now_s < term.began_at_s + MAX_SILENCE_S
     ):
         return None
-    account = term.configuration.current.accounts.get(
-        step.job.submission.account
-    )
+    name, demand = step.job.submission.account, step.plan.demand
+    account = term.configuration.current.accounts.get(name)
     count = len(step.waiting)
     if account is not None:
+        used = usage.get(name) or term.fleet.get_usage(name)
         count = quotas.count_fitting(
-            term.fleet.get_usage(step.job.submission.account),
-            step.plan.demand,
-            account.upper_limit,
-            most=count,
+            used, demand, account.upper_limit, most=count
+        )
+        usage[name] = Resources(
+            cpu=used.cpu + demand.cpu * count,
+            memory_mb=used.memory_mb + demand.memory_mb * count,
+            accelerators=used.accelerators + demand.accelerators * count,
         )
     if not count:
         return None
     return serving_room.WaitingTasks(
         count=count,
-        demand=placement_requests.get_amounts(step.plan.demand),
+        demand=placement_requests.get_amounts(demand),
         label=step.plan.label,
         most_per_vm=step.plan.most_per_worker,
         tasks_by_vm=step.runs_by_vm,
