Leave full VMs out when the room of serving tasks is counted

Each step looked at each VM, also at full ones, with some microseconds each. A thousand steps of one task on 276 VMs took 1.3 s of a pass if memory fills the VMs (create_pool_views, median of 15), now 21 ms; 198 ms if one task of a step may be on a VM, now 34 ms. Both on a busy machine (load average 7 and 9). Fails before: scheduling/tests/test_serving_room.py. Of 5,000 random cases all have the same count as before.

--- a/arbutusrock/scheduling/serving_room.py
+++ b/arbutusrock/scheduling/serving_room.py
@@ -7,6 +7,8 @@
 the other, and the last task waits for the time of all these moves.
 """
 
+import operator
+
 __all__ = ['RoomVM', 'WaitingTasks', 'count_room_vms']
 
 
@@ -67,19 +69,32 @@
     >>> count_room_vms([step], [vm], (32, 64), max_new=10)
     2
     """
-    vms = sorted(vms, key=lambda vm: not vm.serves)
+    demands = [step.demand for step in steps]
+    least = [min(column) for column in zip(*demands, strict=True)]
+    # VMs that are too full for any task are left out.
+    vms = [
+        vm
+        for vm in sorted(vms, key=lambda vm: not vm.serves)
+        if _has_room(vm, least)
+    ]
     chosen, new = set(), 0
     for step in sorted(steps, key=lambda step: step.demand, reverse=True):
-        left = step.count
+        left, filled = step.count, []
         for vm in vms:
             if left == 0:
                 break
+            if not _has_room(vm, step.demand):
+                continue
             placed = min(left, _count_fitting(step, vm))
             if placed:
                 _place(step, vm, placed)
                 left -= placed
+                if not _has_room(vm, least):
+                    filled.append(vm)
                 if not vm.serves:
                     chosen.add(vm.vm)
+        for vm in filled:
+            vms.remove(vm)
         while left and new < max_new:
             vm = RoomVM(vm=('new', new), free=capacity, labels=None)
             placed = min(left, _count_fitting(step, vm))
@@ -89,10 +104,16 @@
             left -= placed
             new += 1
             chosen.add(vm.vm)
-            vms.append(vm)
+            if _has_room(vm, least):
+                vms.append(vm)
     return len(chosen)
 
 
+def _has_room(vm, demand):
+    """Return whether a VM has enough of each resource for a task."""
+    return all(map(operator.ge, vm.free, demand))
+
+
 def _count_fitting(step, vm):
     """Return how many further tasks of a step a VM may get.
 
