Order VMs for serving tasks beside those that other tasks fill

A pool asked for the VMs that serve and those that waiting serving tasks need, and compared that with all its VMs, also those whose memory other tasks have: ten VMs full of these and four waiting tasks made a target of five, so that none was ordered and the tasks waited until other work ended. Now a new VM is needed beside the used ones. Not for a label: a VM is chosen without regard to it, so that the pool could grow without end. Fails before: test_lost_serving_tasks_wait_for_vms_without_room_for_them.

--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -328,6 +328,7 @@
                 _is_long_running(run) and not run.task.step.plan.fills
                 for run in worker.runs.values()
             ),
+            used=bool(worker.runs),
         )
         for worker in term.fleet.find_pool_workers(pool)
         if worker.usable
--- a/arbutusrock/scheduling/serving_room.py
+++ b/arbutusrock/scheduling/serving_room.py
@@ -40,21 +40,25 @@
 
     :param free: amounts of each resource that nothing uses.
     :param serves: it has serving tasks already.
+    :param used: it has tasks of any kind.
     """
 
-    __slots__ = ('vm', 'free', 'labels', 'serves')
+    __slots__ = ('vm', 'free', 'labels', 'serves', 'used')
 
-    def __init__(self, *, vm, free, labels=(), serves=False):
+    def __init__(self, *, vm, free, labels=(), serves=False, used=False):
         self.vm = vm
         self.free = list(free)
         self.labels = labels
         self.serves = serves
+        self.used = used
 
 
 def count_room_vms(steps, vms, capacity, *, max_new):
     """Return how many VMs have no serving tasks and need to be there for some.
 
-    Tasks fill the VMs of the pool first, then new ones.
+    Tasks fill the VMs of the pool first, then new ones. If they need new ones,
+    the VMs that other tasks use count, too, as the new ones are needed beside
+    them; not for a label, as the VM that comes may not have it.
 
     :param steps: :class:`WaitingTasks`; those with the largest tasks are
         placed first.
@@ -71,13 +75,14 @@
     """
     demands = [step.demand for step in steps]
     least = [min(column) for column in zip(*demands, strict=True)]
+    used = {vm.vm for vm in vms if vm.used and not vm.serves}
     # VMs that are too full for any task are left out.
     vms = [
         vm
         for vm in sorted(vms, key=lambda vm: not vm.serves)
         if _has_room(vm, least)
     ]
-    chosen, new = set(), 0
+    chosen, new, beside_used = set(), 0, False
     for step in sorted(steps, key=lambda step: step.demand, reverse=True):
         left, filled = step.count, []
         for vm in vms:
@@ -103,10 +108,11 @@
             _place(step, vm, placed)
             left -= placed
             new += 1
+            beside_used = beside_used or not step.label
             chosen.add(vm.vm)
             if _has_room(vm, least):
                 vms.append(vm)
-    return len(chosen)
+    return len(chosen | used if beside_used else chosen)
 
 
 def _has_room(vm, demand):
