Drop the record of a released suspect, so that silence is recorded

The record that says a suspect is alone on its worker also kept the runs there from being stored when the worker fell silent (_handle_failed_renewal), so that the one beside it that crashed the worker was missed by the next owner. At the release it is dropped instead of changed; the test asks for that.

--- a/arbutusrock/engine/crash_tracker.py
+++ b/arbutusrock/engine/crash_tracker.py
@@ -145,9 +145,8 @@
         if guarded and (cleared or run.survived_s >= isolation.MAX_GUARD_S):
             run.worker.guarded_run = None
             self.term.request_dispatch()
-            if not cleared:
-                # It is no longer alone there.
-                self._add_unresolved(run, run.survived_s, sole=False)
+            # It is no longer alone there.
+            self.drop_run(run)
         if not cleared:
             return
         self.drop_run(run)
