Show that an account risks more workers as its suspects run on

The test fails: an account that may risk one of four workers gets a second one once others may start beside the first suspect, which has not outlived its crash.

--- a/arbutusrock/engine/tests/test_dispatcher.py
+++ b/arbutusrock/engine/tests/test_dispatcher.py
@@ -163,3 +163,25 @@
         workers = [samples.create_worker(f'w{number}') for number in range(8)]
         dispatch([step, others], workers, waited_s=waited_s, culprits=culprits)
         assert count_runs(step) == started
+
+
+def test_account_risks_more_workers_as_its_suspects_run_on():
+    """Others may start beside a suspect that has not outlived its crash.
+
+    It is one of four workers; the account may not risk another.
+    """
+    others = samples.create_step('small', 3)
+    workers = [samples.create_worker(f'w{number}') for number in range(4)]
+    step = samples.create_step('large', 1, 2)
+    for task in step.tasks:
+        step.job.progress.crashes[task.progress_key] = [
+            crash_attribution.CrashRecord(
+                run=1, survived_s=9.0, suspect=True, sole=True
+            )
+        ]
+    dispatch([step, others], workers)
+    assert count_runs(step) == 1
+    for worker in workers:
+        worker.guarded_run = None
+    dispatch([step, others], workers, waited_s=3.0)
+    assert count_runs(step) == 1
