Count suspects that have not outlived their crashes as risked workers

Since others may start beside a suspect after two seconds, it no longer counted among the workers that its account risks. Tasks that act five seconds after a start could then be on a further quarter of a pool each two seconds. Fails before: test_account_risks_more_workers_as_its_suspects_run_on.

--- a/arbutusrock/engine/crash_tracker.py
+++ b/arbutusrock/engine/crash_tracker.py
@@ -137,7 +137,8 @@
         Others may start beside it after a while in any case.
         """
         task, guarded = run.task, run.worker.guarded_run is run
-        if task is None or not (guarded or task.crashes):
+        uncleared = run.worker.uncleared_run is run
+        if task is None or not (guarded or uncleared or task.crashes):
             return
         cleared = crash_attribution.is_cleared(
             task.crashes, run.survived_s
@@ -149,6 +150,8 @@
             self.drop_run(run)
         if not cleared:
             return
+        if uncleared:
+            run.worker.uncleared_run = None
         self.drop_run(run)
         if task.crashes:
             LOG.info(
--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -58,6 +58,7 @@
         'unregistered_since_s',
         'cordon_reason',
         'guarded_run',
+        'uncleared_run',
         'held_until_s',
         'unresolved',
         'ended_at_s',
@@ -101,6 +102,9 @@
         self.cordon_reason = ''
         # Run of a suspect, beside which no run is started; None without one.
         self.guarded_run = None
+        # The run of a suspect that was started apart, until it has outlived
+        # the crashes under its task; others may start beside it before.
+        self.uncleared_run = None
         # Until then it gets no runs, so that a suspect can be started there.
         self.held_until_s = 0.0
         # Runs that may have crashed it: (task, UnresolvedRun) by the name of
@@ -307,6 +311,8 @@
             return
         if worker.guarded_run is run:
             worker.guarded_run = None
+        if worker.uncleared_run is run:
+            worker.uncleared_run = None
         self._busy_count -= not worker.runs
         self._update_usage(run, -1)
         if run.task is None:
--- a/arbutusrock/engine/guarded_starts.py
+++ b/arbutusrock/engine/guarded_starts.py
@@ -132,7 +132,7 @@
         :returns: awaitable that is done when the order may be sent.
         """
         run.state = job_state.RunState.RESERVED
-        run.worker.guarded_run = run
+        run.worker.guarded_run = run.worker.uncleared_run = run
         run.worker.held_until_s = 0.0
         return self.crash_tracker.record_start(run)
 
@@ -191,10 +191,10 @@
         """Return whether the account may risk one more worker of the pool."""
         account = task.step.job.submission.account
         guarded = [
-            worker.guarded_run
+            worker.uncleared_run
             for worker in pool.workers
-            if worker.guarded_run is not None
-            and worker.guarded_run.account == account
+            if worker.uncleared_run is not None
+            and worker.uncleared_run.account == account
         ]
         return isolation.may_risk_worker(
             workers=len(pool.workers),
