--- a/arbutusrock/scheduling/serving_room.py
+++ b/arbutusrock/scheduling/serving_room.py
@@ -7,6 +7,8 @@
 the other, and the last task waits for the time of all these moves.
 """
 
+import operator
+
 __all__ = ['RoomVM', 'WaitingTasks', 'count_room_vms']
 
 
@@ -38,21 +40,25 @@
 
     :param free: amounts of each resource that nothing uses.
     :param serves: it has serving tasks already.
+    :param used: it has tasks of any kind.
     """
 
-    __slots__ = ('vm', 'free', 'labels', 'serves')
+    __slots__ = ('vm', 'free', 'labels', 'serves', 'used')
 
-    def __init__(self, *, vm, free, labels=(), serves=False):
+    def __init__(self, *, vm, free, labels=(), serves=False, used=False):
         self.vm = vm
         self.free = list(free)
         self.labels = labels
         self.serves = serves
+        self.used = used
 
 
 def count_room_vms(steps, vms, capacity, *, max_new):
     """Return how many VMs have no serving tasks and need to be there for some.
 
-    Tasks fill the VMs of the pool first, then new ones.
+    Tasks fill the VMs of the pool first, then new ones. If they need new ones,
+    the VMs that other tasks use count, too, as the new ones are needed beside
+    them; not for a label, as the VM that comes may not have it.
 
     :param steps: :class:`WaitingTasks`; those with the largest tasks are
         placed first.
@@ -67,19 +73,33 @@
     >>> count_room_vms([step], [vm], (32, 64), max_new=10)
     2
     """
-    vms = sorted(vms, key=lambda vm: not vm.serves)
-    chosen, new = set(), 0
+    demands = [step.demand for step in steps]
+    least = [min(column) for column in zip(*demands, strict=True)]
+    used = {vm.vm for vm in vms if vm.used and not vm.serves}
+    # VMs that are too full for any task are left out.
+    vms = [
+        vm
+        for vm in sorted(vms, key=lambda vm: not vm.serves)
+        if _has_room(vm, least)
+    ]
+    chosen, new, beside_used = set(), 0, False
     for step in sorted(steps, key=lambda step: step.demand, reverse=True):
-        left = step.count
+        left, filled = step.count, []
         for vm in vms:
             if left == 0:
                 break
+            if not _has_room(vm, step.demand):
+                continue
             placed = min(left, _count_fitting(step, vm))
             if placed:
                 _place(step, vm, placed)
                 left -= placed
+                if not _has_room(vm, least):
+                    filled.append(vm)
                 if not vm.serves:
                     chosen.add(vm.vm)
+        for vm in filled:
+            vms.remove(vm)
         while left and new < max_new:
             vm = RoomVM(vm=('new', new), free=capacity, labels=None)
             placed = min(left, _count_fitting(step, vm))
@@ -88,9 +108,16 @@
             _place(step, vm, placed)
             left -= placed
             new += 1
+            beside_used = beside_used or not step.label
             chosen.add(vm.vm)
-            vms.append(vm)
-    return len(chosen)
+            if _has_room(vm, least):
+                vms.append(vm)
+    return len(chosen | used if beside_used else chosen)
+
+
+def _has_room(vm, demand):
+    """Return whether a VM has enough of each resource for a task."""
+    return all(map(operator.ge, vm.free, demand))
 
 
 def _count_fitting(step, vm):
