Give each pool that lacks VMs one before another gets its second

A serving task that was lost waits for the whole burst of another pool: with 100 VMs off, a pool that lacks 201 gets all of them and one that lacks 2 none. Found in review of the sizes by serving tasks, which may lack many at once. Fails before: test_pool_that_lacks_few_vms_waits_for_burst_of_another.

--- a/arbutusrock/scheduling/pool_sizing.py
+++ b/arbutusrock/scheduling/pool_sizing.py
@@ -369,18 +369,28 @@
 def _fill_missing(missing, sources):
     """Return moves of VMs to the pools that lack most.
 
-    The counts in ``missing`` are reduced by the moves, and VMs are taken in
-    the order of ``sources``.
+    Each pool that lacks VMs gets one before another gets its second, so that
+    a single lost task does not wait for the burst of another pool. The counts
+    in ``missing`` are reduced by the moves, and VMs are taken in the order of
+    ``sources``.
 
     :param missing: by pool, number of VMs that it lacks.
     :param sources: pairs of a VM and its pool; idle VMs of other pools come
         before VMs that are switched off.
     """
-    moves = []
+    moves, served = [], set()
     for vm, pool in sources:
-        name = max(missing, key=missing.get, default=None)
+        name = max(
+            missing,
+            key=lambda name: (
+                missing[name] > 0 and name not in served,
+                missing[name],
+            ),
+            default=None,
+        )
         if name is None or missing[name] <= 0:
             break
         missing[name] -= 1
+        served.add(name)
         moves.append(VMMove(vm=vm.vm, origin=pool.name, target=name))
     return moves
--- a/arbutusrock/scheduling/tests/test_pool_sizing.py
+++ b/arbutusrock/scheduling/tests/test_pool_sizing.py
@@ -130,6 +130,19 @@
     assert targets.count('a') == targets.count('b') == 2
 
 
+def test_pool_that_lacks_few_vms_waits_for_burst_of_another():
+    """A lost serving task needs one VM, while another pool needs all."""
+    views = [
+        create_pool('a', 1, needed_millicores=6400 * MILLICORES_PER_CORE),
+        create_pool('b', 1, long_running_vms=1),
+        pool_sizing.PoolView(
+            name='off', spare=True, vms=create_vms('off', 100)
+        ),
+    ]
+    moves = pool_sizing.plan_moves(views, max_moves=4).moves
+    assert [move.target for move in moves].count('b') == 1
+
+
 def test_pool_is_short_of_capacity_when_its_vms_shrink():
     """Workers report a fraction of their usual capacity for a while."""
     views = [
