--- a/benchmarks/fleet_simulation.py
+++ b/benchmarks/fleet_simulation.py
@@ -262,7 +262,8 @@
 
     def _create_arrivals(self):
         names = list(self.pattern.queues)
-        length_s = len(names) * self.pattern.burst_s * self.pattern.rounds
+        turns = 2 if self.pattern.together else len(names)
+        length_s = turns * self.pattern.burst_s * self.pattern.rounds
         for turn, name in enumerate(names):
             queue = self.pattern.queues[name]
             at_s = 0.0
@@ -271,7 +272,8 @@
                 at_s += self.random.expovariate(peak)
                 if at_s >= length_s:
                     break
-                rate = self._get_rate(queue, turn, at_s, len(names))
+                own_turn = 0 if self.pattern.together else turn
+                rate = self._get_rate(queue, own_turn, at_s, turns)
                 if self.random.random() < rate / peak:
                     self._schedule(
                         self.began_at_s + at_s, self._arrive, name, queue
--- a/benchmarks/load_patterns.py
+++ b/benchmarks/load_patterns.py
@@ -82,6 +82,7 @@
     :param rounds: how often each queue bursts.
     :param sudden: bursts have their full rate at once, instead of a rise and
         a fall of half a sine wave.
+    :param together: the queues burst all at once, every ``2 * burst_s``.
     :param accounts: accounts by name; by default one for all jobs.
     :param late_value: value of a late job as a fraction of one in time.
     """
@@ -96,6 +97,7 @@
     move_s: float = 1.5
     late_value: float = 0.07
     sudden: bool = False
+    together: bool = False
     accounts: dict[str, AccountPattern] = {}
 
 
