--- a/arbutusrock/engine/run_speeds.py
+++ b/arbutusrock/engine/run_speeds.py
@@ -54,7 +54,7 @@
 
     The VM of the run itself may be what is slow. The duration of a task that
     is still running is extrapolated from its progress, if it is known when
-    it started.
+    it started, and if it did not resume.
     """
     durations_s = []
     for task in run.task.step.tasks:
@@ -69,6 +69,7 @@
                 worker.vm == run.worker.vm
                 or other.started_at_s is None
                 or other.percent <= 0
+                or task.checkpoint
             ):
                 continue
             age_s = worker.last_reply_at_s - other.started_at_s
--- a/arbutusrock/engine/tests/test_run_speeds.py
+++ b/arbutusrock/engine/tests/test_run_speeds.py
@@ -101,3 +101,15 @@
     assert request.slow_vms == {}
     found = placement.find_sound_workers(workers, request.slow_vms, 0.0, 1.0)
     assert found is workers
+
+
+def test_resumed_runs_say_nothing_about_the_durations_of_their_siblings():
+    """They begin with what earlier runs have done."""
+    controller, (worker, other), run = create_pool()
+    report(worker, run, percent=95.0, age_s=0.5)
+    sibling = mock.Mock(task=run.task, worker=other)
+    assert run_speeds.find_sibling_durations(sibling) == [
+        pytest.approx(0.5 / 0.95)
+    ]
+    run.task.checkpoint = 'c'
+    assert run_speeds.find_sibling_durations(sibling) == []
