--- a/arbutusrock/scheduling/placement.py
+++ b/arbutusrock/scheduling/placement.py
@@ -14,6 +14,7 @@
     'PlacementRequest',
     'choose_gang_workers',
     'choose_worker',
+    'compute_speed_wait_s',
     'could_fit',
     'find_eligible_workers',
     'find_sound_workers',
@@ -22,6 +23,9 @@
 # A task waits this long for free capacity outside the VMs on which it failed:
 # a second failure on a faulty worker costs one of its few attempts.
 EXCLUSION_TIMEOUT_S = 3.0
+# A task waits this long at most for a sound VM while a slow one has room:
+# a job must not go without a run for three seconds while there is capacity.
+MAX_SPEED_WAIT_S = 2.5
 
 
 class PlacementRequest:
@@ -139,11 +143,22 @@
     )
 
 
+def compute_speed_wait_s(duration_s, speed):
+    """Return how long a task waits before it uses a VM at this speed (s).
+
+    It is what it would lose there, up to a bound.
+
+    >>> compute_speed_wait_s(0.5, 0.25), compute_speed_wait_s(60.0, 0.1)
+    (1.5, 2.5)
+    """
+    return min(MAX_SPEED_WAIT_S, duration_s * (1 / speed - 1))
+
+
 def find_sound_workers(workers, slow_vms, waited_s, duration_s):
     """Return the workers whose VMs work fast enough for a task.
 
     A slow one does once the task has waited for as long as it would lose
-    there; where all are slow, all do.
+    there, or for ``MAX_SPEED_WAIT_S``; where all are slow, all do.
 
     :param slow_vms: speeds of the VMs that work slowly, by VM.
     :param waited_s: how long the task has waited.
@@ -154,7 +169,8 @@
     sound = [
         worker
         for worker in workers
-        if waited_s >= duration_s * (1 / slow_vms.get(worker.vm, 1.0) - 1)
+        if worker.vm not in slow_vms
+        or waited_s >= compute_speed_wait_s(duration_s, slow_vms[worker.vm])
     ]
     return sound or workers
 
