--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -472,10 +472,13 @@
         else:
             link.send_start(run, spec=job.plan.spec, ticket=ticket)
 
-    def _find_worker(self, task):
+    def _find_worker(self, task, taken=None):
         """Return a worker for one more run of a task, or None.
 
         Suspect, slow and deprioritized VMs are left out.
+
+        :param taken: what is promised of each worker; what the run takes is
+            added.
         """
         term, step = self.term, task.step
         now_s = clocks.now_s()
@@ -495,11 +498,18 @@
         request = placement_requests.create_request(
             self.term, step, task, frozenset(), allowed
         )
-        return placement.choose_worker(workers, request)
+        worker = placement.choose_worker(workers, request, taken)
+        if worker is not None and taken is not None:
+            placement.take(taken, worker, request)
+        return worker
+
+    def has_free_capacity(self, task, taken):
+        """Return whether one more run of a task would find a worker now.
 
-    def has_free_capacity(self, task):
-        """Return whether one more run of a task would find a worker now."""
-        return self._find_worker(task) is not None
+        :param taken: by worker id, what is promised to others; what the run
+            takes is added.
+        """
+        return self._find_worker(task, taken) is not None
 
     def start_extra_run(self, task):
         """Start an extra run of a task; return whether one was started.
--- a/arbutusrock/engine/straggler_controller.py
+++ b/arbutusrock/engine/straggler_controller.py
@@ -51,6 +51,8 @@
         for run, view in views:
             run_speeds.record_progress(self.term, run, view.expected_s, now_s)
         run_speeds.update(self.term, [run for run, _ in views], now_s)
+        # What runs that are stopped in this pass will take elsewhere.
+        taken = {}
         for run, view in views:
             if run.worker.cordon_reason or not run_speeds.is_comparable(run):
                 continue
@@ -59,7 +61,7 @@
             view.vm_sound = estimate.known_sound
             remedy = stragglers.choose_remedy(view)
             if remedy is not stragglers.Remedy.NONE:
-                self._apply_remedy(run, view, remedy, now_s)
+                self._apply_remedy(run, view, remedy, now_s, taken)
 
     def _create_view(self, run, worker):
         plan = run.task.step.plan
@@ -76,7 +78,7 @@
             ),
         )
 
-    def _apply_remedy(self, run, view, remedy, now_s):
+    def _apply_remedy(self, run, view, remedy, now_s, taken):
         task = run.task
         if len(task.runs) > 1:
             return
@@ -87,7 +89,7 @@
         if remedy is stragglers.Remedy.COPY:
             started = self.dispatcher.start_extra_run(task)
         else:
-            started = self.dispatcher.has_free_capacity(task)
+            started = self.dispatcher.has_free_capacity(task, taken)
             if started:
                 self.run_controller.stop_run(run, 'it is too slow')
         if started:
--- a/arbutusrock/engine/tests/test_run_speeds.py
+++ b/arbutusrock/engine/tests/test_run_speeds.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from arbutusrock.engine import dispatcher
 from arbutusrock.engine import job_state
 from arbutusrock.engine import placement_requests
 from arbutusrock.engine import run_speeds
@@ -113,3 +114,35 @@
     ]
     run.task.checkpoint = 'c'
     assert run_speeds.find_sibling_durations(sibling) == []
+
+
+def test_no_more_runs_leave_a_slow_vm_than_find_room_elsewhere():
+    controller, (worker, other), run = create_pool()
+    term = controller.term
+    runs = [run]
+    for number in range(1, 4):
+        run = test_cordons.add_run(
+            term, worker, job_id=f'{number:016}', estimate_ms=1000.0
+        )
+        run.state = job_state.RunState.RUNNING
+        runs.append(run)
+    for run in runs:
+        report(worker, run, percent=10.0, age_s=0.5)
+    mark_slow(term, worker.vm)
+    # Room for two of the four.
+    other.used_millicores = other.capacity.cpu - 2000
+    term.confirmed_at_s = clocks.now_s()
+    tickets = mock.Mock()
+    tickets.get_allowed_ids.return_value = None
+    checked = straggler_controller.StragglerController(
+        term=term,
+        run_controller=mock.Mock(),
+        dispatcher=dispatcher.Dispatcher(
+            term=term,
+            links={item.worker_id: mock.Mock() for item in (worker, other)},
+            ticket_cache=tickets,
+            crash_tracker=mock.Mock(culprits={}),
+        ),
+    )
+    checked.check(clocks.now_s())
+    assert checked.run_controller.stop_run.call_count == 2
--- a/arbutusrock/scheduling/placement.py
+++ b/arbutusrock/scheduling/placement.py
@@ -18,6 +18,7 @@
     'could_fit',
     'find_eligible_workers',
     'find_sound_workers',
+    'take',
 ]
 
 # A task waits this long for free capacity outside the VMs on which it failed:
@@ -192,16 +193,30 @@
     return eligible or workers
 
 
-def choose_worker(workers, request):
+def choose_worker(workers, request, taken=None):
     """Return the best worker that fits, or None.
 
     :param workers: usable workers of the pool.
     :param request: :class:`PlacementRequest`.
+    :param taken: what is promised of each worker, see :func:`take`.
     """
-    fitting = [worker for worker in workers if _fits(worker, request)]
+    fitting = [item for item in workers if _fits(item, request, taken)]
     return min(fitting, key=lambda item: _rank(item, request), default=None)
 
 
+def take(taken, worker, request):
+    """Add what a request uses of a worker to what is taken of it."""
+    millicores, memory_mb, accelerators, runs = taken.get(
+        worker.worker_id, (0, 0, 0, 0)
+    )
+    taken[worker.worker_id] = (
+        millicores + request.demand.cpu,
+        memory_mb + request.demand.memory_mb,
+        accelerators + request.demand.accelerators,
+        runs + 1,
+    )
+
+
 def choose_gang_workers(workers, request, count, *, same_rack):
     """Return a worker for each of the ``count`` tasks of a gang.
 
@@ -235,14 +250,6 @@
         )
         if worker is None:
             return None
-        millicores, memory_mb, accelerators, runs = taken.get(
-            worker.worker_id, (0, 0, 0, 0)
-        )
-        taken[worker.worker_id] = (
-            millicores + request.demand.cpu,
-            memory_mb + request.demand.memory_mb,
-            accelerators + request.demand.accelerators,
-            runs + 1,
-        )
+        take(taken, worker, request)
         chosen.append(worker)
     return chosen
