--- a/arbutusrock/scheduling/placement.py
+++ b/arbutusrock/scheduling/placement.py
@@ -14,14 +14,19 @@
     'PlacementRequest',
     'choose_gang_workers',
     'choose_worker',
+    'compute_speed_wait_s',
     'could_fit',
     'find_eligible_workers',
     'find_sound_workers',
+    'take',
 ]
 
 # A task waits this long for free capacity outside the VMs on which it failed:
 # a second failure on a faulty worker costs one of its few attempts.
 EXCLUSION_TIMEOUT_S = 3.0
+# A task waits this long at most for a sound VM while a slow one has room:
+# a job must not go without a run for three seconds while there is capacity.
+MAX_SPEED_WAIT_S = 2.5
 
 
 class PlacementRequest:
@@ -139,11 +144,22 @@
     )
 
 
+def compute_speed_wait_s(duration_s, speed):
+    """Return how long a task waits before it uses a VM at this speed (s).
+
+    It is what it would lose there, up to a bound.
+
+    >>> compute_speed_wait_s(0.5, 0.25), compute_speed_wait_s(60.0, 0.1)
+    (1.5, 2.5)
+    """
+    return min(MAX_SPEED_WAIT_S, duration_s * (1 / speed - 1))
+
+
 def find_sound_workers(workers, slow_vms, waited_s, duration_s):
     """Return the workers whose VMs work fast enough for a task.
 
     A slow one does once the task has waited for as long as it would lose
-    there; where all are slow, all do.
+    there, or for ``MAX_SPEED_WAIT_S``; where all are slow, all do.
 
     :param slow_vms: speeds of the VMs that work slowly, by VM.
     :param waited_s: how long the task has waited.
@@ -154,7 +170,8 @@
     sound = [
         worker
         for worker in workers
-        if waited_s >= duration_s * (1 / slow_vms.get(worker.vm, 1.0) - 1)
+        if worker.vm not in slow_vms
+        or waited_s >= compute_speed_wait_s(duration_s, slow_vms[worker.vm])
     ]
     return sound or workers
 
@@ -176,16 +193,30 @@
     return eligible or workers
 
 
-def choose_worker(workers, request):
+def choose_worker(workers, request, taken=None):
     """Return the best worker that fits, or None.
 
     :param workers: usable workers of the pool.
     :param request: :class:`PlacementRequest`.
+    :param taken: what is promised of each worker, see :func:`take`.
     """
-    fitting = [worker for worker in workers if _fits(worker, request)]
+    fitting = [item for item in workers if _fits(item, request, taken)]
     return min(fitting, key=lambda item: _rank(item, request), default=None)
 
 
+def take(taken, worker, request):
+    """Add what a request uses of a worker to what is taken of it."""
+    millicores, memory_mb, accelerators, runs = taken.get(
+        worker.worker_id, (0, 0, 0, 0)
+    )
+    taken[worker.worker_id] = (
+        millicores + request.demand.cpu,
+        memory_mb + request.demand.memory_mb,
+        accelerators + request.demand.accelerators,
+        runs + 1,
+    )
+
+
 def choose_gang_workers(workers, request, count, *, same_rack):
     """Return a worker for each of the ``count`` tasks of a gang.
 
@@ -219,14 +250,6 @@
         )
         if worker is None:
             return None
-        millicores, memory_mb, accelerators, runs = taken.get(
-            worker.worker_id, (0, 0, 0, 0)
-        )
-        taken[worker.worker_id] = (
-            millicores + request.demand.cpu,
-            memory_mb + request.demand.memory_mb,
-            accelerators + request.demand.accelerators,
-            runs + 1,
-        )
+        take(taken, worker, request)
         chosen.append(worker)
     return chosen
