--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -241,6 +241,11 @@
                 worker.failing = True
                 await asyncio.sleep(fault.duration_s)
                 worker.failing = False
+            case 'worker silent':
+                # It stays registered.
+                worker.faults.unresponsive = True
+                await asyncio.sleep(fault.duration_s)
+                worker.faults.clear()
             case 'worker shrinks':
                 fraction = (fault.target_selector * 7) % 1.0
                 self.site.set_millicores(
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -43,6 +43,7 @@
     'worker link reset': 'worker',
     'worker carries out late': 'worker',
     'worker fails all': 'worker',
+    'worker silent': 'worker',
     'worker shrinks': 'worker',
     'deadly tasks': 'load',
     'configuration': 'operator',
@@ -56,11 +57,14 @@
     'worker shrinks',
     'deadly tasks',
     'evacuation',
+    'worker silent',
 }
 _SECOND_KINDS = _FIRST_KINDS | {'worker shrinks', 'deadly tasks'}
+_THIRD_KINDS = _SECOND_KINDS | {'evacuation'}
 KIND_SETS = {
     'all': sorted(TARGET_BY_KIND),
-    'third': sorted(_SECOND_KINDS | {'evacuation'}),
+    'fourth': sorted(_THIRD_KINDS | {'worker silent'}),
+    'third': sorted(_THIRD_KINDS),
     'second': sorted(_SECOND_KINDS),
     'first': sorted(_FIRST_KINDS),
 }
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -11,6 +11,8 @@
 CRASH_RUN = (20261909, 12.0, 3, 'second')
 # Draws evacuations that overlap, kills of the owner and a silent store.
 EVACUATION_RUN = (7633, 14.0, 4, 'third')
+# Draws workers that are silent but registered, and kills of the owner.
+SILENCE_RUN = (8238, 14.0, 4, 'fourth')
 SEEDS_PATH = pathlib.Path(__file__).with_name('seeds.txt')
 
 
@@ -26,7 +28,13 @@
 
 @pytest.mark.parametrize(
     ('seed', 'seconds', 'nodes', 'kind_set'),
-    [SHORT_RUN, CRASH_RUN, EVACUATION_RUN, *load_regression_runs()],
+    [
+        SHORT_RUN,
+        CRASH_RUN,
+        EVACUATION_RUN,
+        SILENCE_RUN,
+        *load_regression_runs(),
+    ],
 )
 async def test_soak_run_has_no_violations(seed, seconds, nodes, kind_set):
     result = await runner.run_seed(
