Estimate the speed of VMs only where the settings ask for it

The setting vmSpeeds turns it on; it is off without. Then no speed is recorded and placement and stragglers are as before. test_speeds_are_not_used_where_the_ settings_do_not_ask_for_them.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -260,6 +260,8 @@
         It is None where all workers are on sound VMs, or none is.
         """
         slow_vms = self.term.vm_speeds.slow_vms
+        if not slow_vms:
+            return None
         sound = [item for item in workers if item.vm not in slow_vms]
         if not sound or len(sound) == len(workers):
             return None
--- a/arbutusrock/engine/node_settings.py
+++ b/arbutusrock/engine/node_settings.py
@@ -22,6 +22,7 @@
     :param grace_s: time between SIGTERM and SIGKILL.
     :param longest_lease_s: longest lease; workers shorten longer ones to this.
     :param status_s: how long the status of an ended job is kept.
+    :param estimates_vm_speeds: whether the speed of VMs is estimated and used.
     :param move_s: time that a VM takes to move.
     :param maintenance_s: time that the maintenance of a VM takes.
     :param vm_calls_per_s: orders that the VM service accepts per second.
@@ -41,6 +42,7 @@
     grace_s: float = 6.0
     longest_lease_s: float = 6.0
     status_s: float = 120.0
+    estimates_vm_speeds: bool = False
     move_s: float = 1.5
     maintenance_s: float = 2.0
     vm_calls_per_s: float = 64.0
--- a/arbutusrock/engine/run_speeds.py
+++ b/arbutusrock/engine/run_speeds.py
@@ -110,6 +110,8 @@
 
     :param run: None for one that this owner does not know.
     """
+    if not term.settings.estimates_vm_speeds:
+        return
     if run is None or not is_comparable(run):
         return
     if run.worker.report_clock_ms is None:
--- a/arbutusrock/engine/straggler_controller.py
+++ b/arbutusrock/engine/straggler_controller.py
@@ -48,9 +48,12 @@
             for run in worker.runs.values()
             if run_speeds.is_comparable(run)
         ]
-        for run, view in views:
-            run_speeds.record_progress(self.term, run, view.expected_s, now_s)
-        run_speeds.update(self.term, [run for run, _ in views], now_s)
+        if self.term.settings.estimates_vm_speeds:
+            for run, view in views:
+                run_speeds.record_progress(
+                    self.term, run, view.expected_s, now_s
+                )
+            run_speeds.update(self.term, [run for run, _ in views], now_s)
         # What runs that are stopped in this pass will take elsewhere.
         taken = {}
         for run, view in views:
@@ -66,6 +69,11 @@
     def _create_view(self, run, worker):
         plan = run.task.step.plan
         durations_s = run_speeds.find_sibling_durations(run)
+        expected_s = 0.0
+        if self.term.settings.estimates_vm_speeds:
+            expected_s = run_speeds.compute_expected_s(
+                self.term, run.task.step, durations_s
+            )
         return stragglers.RunView(
             age_s=worker.last_reply_at_s - run.confirmed_at_s,
             percent=run.percent,
@@ -73,9 +81,7 @@
             sibling_durations_s=durations_s,
             speculative=plan.speculative,
             checkpointing=plan.checkpointing,
-            expected_s=run_speeds.compute_expected_s(
-                self.term, run.task.step, durations_s
-            ),
+            expected_s=expected_s,
         )
 
     def _apply_remedy(self, run, view, remedy, now_s, taken):
--- a/arbutusrock/engine/tests/samples.py
+++ b/arbutusrock/engine/tests/samples.py
@@ -19,6 +19,7 @@
     readiness='h:2',
     metrics='h:4',
     store='h:3',
+    estimates_vm_speeds=True,
 )
 
 
--- a/arbutusrock/engine/tests/test_run_speeds.py
+++ b/arbutusrock/engine/tests/test_run_speeds.py
@@ -2,6 +2,7 @@
 
 from unittest import mock
 
+import msgspec
 import pytest
 
 from arbutusrock.engine import dispatcher
@@ -146,3 +147,16 @@
     )
     checked.check(clocks.now_s())
     assert checked.run_controller.stop_run.call_count == 2
+
+
+def test_speeds_are_not_used_where_the_settings_do_not_ask_for_them():
+    controller, (worker, other), run = create_pool()
+    term = controller.term
+    term.settings = msgspec.structs.replace(
+        term.settings, estimates_vm_speeds=False
+    )
+    mark_slow(term, worker.vm)
+    report(worker, run, percent=10.0, age_s=0.5)
+    assert not check(controller)
+    run_speeds.record_end(term, run, clocks.now_s())
+    assert not term.vm_speeds.slow_vms
--- a/arbutusrock/platform/settings_file.py
+++ b/arbutusrock/platform/settings_file.py
@@ -97,6 +97,8 @@
         grace_s=get_number('bounds.graceS', 6),
         longest_lease_s=get_number('bounds.maxHoldMs', 6000, 1) / 1000,
         status_s=get_number('bounds.status_s', 120),
+        # Not one of the platform's: a deployment adds it to its file.
+        estimates_vm_speeds=get_number('vmSpeeds', 0) > 0,
         move_s=get_number('bounds.moveS', 1.5),
         maintenance_s=get_number('bounds.maintenanceS', 2),
         vm_calls_per_s=get_number('cloudApi.dutyRateS', 64.0),
