Move the choice of workers beside slow VMs out of the dispatcher

The functions move as they are, with the term as an argument; the view of a VM asks its worker whether it is silent. Behaviour is unchanged; lint, the tests of engine, scheduling and benchmarks, test_site_faults and test_takeover pass.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -11,7 +11,7 @@
 from arbutusrock.engine import job_state
 from arbutusrock.engine import lookahead
 from arbutusrock.engine import placement_requests
-from arbutusrock.engine import run_speeds
+from arbutusrock.engine import sound_workers
 from arbutusrock import logs
 from arbutusrock.scheduling import placement
 from arbutusrock.scheduling import Resources
@@ -154,7 +154,7 @@
         # Demands for which no worker had free capacity in this pass; steps
         # that demand as much or more are skipped.
         unplaced_demands = []
-        sound_free = self._find_sound_free(candidates)
+        sound_free = sound_workers.find_sound_free(self.term, candidates)
         for step in steps:
             if not placement_requests.may_fit(step, max_free):
                 continue
@@ -184,7 +184,9 @@
                 unplaced_demands.append(demand)
             if len(step.waiting) < before:
                 max_free = placement_requests.find_max_free(candidates)
-                sound_free = self._find_sound_free(candidates)
+                sound_free = sound_workers.find_sound_free(
+                    self.term, candidates
+                )
 
     def _sort_steps(self, pool, steps, workers, max_free, now_s):
         """Return the steps that may fit a worker, the first to start first."""
@@ -210,7 +212,7 @@
     def _start_step(self, step, workers, suspect_vms, now_s, sound_free):
         """Start waiting tasks of a step while they fit.
 
-        :param sound_free: as returned by :meth:`_find_sound_free`.
+        :param sound_free: most that is free on sound VMs, or None.
         :returns: False when no worker of the pool has free capacity for the
             demand of the step.
         """
@@ -219,8 +221,8 @@
             return True
         if step.plan.gang:
             return self._start_gang(step, workers, suspect_vms, allowed, now_s)
-        if allowed is None and self._waits_for_sound_vm(
-            step, workers, sound_free, now_s
+        if allowed is None and sound_workers.waits_for_sound_vm(
+            self.term, step, workers, sound_free, now_s
         ):
             return True
         # Workers that were found to have no room, when others were left out.
@@ -236,8 +238,8 @@
             request = placement_requests.create_request(
                 self.term, step, task, suspect_vms, allowed
             )
-            eligible = self._find_eligible_workers(
-                workers, task, request, now_s
+            eligible = sound_workers.find_eligible_workers(
+                self.term, workers, task, request, now_s
             )
             if eligible == full:
                 continue
@@ -254,72 +256,6 @@
             self._start_run(task, worker, number, now_s)
         return True
 
-    def _find_sound_free(self, workers):
-        """Return the most that is free on sound VMs.
-
-        It is None where all workers are on sound VMs, or none is.
-        """
-        slow_vms = self.term.vm_speeds.slow_vms
-        if not slow_vms:
-            return None
-        sound = [item for item in workers if item.vm not in slow_vms]
-        if not sound or len(sound) == len(workers):
-            return None
-        return placement_requests.find_max_free(sound)
-
-    def _waits_for_sound_vm(self, step, workers, sound_free, now_s):
-        """Return whether all tasks of a step wait for room on sound VMs.
-
-        Then they need not be looked at one by one. Steps with a label or a
-        bound are looked at, as the workers that they may use may all be slow.
-        """
-        plan = step.plan
-        if (
-            sound_free is None
-            or plan.long_running
-            or plan.label
-            or plan.most_per_worker
-            or placement_requests.may_fit(step, sound_free)
-        ):
-            return False
-        slow_vms = self.term.vm_speeds.slow_vms
-        wait_s = placement.compute_speed_wait_s(
-            run_speeds.compute_expected_s(self.term, step),
-            max(slow_vms.values()),
-        )
-        oldest = next(iter(step.waiting.values()))
-        if now_s - oldest.queued_at_s >= wait_s:
-            return False
-        request = placement.PlacementRequest(
-            demand=placement_requests.get_demand(step)
-        )
-        return any(
-            worker.vm not in slow_vms and placement.could_fit(worker, request)
-            for worker in workers
-        )
-
-    def _find_eligible_workers(self, workers, task, request, now_s):
-        """Return the workers that a task may use, given how long it waits.
-
-        Slow VMs are left out for a while only if a sound one could take it.
-        """
-        waited_s = now_s - task.queued_at_s
-        slow_vms = self.term.vm_speeds.slow_vms
-        if slow_vms and not task.step.plan.long_running:
-            sound = placement.find_sound_workers(
-                workers,
-                slow_vms,
-                waited_s,
-                run_speeds.compute_expected_s(self.term, task.step),
-            )
-            if len(sound) == len(workers) or any(
-                placement.could_fit(worker, request) for worker in sound
-            ):
-                workers = sound
-        return placement.find_eligible_workers(
-            workers, task.deprioritized_vms, waited_s
-        )
-
     def _start_gang(self, step, workers, suspect_vms, allowed, now_s):
         """Start all tasks of a gang under one run number, or none."""
         count = len(step.waiting)
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -228,7 +228,7 @@
         millicores=worker.capacity.cpu,
         movable=movable and worker.in_service and not worker.runs,
         idle_s=idle_s,
-        silent=worker.unresponsive or not worker.has_answered,
+        silent=worker.is_silent,
     )
 
 
