Take no runs from the reply of a worker that has ended

Callers: a task that was accepted is never started again while this owner lives, although its pool has room; its job stays "running" for ever. For a serving task that is an outage until the next change of the owner.

Cause: each link waits for the answer to a long poll nearly all the time. When the worker is found to have ended meanwhile (its VM was moved or sent to maintenance, or registers another worker), its runs are removed and the tasks queued. If the answer had been received but not yet processed, which a busy owner makes likely, handle_renewal took the reported runs as new: a waiting task was adopted, and counted as active on a worker that nothing removes runs from any more. A run that was not adopted stayed in the count of unwanted runs, which holds the task back as well.

Evidence: the test fails before the change in both forms: the task stays active, the unwanted run stays counted.

Fix: after the completions, which are facts and still count, the reply of an ended worker is dropped.

--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -217,7 +217,10 @@
             self._remove_and_requeue(run)
 
     def handle_renewal(self, worker, reply, sent_at_s):
-        """Handle the reply to a renewal that was sent at ``sent_at_s``."""
+        """Handle the reply to a renewal that was sent at ``sent_at_s``.
+
+        Of a worker that has ended meanwhile only the completions count.
+        """
         now_s = clocks.now_s()
         born_ms = worker.entry.born_ms
         if born_ms and reply.born_ms and reply.born_ms != born_ms:
@@ -234,6 +237,10 @@
         for completion in sorted(reply.ended, key=lambda item: item.number):
             if completion.number > worker.last_completion:
                 self._handle_completion(worker, completion, now_s)
+        if worker.ended:
+            # What it reports as running is gone. Runs that were added to it
+            # now would never end.
+            return
         reported = set()
         for report in reply.running:
             reported.add((report.task, report.run))
--- a/arbutusrock/engine/tests/test_run_controller.py
+++ b/arbutusrock/engine/tests/test_run_controller.py
@@ -86,6 +86,24 @@
     assert not term.job_registry.jobs[JOB].progress.crashes
 
 
+@pytest.mark.parametrize('ended_job', [False, True])
+def test_reply_of_ended_worker_leaves_no_run_that_never_ends(ended_job):
+    """A busy owner may read it after the move of the VM was confirmed."""
+    term, controller, worker = create_controller()
+    add_job(term)
+    handle_report(controller, worker)
+    job = term.job_registry.jobs[JOB]
+    task = job.occurrences[0].steps[0].tasks[0]
+    assert task.status is job_state.TaskStatus.ACTIVE
+    controller.end_incarnation(worker, fleet.IncarnationEnd.MOVED)
+    if ended_job:
+        term.job_registry.cancel(job, clocks.wall_time_s())
+    handle_report(controller, worker)
+    assert not worker.runs
+    assert not term.fleet.unwanted_runs
+    assert ended_job or task.status is job_state.TaskStatus.WAITING
+
+
 def test_adopted_run_does_not_shorten_learned_durations():
     """Its start is not known to the new owner, only the rest of it is seen."""
     term, controller, worker = create_controller()
