Read the answers of workers before a late timeout counts

Callers: while the owner has more to do than its processor can, accepted tasks wait although workers are free, and tasks that are done are started again seconds later on other workers.

Cause: when the event loop is held up beyond the timeout of a call, the timer fires before the task that waits for the answer is woken; on uvloop, even before the socket is read. So each call in flight timed out, though the worker had answered within milliseconds. Start orders became "in doubt", workers "silent", and a silent worker whose renewals kept timing out at the owner lost its lease: its tasks were queued and started elsewhere, while the replies that were thrown away listed their ends as done. An end counts as taken note of 0.1 s after it was listed, so that it does not help that the lease has lapsed later.

Fix: a timeout that fires late leaves the loop 0.1 s to read what came in, and again while it stays behind, for at most 2.1 s in all. One that fires on time ends the call at once, as before, so that the loss of a worker is not noticed later. Only the clients of workers do this: calls to the store and to other nodes have deadlines of callers behind them.

--- a/arbutusrock/platform/workers.py
+++ b/arbutusrock/platform/workers.py
@@ -135,7 +135,9 @@
         self.metrics = metrics
         self._headers = {INSTANCE_HEADER: worker_id}
         self._http = http.HTTPClient(
-            base_url=f'http://{address}', max_connections=MAX_CONNECTIONS
+            base_url=f'http://{address}',
+            max_connections=MAX_CONNECTIONS,
+            catches_up=True,
         )
 
     async def close(self):
