Keep removed jobs removed when the table of jobs is read again

Callers: a job that was completed minutes ago is run once more, all tasks of it, and its state goes back from not known to "queued".

Cause: when the store has dropped its history the owner reads the table of jobs part by part, and repeats parts that the store does not answer. Retention may remove rows of a job and forget it meanwhile. The rows that were read before are applied after it, and a job that the registry does not know counts as new; its progress is gone too.

Fix: versions of rows and of the table come from one counter, and the owner has applied all changes up to the version that it follows. So a row of the table read again that is not newer has been applied before. If its job is not known any more, it was removed.

--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -104,6 +104,8 @@
         self.pace_controller = pace_controller.PaceController(
             term=term, links=self.links
         )
+        # Changes of the table of jobs up to this version are applied.
+        self._jobs_version = 0
         self.vm_controller = None
         if adapter.vm_client is not None:
             self.vm_controller = vm_controller.VMController(
@@ -209,6 +211,7 @@
         self.state_writer.knowledge.restore(knowledge)
         job_rows, jobs_version = jobs
         self._load_jobs(job_rows, progress[0])
+        self._jobs_version = jobs_version
         worker_rows, workers_version = workers
         self.registration_controller.load(worker_rows, roster)
         return jobs_version, workers_version
@@ -345,9 +348,16 @@
         self.run_controller.stop_job(job, 'the job is cancelled')
         self.term.request_flush()
 
-    def _apply_job_rows(self, found, _whole, _version):
+    def _apply_job_rows(self, found, whole, version):
+        """Apply changes of the table of jobs, or the table read again.
+
+        Rows of the whole table that were applied before are left out: that of
+        a job that is not known any more was removed since it was read.
+        """
         for row in found:
-            self._apply_job_row(row, {})
+            if not whole or row.version > self._jobs_version:
+                self._apply_job_row(row, {})
+        self._jobs_version = version
         if found:
             self.term.request_dispatch()
 
