--- a/arbutusrock/platform/workers.py
+++ b/arbutusrock/platform/workers.py
@@ -6,6 +6,7 @@
 from arbutusrock import logs
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import http
+from arbutusrock.utils import timeouts
 
 __all__ = ['WorkerClient', 'decode_worker']
 
@@ -137,7 +138,7 @@
         self._http = http.HTTPClient(
             base_url=f'http://{address}',
             max_connections=MAX_CONNECTIONS,
-            catches_up=True,
+            create_timeout=timeouts.CallTimeout,
         )
 
     async def close(self):
--- a/arbutusrock/utils/http.py
+++ b/arbutusrock/utils/http.py
@@ -1,21 +1,12 @@
 """HTTP client whose errors tell whether a call may have been carried out."""
 
 import asyncio
-import contextlib
 
 import aiohttp
 from yarl import URL
 
 __all__ = ['Answer', 'HTTPClient', 'NoAnswer', 'NotSent']
 
-# A timeout that fires later than this shows that the event loop was held up.
-MAX_LATENESS_S = 0.02
-# What came in meanwhile is read within this time.
-CATCH_UP_S = 0.1
-# Longest time beyond a timeout for which a loop that stays behind is waited
-# for.
-MAX_CATCH_UP_S = 2.0
-
 
 class NotSent(Exception):
     """The call was not sent, so it was not carried out."""
@@ -39,48 +30,21 @@
         self.body = body
 
 
-@contextlib.asynccontextmanager
-async def _timeout_of_server(timeout_s):
-    """Bound a block like ``asyncio.timeout``, but read what came in first.
-
-    The loop runs the timers that are due before the tasks whose answers it
-    has just received. After it was held up, each call in flight would time
-    out though its server has answered.
-    """
-    loop = asyncio.get_running_loop()
-    latest_at_s = loop.time() + timeout_s + MAX_CATCH_UP_S
-
-    def expire(due_at_s, last):
-        nonlocal timer
-        now_s = loop.time()
-        if last or now_s - due_at_s <= MAX_LATENESS_S:
-            scope.reschedule(now_s)
-            return
-        due_at_s = now_s + CATCH_UP_S
-        timer = loop.call_at(due_at_s, expire, due_at_s, now_s > latest_at_s)
-
-    due_at_s = loop.time() + timeout_s
-    async with asyncio.timeout(None) as scope:
-        timer = loop.call_at(due_at_s, expire, due_at_s, False)
-        try:
-            yield
-        finally:
-            timer.cancel()
-
-
 class HTTPClient:
     """Client with a pool of connections to one server.
 
     :param base_url: ``http://host:port``.
     :param max_connections: maximum number of connections at a time.
-    :param catches_up: whether a call that times out while this process is
-        held up waits until what came in meanwhile has been read.
+    :param create_timeout: creates the context manager that gives up a call
+        after a time in seconds.
     """
 
-    def __init__(self, *, base_url, max_connections, catches_up=False):
+    def __init__(
+        self, *, base_url, max_connections, create_timeout=asyncio.timeout
+    ):
         self.base_url = base_url
         self.max_connections = max_connections
-        self._timeout = _timeout_of_server if catches_up else asyncio.timeout
+        self._create_timeout = create_timeout
         self._session = None
         self._closed = False
 
@@ -123,7 +87,7 @@
         if query:
             url = url.with_query(query)
         try:
-            async with self._timeout(timeout_s):
+            async with self._create_timeout(timeout_s):
                 async with self._session.request(
                     method, url, data=body, headers=headers
                 ) as reply:
--- a/arbutusrock/utils/tests/test_http.py
+++ b/arbutusrock/utils/tests/test_http.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from arbutusrock.utils import http as http_client
+from arbutusrock.utils import timeouts
 
 
 async def test_http_client_call_raises_not_sent_after_close():
@@ -60,7 +61,9 @@
 
     async def call_twice(base_url):
         client = http_client.HTTPClient(
-            base_url=base_url, max_connections=2, catches_up=True
+            base_url=base_url,
+            max_connections=2,
+            create_timeout=timeouts.CallTimeout,
         )
         calls = [
             asyncio.ensure_future(client.call('GET', '/', timeout_s=0.3))
