Keep what the owner computes again in each pass

Change: a worker keeps the capacities that it last compared, an occurrence its declared work until more of its tasks are done, and runs under the minimum age are not looked at where the speed of VMs is not estimated. Decisions stay the same.

--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -43,6 +43,7 @@
         'entry_read_at_s',
         'listed_capacity',
         'listed_at_s',
+        '_smaller_capacity',
         'used_millicores',
         'used_memory_mb',
         'used_accelerators',
@@ -85,6 +86,9 @@
         # Capacity in the list of VMs, and when that list was requested.
         self.listed_capacity = None
         self.listed_at_s = now_s
+        # The two capacities that were last compared, and the smaller of each
+        # of their amounts.
+        self._smaller_capacity = (None, None, None)
         self.used_millicores = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
@@ -153,11 +157,15 @@
         registered, listed = self.entry.capacity, self.listed_capacity
         if listed is None or self.listed_at_s <= self.entry_read_at_s:
             return registered
-        return Resources(
-            cpu=min(registered.cpu, listed.cpu),
-            memory_mb=min(registered.memory_mb, listed.memory_mb),
-            accelerators=min(registered.accelerators, listed.accelerators),
-        )
+        compared, with_listed, smaller = self._smaller_capacity
+        if compared is not registered or with_listed is not listed:
+            smaller = Resources(
+                cpu=min(registered.cpu, listed.cpu),
+                memory_mb=min(registered.memory_mb, listed.memory_mb),
+                accelerators=min(registered.accelerators, listed.accelerators),
+            )
+            self._smaller_capacity = (registered, listed, smaller)
+        return smaller
 
     def describe_runs(self):
         """Return its newest runs for a log line.
--- a/arbutusrock/engine/job_state.py
+++ b/arbutusrock/engine/job_state.py
@@ -239,7 +239,7 @@
 class Occurrence:
     """One execution of all steps of a job."""
 
-    __slots__ = ('job', 'number', 'due_unix_s', 'steps')
+    __slots__ = ('job', 'number', 'due_unix_s', 'steps', 'declared_work')
 
     def __init__(self, *, job, number, due_unix_s):
         self.job = job
@@ -250,6 +250,8 @@
             Step(occurrence=self, number=i, plan=plan)
             for i, plan in enumerate(job.plan.steps)
         ]
+        # occurrence_estimates.DeclaredWork as of its last estimate.
+        self.declared_work = None
 
     @property
     def done(self):
--- a/arbutusrock/engine/occurrence_estimates.py
+++ b/arbutusrock/engine/occurrence_estimates.py
@@ -45,6 +45,45 @@
         self.objective_s = objective_s
 
 
+class DeclaredWork:
+    """What is left of an occurrence by its declared durations alone.
+
+    It is kept with the occurrence until more of its tasks are done, as the
+    owner estimates each open job several times a second.
+
+    :param occurrence: :class:`arbutusrock.engine.job_state.Occurrence`.
+    :param done_counts: numbers of tasks done, by step.
+    """
+
+    __slots__ = (
+        'done_counts',
+        'long_running',
+        'work_core_s',
+        'work_left_core_s',
+        'critical_path_s',
+        'critical_path_left_s',
+    )
+
+    def __init__(self, *, occurrence, done_counts):
+        plan = occurrence.job.plan
+        self.done_counts = done_counts
+        self.long_running = any(
+            step.plan.long_running for step in occurrence.steps
+        )
+        self.work_core_s, self.work_left_core_s = 0.0, 0.0
+        for step in occurrence.steps:
+            task_core_s = step.plan.demand.cpu * step.plan.estimate_ms / 1e6
+            self.work_core_s += task_core_s * step.plan.count
+            self.work_left_core_s += task_core_s * (
+                step.plan.count - step.done_count
+            )
+        self.critical_path_s = compute_critical_path_s(plan)
+        self.critical_path_left_s = compute_critical_path_s(
+            plan,
+            done={step.number for step in occurrence.steps if step.done},
+        )
+
+
 def estimate_occurrence(estimator, occurrence):
     """Return the :class:`OccurrenceEstimate` of an occurrence.
 
@@ -54,22 +93,20 @@
     job = occurrence.job
     submission = job.submission
     ratio = estimator.get_duration_ratio(submission.queue, job.job_id)
-    work_core_s, work_left_core_s = 0.0, 0.0
-    for step in occurrence.steps:
-        plan = step.plan
-        task_core_s = plan.demand.cpu * plan.estimate_ms * ratio / 1e6
-        work_core_s += task_core_s * plan.count
-        work_left_core_s += task_core_s * (plan.count - step.done_count)
+    done_counts = [step.done_count for step in occurrence.steps]
+    declared = occurrence.declared_work
+    if declared is None or declared.done_counts != done_counts:
+        declared = occurrence.declared_work = DeclaredWork(
+            occurrence=occurrence, done_counts=done_counts
+        )
     return OccurrenceEstimate(
-        long_running=any(step.plan.long_running for step in occurrence.steps),
-        work_core_s=work_core_s,
-        work_left_core_s=work_left_core_s,
-        critical_path_left_s=ratio
-        * compute_critical_path_s(
-            job.plan,
-            done={step.number for step in occurrence.steps if step.done},
+        long_running=declared.long_running,
+        work_core_s=ratio * declared.work_core_s,
+        work_left_core_s=ratio * declared.work_left_core_s,
+        critical_path_left_s=ratio * declared.critical_path_left_s,
+        objective_s=_compute_objective_s(
+            submission, ratio * declared.critical_path_s
         ),
-        objective_s=compute_objective_s(submission, ratio),
     )
 
 
@@ -94,7 +131,12 @@
     :param ratio: ratio of observed to declared durations.
     :returns: seconds from its acceptance.
     """
-    critical_path_s = compute_critical_path_s(submission.plan) * ratio
+    return _compute_objective_s(
+        submission, compute_critical_path_s(submission.plan) * ratio
+    )
+
+
+def _compute_objective_s(submission, critical_path_s):
     return (
         submission.stretch * critical_path_s + submission.objective_ms / 1000
     )
--- a/arbutusrock/engine/placement_requests.py
+++ b/arbutusrock/engine/placement_requests.py
@@ -69,13 +69,12 @@
 
 def find_max_free(workers):
     """Return the maximum free amount of each resource over all workers."""
-    return Resources(
-        cpu=max((item.free_millicores for item in workers), default=0),
-        memory_mb=max((item.free_memory_mb for item in workers), default=0),
-        accelerators=max(
-            (item.free_accelerators for item in workers), default=0
-        ),
+    if not workers:
+        return Resources()
+    cpu, memory_mb, accelerators = map(
+        max, zip(*map(get_free_amounts, workers), strict=True)
     )
+    return Resources(cpu=cpu, memory_mb=memory_mb, accelerators=accelerators)
 
 
 def may_fit(step, max_free):
--- a/arbutusrock/engine/straggler_controller.py
+++ b/arbutusrock/engine/straggler_controller.py
@@ -41,12 +41,17 @@
 
     def check(self, now_s):
         """Check all runs once, after the speeds of their VMs."""
+        min_age_s = 0.0
+        if not self.term.settings.estimates_vm_speeds:
+            # All VMs count as sound, so that younger runs are not judged.
+            min_age_s = stragglers.MIN_AGE_S
         views = [
             (run, self._create_view(run, worker))
             for worker in self.term.fleet.workers.values()
             if worker.in_service
             for run in worker.runs.values()
             if run_speeds.is_comparable(run)
+            and worker.last_reply_at_s - run.confirmed_at_s >= min_age_s
         ]
         if self.term.settings.estimates_vm_speeds:
             for run, view in views:
