Bound the start orders that a saturated owner has in flight

Cause: a pass sends an order for each waiting task that finds room, however many. An owner without processor time reads the answers only when all are sent, after their time-outs: 500 orders in 12 s were in doubt, their workers counted as silent, runs that had started were stopped, and tasks started again. Its periodic parts go on as often as on a strong VM and take the rest.

Change: the lateness of the event loop, measured each 0.1 s, sets how many orders may be in flight; pools share them in turn. While the owner is behind, sizing of pools and the search for slow runs take at most a tenth of its time each, passes half, and a reply of a worker collects more completions. Logged as 'the owner is behind', with the metric owner_lateness_seconds. An owner that keeps up never comes near the bound.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -13,6 +13,7 @@
 from arbutusrock.engine import placement_requests
 from arbutusrock.engine import sound_workers
 from arbutusrock import logs
+from arbutusrock.scheduling import order_window
 from arbutusrock.scheduling import placement
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
@@ -54,6 +55,10 @@
         # Only jobs stored before this version of the store, by pool, may have
         # runs of an earlier owner that this one has not heard of.
         self._inherited_versions = {}
+        # How many more start orders a pass may send for its present pool.
+        self._order_room = 0
+        # Passes in which a pool had more to start than that.
+        self._cut_passes = 0
         self._ranker = job_ranks.JobRanker(term=term)
         self.lookahead = lookahead.Lookahead(
             term=term, ranker=self._ranker, ticket_cache=ticket_cache
@@ -73,9 +78,10 @@
             self.term.dispatch_due.clear()
             began_at_s = clocks.now_s()
             self.dispatch()
-            pause_s = min(
-                MAX_PAUSE_S, (clocks.now_s() - began_at_s) * PAUSE_FACTOR
-            )
+            took_s = clocks.now_s() - began_at_s
+            pause_s = min(MAX_PAUSE_S, took_s * PAUSE_FACTOR)
+            if self.term.load.is_behind:
+                pause_s = max(pause_s, took_s)
 
     def dispatch(self):
         """Make one pass over all pools with waiting tasks."""
@@ -84,6 +90,7 @@
             term.holds_orders
             or term.stopping
             or not term.configuration.current
+            or not term.load.orders.get_room()
         ):
             return
         now_s = clocks.now_s()
@@ -104,10 +111,25 @@
             pool = worker.entry.pool
             if pool in waiting and not worker.ended:
                 workers[pool].append(worker)
-        for pool, steps in waiting.items():
+        pools = self._rotate_pools(list(waiting))
+        room, cut = term.load.orders.get_room(), False
+        for count, pool in enumerate(pools):
+            self._order_room = part = order_window.divide_room(
+                room, len(pools) - count
+            )
             self._dispatch_pool(
-                pool, list(steps.values()), workers[pool], now_s
+                pool, list(waiting[pool].values()), workers[pool], now_s
             )
+            room -= part - self._order_room
+            cut |= self._order_room <= 0
+        self._cut_passes += cut
+
+    def _rotate_pools(self, pools):
+        """Return the pools, another one first after each pass that was cut."""
+        if not pools:
+            return pools
+        first = self._cut_passes % len(pools)
+        return pools[first:] + pools[:first]
 
     def _dispatch_pool(self, pool, steps, pool_workers, now_s):
         term = self.term
@@ -156,6 +178,8 @@
         unplaced_demands = []
         sound_free = sound_workers.find_sound_free(self.term, candidates)
         for step in steps:
+            if self._order_room <= 0:
+                return
             if not placement_requests.may_fit(step, max_free):
                 continue
             demand = placement_requests.get_demand(step)
@@ -229,6 +253,8 @@
         full = None
         unwanted_runs = self.term.fleet.unwanted_runs
         for task in list(step.waiting.values()):
+            if self._order_room <= 0:
+                return True
             if task.name in unwanted_runs and not step.plan.speculative:
                 continue
             if self.guarded_starter.must_isolate(task, now_s):
@@ -384,6 +410,7 @@
                 configuration=self.term.configuration.current.version,
             )
         task.starts += 1
+        self._order_room -= 1
         self.term.phases.mark('first_start')
         if task.starts > 1:
             LOG.info(
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -367,7 +367,10 @@
         After a stall, orders wait until a flush confirms the ownership.
         """
         while True:
+            due_at_s = clocks.now_s() + STALL_CHECK_INTERVAL_S
             await asyncio.sleep(STALL_CHECK_INTERVAL_S)
+            now_s = clocks.now_s()
+            self.term.load.record_lateness(now_s - due_at_s, now_s)
             self.term.phases.report_due(self.term.epoch)
             self.term.inherited_waits.update()
             if self.term.detect_stall():
--- a/arbutusrock/engine/straggler_controller.py
+++ b/arbutusrock/engine/straggler_controller.py
@@ -32,12 +32,16 @@
 
     async def run(self):
         """Check all runs in each interval until the ownership ends."""
+        took_s = 0.0
         while True:
-            await asyncio.sleep(PASS_INTERVAL_S)
+            await asyncio.sleep(
+                self.term.load.compute_pause_s(PASS_INTERVAL_S, took_s)
+            )
             if self.term.holds_orders:
                 continue
             now_s = clocks.now_s()
             self.check(now_s)
+            took_s = clocks.now_s() - now_s
 
     def check(self, now_s):
         """Check all runs once, after the speeds of their VMs."""
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -5,6 +5,7 @@
 from arbutusrock.engine import fleet as fleet_module
 from arbutusrock.engine import inherited_waits
 from arbutusrock.engine import job_registry
+from arbutusrock.engine import owner_load
 from arbutusrock.engine import share_ledger
 from arbutusrock.engine import takeover_phases
 from arbutusrock.scheduling import admission
@@ -83,6 +84,7 @@
         self.configuration = configuration
         self.metrics = metrics
         self.began_at_s = clocks.now_s()
+        self.load = owner_load.OwnerLoad(metrics=metrics)
         self.phases = takeover_phases.TakeoverPhases(
             metrics=metrics,
             heartbeat_at_s=heartbeat_at_s,
--- a/arbutusrock/engine/tests/test_dispatcher.py
+++ b/arbutusrock/engine/tests/test_dispatcher.py
@@ -19,12 +19,21 @@
 WEIGHTS = {'large': 8.0, 'middle': 3.0, 'small': 1.0}
 
 
-def dispatch(steps, workers=(), slow_vms=(), *, waited_s=0.0, culprits=()):
+def dispatch(
+    steps,
+    workers=(),
+    slow_vms=(),
+    *,
+    waited_s=0.0,
+    culprits=(),
+    max_orders=1000,
+):
     """Make one pass with waiting steps; return the term and the workers.
 
     :param waited_s: how long their tasks have waited.
     :param culprits: names of tasks of the account ``large`` that have just
         crashed a worker.
+    :param max_orders: how many orders may be in flight.
     """
     term = samples.create_ledger(WEIGHTS).term
     term.configuration.current = configuration.FleetConfiguration(
@@ -45,9 +54,12 @@
         term.fleet.workers[worker.worker_id] = worker
     now_s = clocks.now_s()
     term.confirmed_at_s = now_s
+    term.load.orders.limit = max_orders
     term.vm_speeds.slow_vms = dict.fromkeys(slow_vms, 0.2)
-    waiting = term.job_registry.waiting_steps.setdefault(samples.POOL, {})
     for step in steps:
+        waiting = term.job_registry.waiting_steps.setdefault(
+            step.job.submission.pool, {}
+        )
         waiting[step.job.job_id] = step
         for task in step.tasks:
             task.queued_at_s = now_s - waited_s
@@ -83,6 +95,29 @@
     return sum(len(task.runs) for task in step.tasks)
 
 
+def move_to_pool(step, worker, pool):
+    """Put a step and a worker into another pool."""
+    step.job.submission = msgspec.structs.replace(
+        step.job.submission, pool=pool
+    )
+    worker.entry = msgspec.structs.replace(worker.entry, pool=pool)
+
+
+def test_saturated_owner_orders_all_waiting_tasks_at_once():
+    """All those orders were answered after their time-outs."""
+    step = samples.create_step('large', 1, tasks=12)
+    dispatch([step], max_orders=5)
+    assert count_runs(step) == 5
+
+
+def test_pools_share_the_orders_that_a_saturated_owner_may_send():
+    steps = [samples.create_step('large', number, 12) for number in (1, 2)]
+    workers = [samples.create_worker(name) for name in ('w1', 'w2')]
+    move_to_pool(steps[1], workers[1], 'other')
+    dispatch(steps, workers, max_orders=6)
+    assert [count_runs(step) for step in steps] == [3, 3]
+
+
 STEPS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(sorted(WEIGHTS)),
--- a/arbutusrock/engine/vm_controller.py
+++ b/arbutusrock/engine/vm_controller.py
@@ -69,8 +69,11 @@
     async def run(self):
         """Reconcile VMs in each interval until the ownership ends."""
         await self.waves.load_records()
+        took_s = 0.0
         while True:
-            await asyncio.sleep(PASS_INTERVAL_S)
+            await asyncio.sleep(
+                self.term.load.compute_pause_s(PASS_INTERVAL_S, took_s)
+            )
             await self._refresh_vms()
             if (
                 self.vm_registry.listed_at_s is None
@@ -87,7 +90,9 @@
                     > self.term.began_at_s + MAX_LIST_AGE_S
                 ):
                     await self.waves.reconcile(now_s)
+                began_at_s = clocks.now_s()
                 self._resize_pools(now_s)
+                took_s = clocks.now_s() - began_at_s
 
     def _may_send_orders(self, now_s):
         return (
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -94,7 +94,9 @@
             if worker.runs or worker.last_reply_at_s > self._began_at_s:
                 busy = self.term.fleet.count_busy_workers()
                 await asyncio.sleep(
-                    max(MIN_RENEWAL_INTERVAL_S, busy * RENEWAL_SPACING_S)
+                    self.term.load.compute_renewal_pause_s(
+                        max(MIN_RENEWAL_INTERVAL_S, busy * RENEWAL_SPACING_S)
+                    )
                 )
             return
         worker.flush_done.clear()
@@ -192,6 +194,7 @@
 
     def send_start(self, run, *, spec, ticket=''):
         """Order the worker to start a run that was added to it."""
+        self.term.load.orders.add()
         self.spawn(self._start(run, self._create_order(run, spec, ticket)))
 
     def send_reserved_start(self, run, *, spec, ticket, until_durable):
@@ -219,6 +222,7 @@
             if self._may_start_reserved(run):
                 run.state = job_state.RunState.ORDERED
                 run.ordered_at_s = clocks.now_s()
+                self.term.load.orders.add()
                 order = self._create_order(run, spec, ticket)
                 await self._start(run, order)
                 return
@@ -254,6 +258,13 @@
         )
 
     async def _start(self, run, order):
+        try:
+            await self._send_start_order(run, order)
+        finally:
+            if self.term.load.orders.remove():
+                self.term.request_dispatch()
+
+    async def _send_start_order(self, run, order):
         if self.worker.in_evacuated_data_centre and self._has_run(run):
             LOG.info(
                 'a start order was not sent, as its data centre is evacuated',
