Count the ends of runs that were to be stopped

Callers: a task that is done is started again, and the work of its first run is lost; a task may be tried more often than its queue allows.

Cause: a worker reports a run of a task of which the owner knows another one: a copy that an earlier owner had started, or a start order that was carried out late. Such a run belongs to no task and is stopped. If it ended by itself before the stop, as done or failed, the end was acknowledged but not applied, as it was looked up through the run. When the other run was lost, the task was started once more.

Evidence: the test fails before the change: the job stays open after the end was reported.

Fix: the task is found by its name, as for runs that the owner does not know at all. Checkpoints of such runs are left out as before, as they may be behind that of the run that goes on.

--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -267,17 +267,16 @@
     def _handle_completion(self, worker, completion, now_s):
         """Apply a completion, and queue its acknowledgement.
 
+        Ends of unwanted runs count, too: the task is done, or has failed once
+        more, whichever run it was.
+
         It may be acknowledged after the flush that makes it durable. One
         that changes no job row is acknowledged at once, unless an earlier
         one is still pending.
         """
         worker.last_completion = completion.number
         run = worker.runs.get((completion.task, completion.run))
-        task = (
-            run.task
-            if run
-            else self.term.job_registry.find_task(completion.task)
-        )
+        task = self.term.job_registry.find_task(completion.task)
         job = None if task is None else task.step.job
         if job is not None and not job.ended:
             self._apply_completion(worker, completion, task, run, now_s)
@@ -315,7 +314,7 @@
                     attempts=len(task.failed_runs) + 1,
                 )
                 self._record_failed_attempt(task, completion)
-            case _:
+            case _ if run is None or run.task is not None:
                 self.term.job_registry.record_checkpoint(
                     task, completion.checkpoint
                 )
--- a/arbutusrock/engine/tests/test_run_controller.py
+++ b/arbutusrock/engine/tests/test_run_controller.py
@@ -29,12 +29,19 @@
     return controller.term, controller, controller.term.fleet.workers['i-1']
 
 
-def handle_report(controller, worker):
+def handle_report(controller, worker, end=None):
+    """Have a worker report a run, or the given end of it."""
     run_report = platform_messages.RunReport(
         task=f'{JOB}.0.0.0', run=1_000_001, checkpoint='', percent=10
     )
+    completion = platform_messages.CompletionReport(
+        number=1, task=f'{JOB}.0.0.0', run=1_000_001, kind=end
+    )
     reply = platform_messages.RenewalReply(
-        clock_ms=1000.0, born_ms=0, running=(run_report,), ended=()
+        clock_ms=1000.0,
+        born_ms=0,
+        running=() if end else (run_report,),
+        ended=(completion,) if end else (),
     )
     controller.handle_renewal(worker, reply, clocks.now_s())
 
@@ -104,21 +111,35 @@
     assert ended_job or task.status is job_state.TaskStatus.WAITING
 
 
+def test_task_is_done_though_its_run_was_to_be_stopped():
+    """Another run of it is known, such as a copy of the earlier owner.
+
+    The end counts as noted once it is listed, so that a further start of the
+    task would repeat it.
+    """
+    term, controller, worker = create_controller()
+    add_job(term)
+    job = term.job_registry.jobs[JOB]
+    task = job.occurrences[0].steps[0].tasks[0]
+    term.job_registry.mark_active(task)
+    handle_report(controller, worker)
+    (run,) = worker.runs.values()
+    assert run.task is None
+    handle_report(
+        controller, worker, end=platform_messages.CompletionKind.DONE
+    )
+    assert job.status == plans.JobStatus.COMPLETED
+    assert not term.fleet.unwanted_runs
+
+
 def test_adopted_run_does_not_shorten_learned_durations():
     """Its start is not known to the new owner, only the rest of it is seen."""
     term, controller, worker = create_controller()
     add_job(term, estimate_ms=1000)
     handle_report(controller, worker)
-    completion = platform_messages.CompletionReport(
-        number=1,
-        task=f'{JOB}.0.0.0',
-        run=1_000_001,
-        kind=platform_messages.CompletionKind.DONE,
-    )
-    reply = platform_messages.RenewalReply(
-        clock_ms=1001.0, born_ms=0, running=(), ended=(completion,)
+    handle_report(
+        controller, worker, end=platform_messages.CompletionKind.DONE
     )
-    controller.handle_renewal(worker, reply, clocks.now_s())
     assert term.job_registry.jobs[JOB].ended
     assert term.duration_estimator.get_duration_ratio('q', 'other') == 1.0
 
