Call workers by a client of their own over persistent connections

Cause: a profile of the owner under load showed 36% of its processor time in HTTPClient.call for calls to workers; an aiohttp session costs about a quarter of a millisecond a call.

Change: PersistentClient in utils/http_connections.py, an asyncio.Protocol with the parser of httptools, has the interface and errors of HTTPClient. Nothing is sent twice; a call that ends without its answer closes its connection. A registration whose name cannot be a header is not valid: its first call raised an error in the owner, with aiohttp too.

--- a/Makefile
+++ b/Makefile
@@ -38,4 +38,5 @@
 	$(VENV)/bin/python -m benchmarks.bench_relay
 	$(VENV)/bin/python -m benchmarks.bench_shares
 	$(VENV)/bin/python -m benchmarks.bench_capacity
+	$(VENV)/bin/python -m benchmarks.bench_worker_calls
 	$(VENV)/bin/python -m benchmarks.bench_policies
--- a/arbutusrock/platform/tests/test_malformed_answers.py
+++ b/arbutusrock/platform/tests/test_malformed_answers.py
@@ -95,3 +95,13 @@
         await client.read_range('t')
     with pytest.raises(rows.StoreSilent):
         await client.watch('t', after=0, wait_s=0)
+
+
+def test_registration_whose_name_cannot_be_a_header_is_not_valid():
+    """Its first call would raise an error that ends the ownership."""
+    data = (
+        b'{"service":"p","address":"h:1","state":"ready",'
+        b'"capacity":{"cpu":1000}}'
+    )
+    assert workers.decode_worker('w-1', data) is not None
+    assert workers.decode_worker('w-1\r\nX: y', data) is None
--- a/arbutusrock/platform/workers.py
+++ b/arbutusrock/platform/workers.py
@@ -6,6 +6,7 @@
 from arbutusrock import logs
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import http
+from arbutusrock.utils import http_connections
 
 __all__ = ['WorkerClient', 'decode_worker']
 
@@ -104,6 +105,9 @@
         return None
     if not host or not wire.service:
         return None
+    # It is sent as a header.
+    if not worker_id.isprintable():
+        return None
     capacity = wire.capacity.to_resources()
     if min(capacity.cpu, capacity.memory_mb, capacity.accelerators) < 0:
         return None
@@ -133,9 +137,11 @@
 
     def __init__(self, *, address, worker_id, metrics):
         self.metrics = metrics
-        self._headers = {INSTANCE_HEADER: worker_id}
-        self._http = http.HTTPClient(
-            base_url=f'http://{address}', max_connections=MAX_CONNECTIONS
+        self.worker_id = worker_id
+        self._http = http_connections.PersistentClient(
+            address=address,
+            max_connections=MAX_CONNECTIONS,
+            headers={INSTANCE_HEADER: worker_id},
         )
 
     async def close(self):
@@ -208,7 +214,7 @@
         except (ValueError, TypeError, IndexError) as exc:
             LOG.warning(
                 'the reply of a worker cannot be decoded',
-                worker=self._headers[INSTANCE_HEADER],
+                worker=self.worker_id,
                 error=str(exc),
             )
             return platform_messages.OrderReply(
@@ -228,7 +234,6 @@
                 'POST',
                 path,
                 body=_encode(body),
-                headers=self._headers,
                 timeout_s=timeout_s,
             )
         except http.NotSent:
