Keep for a run the VM that it was counted for

Callers: tasks stop starting while one node after the other takes the ownership and drops it after a moment, as long as a worker's registration alternates.

Cause: runs of a step are counted by the VM of their worker, for the limit of tasks on one VM. The VM was looked up again when the run ended. A registration that lacks the VM, as other programs may write one, replaces the worker's entry in between; the count of the other VM was missing, and the KeyError ended the ownership. Where both VMs had counts, one stayed too high and could keep the step off that VM for good.

Evidence: both forms of the test raise the KeyError before the change.

Fix: a run keeps the VM for which it was counted.

--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -389,6 +389,8 @@
             )
         else:
             run.task.runs.append(run)
+            # A later registration may name another VM, or none.
+            run.counted_vm = worker.vm
             counts = run.task.step.runs_by_vm
             counts[worker.vm] = counts.get(worker.vm, 0) + 1
 
@@ -409,7 +411,7 @@
                 del self.unwanted_runs[run.name]
         else:
             run.task.runs.remove(run)
-            run.task.step.runs_by_vm[worker.vm] -= 1
+            run.task.step.runs_by_vm[run.counted_vm] -= 1
 
     def _update_usage(self, run, sign):
         demand, worker = run.demand, run.worker
--- a/arbutusrock/engine/job_state.py
+++ b/arbutusrock/engine/job_state.py
@@ -78,6 +78,7 @@
         'task',
         'account',
         'worker',
+        'counted_vm',
         'demand',
         'state',
         'ordered_at_s',
@@ -100,6 +101,9 @@
         self.task = task
         self.account = account
         self.worker = worker
+        # VM for which it counts in ``Step.runs_by_vm``; empty while it does
+        # not count.
+        self.counted_vm = ''
         self.demand = demand
         self.state = RunState.ORDERED
         self.ordered_at_s = now_s
--- a/arbutusrock/engine/tests/test_run_controller.py
+++ b/arbutusrock/engine/tests/test_run_controller.py
@@ -2,6 +2,7 @@
 
 import types
 
+import msgspec
 import pytest
 
 from arbutusrock.engine import fleet
@@ -111,6 +112,22 @@
     assert ended_job or task.status is job_state.TaskStatus.WAITING
 
 
+@pytest.mark.parametrize(('vm', 'later_vm'), [('m', ''), ('', 'm')])
+def test_run_ends_after_its_worker_was_registered_without_its_vm(vm, later_vm):
+    """Other programs write incomplete entries; this one ended the term."""
+    term, controller, worker = create_controller()
+    worker.entry = msgspec.structs.replace(worker.entry, vm=vm)
+    add_job(term)
+    handle_report(controller, worker)
+    worker.entry = msgspec.structs.replace(worker.entry, vm=later_vm)
+    handle_report(
+        controller, worker, end=platform_messages.CompletionKind.STOPPED
+    )
+    step = term.job_registry.jobs[JOB].occurrences[0].steps[0]
+    assert step.waiting
+    assert not any(step.runs_by_vm.values())
+
+
 def test_task_is_done_though_its_run_was_to_be_stopped():
     """Another run of it is known, such as a copy of the earlier owner.
 
