Count VMs that are evacuated for a wave as no room

Callers: while VMs of a pool are evacuated for maintenance, an accepted serving job waits for room, and the serving tasks on these VMs have nowhere to move, so that the wave is late as well.

Cause: no task starts on a VM that is evacuated for a wave, but pool sizing counted it as room until its maintenance had begun. A pool whose VMs were all evacuated at once looked large enough and got no others.

Evidence: the test fails before the change: both VMs of the pool count.

Fix: such a VM is left out of the view of its pool from the evacuation on, as during the maintenance before.

--- a/arbutusrock/engine/tests/test_vm_views.py
+++ b/arbutusrock/engine/tests/test_vm_views.py
@@ -49,6 +49,20 @@
     assert view.long_running_millicores == 1000
 
 
+def test_vm_that_is_evacuated_for_a_wave_is_no_room():
+    """Its pool had no other, so its task stayed and a new one waited."""
+    controller, workers = test_cordons.create_controller('z1', 'z1')
+    term = controller.term
+    registry = test_cordons.create_registry(term, workers)
+    test_cordons.add_run(term, workers[0], long_running=True)
+    for worker in workers:
+        registry.vms[worker.vm].cordoned_wave = 1
+        worker.cordon_reason = 'wave'
+    (view,) = vm_views.create_pool_views(term, registry, clocks.now_s())
+    assert not view.vms
+    assert view.long_running_vms == 1
+
+
 def test_short_silence_changes_nothing():
     assert len(create_view(unresponsive=True, silent_s=0.5).vms) == 2
     assert len(create_view(unresponsive=False, silent_s=2.0).vms) == 2
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -218,6 +218,9 @@
         )
     if worker is None or worker.entry.draining:
         return None
+    if tracked.cordoned_wave is not None:
+        # It gets no runs, and those that it has need room elsewhere.
+        return None
     idle_s = 0.0
     if not tracked.was_used or worker.cordon_reason == CORDON_SHRINK:
         idle_s = math.inf
