--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -23,6 +23,8 @@
 LATE_EXECUTION_DELAY_S = 2.0
 # Added delay of a slow store or a slow link.
 SLOW_DELAY_S = 0.5
+# A slowed owner runs for this long at a time.
+SLOW_RUN_S = 0.03
 WAVE_DURATION_S = 15
 DATA_CENTRES = ('z1', 'z2')
 # An evacuation lasts this much longer than other faults, so that starts after
@@ -121,6 +123,8 @@
                     node.pause()
                     await asyncio.sleep(fault.duration_s)
                     node.resume()
+            case 'slow the owner':
+                await self._slow_down(self._pick_node(fault), fault)
             case 'configuration':
                 self.site.queues[f'q{self.site.version}'] = {
                     'service': 'alpha'
@@ -154,6 +158,17 @@
             case _:
                 await self._inject_service_fault(fault)
 
+    async def _slow_down(self, node, fault):
+        """Let a node run for a fifth of the time only."""
+        end_at_s = time.monotonic() + fault.duration_s
+        while time.monotonic() < end_at_s:
+            # Another fault may have frozen or ended it.
+            if node.is_serving and not node.paused:
+                node.pause()
+                await asyncio.sleep(4 * SLOW_RUN_S)
+                node.resume()
+            await asyncio.sleep(SLOW_RUN_S)
+
     async def _evacuate(self, fault):
         """Evacuate a data centre for a while, unless it is evacuated now."""
         name = DATA_CENTRES[int(fault.target_selector * len(DATA_CENTRES))]
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -22,6 +22,7 @@
     'stop in turn': 'all',
     'pause': 'node',
     'pause the owner': 'owner',
+    'slow the owner': 'owner',
     'store link cut': 'node',
     'store link cut to the owner': 'owner',
     'store link silent': 'node',
@@ -58,6 +59,7 @@
     'deadly tasks',
     'evacuation',
     'worker silent',
+    'slow the owner',
 }
 _SECOND_KINDS = _FIRST_KINDS | {'worker shrinks', 'deadly tasks'}
 _THIRD_KINDS = _SECOND_KINDS | {'evacuation'}
