Give pools the orders that other pools leave

Callers: on a fleet with several pools, tasks wait while VMs are free and the owner has orders to spare.

Cause: a pass divides the orders that may be in flight among all pools with waiting tasks, also those in which nothing fits or which have no worker. What these leave was lost to pools that had been looked at before. The window is then not full, so that no answer asks for another pass and the window does not grow: the pool goes on at the next pass without an event, 0.2 s later, with the same part. At the smallest window with eight pools that is one order in 0.2 s.

Evidence: the test fails before the change: with nine orders for three pools, one with 12 tasks, one with a single task and one without workers, the first gets 3 instead of 8.

Fix: pools that had more to start share what is left, until none is left or none has more.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -113,15 +113,20 @@
                 workers[pool].append(worker)
         pools = self._rotate_pools(list(waiting))
         room, cut = term.load.orders.get_room(), False
-        for count, pool in enumerate(pools):
-            self._order_room = part = order_window.divide_room(
-                room, len(pools) - count
-            )
-            self._dispatch_pool(
-                pool, list(waiting[pool].values()), workers[pool], now_s
-            )
-            room -= part - self._order_room
-            cut |= self._order_room <= 0
+        while pools and room > 0:
+            # What some pools leave is for those that had more to start.
+            cut_pools = []
+            for count, pool in enumerate(pools):
+                self._order_room = part = order_window.divide_room(
+                    room, len(pools) - count
+                )
+                self._dispatch_pool(
+                    pool, list(waiting[pool].values()), workers[pool], now_s
+                )
+                room -= part - self._order_room
+                if self._order_room <= 0:
+                    cut_pools.append(pool)
+            pools, cut = cut_pools, cut or bool(cut_pools)
         self._cut_passes += cut
 
     def _rotate_pools(self, pools):
--- a/arbutusrock/engine/tests/test_dispatcher.py
+++ b/arbutusrock/engine/tests/test_dispatcher.py
@@ -118,6 +118,22 @@
     assert [count_runs(step) for step in steps] == [3, 3]
 
 
+def test_pool_gets_the_orders_that_others_have_no_use_for():
+    """No answer asked for another pass, as the window was not full."""
+    steps = [
+        samples.create_step('large', number, tasks)
+        for number, tasks in ((1, 12), (2, 1), (3, 1))
+    ]
+    workers = [samples.create_worker(name) for name in ('w1', 'w2')]
+    move_to_pool(steps[1], workers[1], 'other')
+    # The third pool has no worker.
+    steps[2].job.submission = msgspec.structs.replace(
+        steps[2].job.submission, pool='empty'
+    )
+    dispatch(steps, workers, max_orders=9)
+    assert [count_runs(step) for step in steps] == [8, 1, 0]
+
+
 STEPS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(sorted(WEIGHTS)),
