Leave passes of the owner out of the lateness that narrows the window

Callers: on a fleet whose passes take long, tasks wait while VMs are free.

Cause: the window of start orders shrinks when the event loop is late, whatever held it up. A pass over waiting tasks, sizing of pools and the search for slow runs take as long with fewer orders in flight, so that the window shrinks to its minimum and stays there. New orders are sent in passes only: with 8 to 10 orders a pass the owner starts little, and has time to spare.

Fix: the time of the periodic parts after a timer was due is taken off its lateness before it narrows the window. What the owner leaves out while it is behind still goes by the whole of it.

Not played on a site.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -78,7 +78,9 @@
             self.term.dispatch_due.clear()
             began_at_s = clocks.now_s()
             self.dispatch()
-            took_s = clocks.now_s() - began_at_s
+            ended_at_s = clocks.now_s()
+            self.term.load.record_part(began_at_s, ended_at_s)
+            took_s = ended_at_s - began_at_s
             pause_s = min(MAX_PAUSE_S, took_s * PAUSE_FACTOR)
             if self.term.load.is_behind:
                 pause_s = max(pause_s, took_s)
--- a/arbutusrock/engine/owner_load.py
+++ b/arbutusrock/engine/owner_load.py
@@ -30,12 +30,21 @@
     :param metrics: :class:`arbutusrock.metrics.Metrics`.
     """
 
-    __slots__ = ('metrics', 'orders', 'lateness_s', '_behind', '_logged_at_s')
+    __slots__ = (
+        'metrics',
+        'orders',
+        'lateness_s',
+        '_parts',
+        '_behind',
+        '_logged_at_s',
+    )
 
     def __init__(self, *, metrics):
         self.metrics = metrics
         self.orders = order_window.OrderWindow()
         self.lateness_s = 0.0
+        # When the periodic parts since the last measurement began and ended.
+        self._parts = []
         self._behind = False
         self._logged_at_s = 0.0
 
@@ -44,10 +53,24 @@
         """Whether the event loop has been late lately."""
         return self.lateness_s > BEHIND_S
 
+    def record_part(self, began_at_s, ended_at_s):
+        """Record that a periodic part has held the event loop up."""
+        self._parts.append((began_at_s, ended_at_s))
+
     def record_lateness(self, lateness_s, now_s):
-        """Record by how much a timer of the event loop was late (s)."""
+        """Record by how much a timer of the event loop was late (s).
+
+        What periodic parts have added does not count for the window of
+        orders: they take as long with fewer orders in flight.
+        """
         self.lateness_s = max(lateness_s, self.lateness_s * LATENESS_DECAY)
-        self.orders.record_lateness(lateness_s)
+        due_at_s = now_s - lateness_s
+        parts_s = sum(
+            max(0.0, ended_at_s - max(began_at_s, due_at_s))
+            for began_at_s, ended_at_s in self._parts
+        )
+        self._parts.clear()
+        self.orders.record_lateness(lateness_s - parts_s)
         self.metrics.observe('owner_lateness_seconds', max(0.0, lateness_s))
         if self.is_behind != self._behind or (
             self.is_behind and now_s - self._logged_at_s >= LOG_INTERVAL_S
--- a/arbutusrock/engine/straggler_controller.py
+++ b/arbutusrock/engine/straggler_controller.py
@@ -41,7 +41,9 @@
                 continue
             now_s = clocks.now_s()
             self.check(now_s)
-            took_s = clocks.now_s() - now_s
+            ended_at_s = clocks.now_s()
+            self.term.load.record_part(now_s, ended_at_s)
+            took_s = ended_at_s - now_s
 
     def check(self, now_s):
         """Check all runs once, after the speeds of their VMs."""
--- a/arbutusrock/engine/vm_controller.py
+++ b/arbutusrock/engine/vm_controller.py
@@ -92,7 +92,9 @@
                     await self.waves.reconcile(now_s)
                 began_at_s = clocks.now_s()
                 self._resize_pools(now_s)
-                took_s = clocks.now_s() - began_at_s
+                ended_at_s = clocks.now_s()
+                self.term.load.record_part(began_at_s, ended_at_s)
+                took_s = ended_at_s - began_at_s
 
     def _may_send_orders(self, now_s):
         return (
