Space only the sizing of pools while the owner is behind

Callers: a worker may get more than it can hold, and waves are late (LIMIT, duties missed).

Cause: the pause after the sizing of pools, nine times its duration while the owner is behind, held up the whole pass over VMs. With sizing of 0.5 s no list of VMs was read for 4.5 s, though while the store is unreachable only that list shows that a worker has shrunk, and it is to be read each 0.7 s. Orders and waves stood still as well.

Not seen on a site.

Fix: passes keep their interval; sizing is left out until it is due.

--- a/arbutusrock/engine/vm_controller.py
+++ b/arbutusrock/engine/vm_controller.py
@@ -67,13 +67,15 @@
         )
 
     async def run(self):
-        """Reconcile VMs in each interval until the ownership ends."""
+        """Reconcile VMs in each interval until the ownership ends.
+
+        While the owner is behind, pools are sized less often. Lists of VMs
+        and waves go on, as rules depend on them.
+        """
         await self.waves.load_records()
-        took_s = 0.0
+        resize_due_at_s = 0.0
         while True:
-            await asyncio.sleep(
-                self.term.load.compute_pause_s(PASS_INTERVAL_S, took_s)
-            )
+            await asyncio.sleep(PASS_INTERVAL_S)
             await self._refresh_vms()
             if (
                 self.vm_registry.listed_at_s is None
@@ -91,10 +93,14 @@
                 ):
                     await self.waves.reconcile(now_s)
                 began_at_s = clocks.now_s()
+                if began_at_s < resize_due_at_s:
+                    continue
                 self._resize_pools(now_s)
                 ended_at_s = clocks.now_s()
                 self.term.load.record_part(began_at_s, ended_at_s)
-                took_s = ended_at_s - began_at_s
+                resize_due_at_s = ended_at_s + self.term.load.compute_pause_s(
+                    0.0, ended_at_s - began_at_s
+                )
 
     def _may_send_orders(self, now_s):
         return (
