--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -78,7 +78,9 @@
             self.term.dispatch_due.clear()
             began_at_s = clocks.now_s()
             self.dispatch()
-            took_s = clocks.now_s() - began_at_s
+            ended_at_s = clocks.now_s()
+            self.term.load.record_part(began_at_s, ended_at_s)
+            took_s = ended_at_s - began_at_s
             pause_s = min(MAX_PAUSE_S, took_s * PAUSE_FACTOR)
             if self.term.load.is_behind:
                 pause_s = max(pause_s, took_s)
@@ -113,15 +115,20 @@
                 workers[pool].append(worker)
         pools = self._rotate_pools(list(waiting))
         room, cut = term.load.orders.get_room(), False
-        for count, pool in enumerate(pools):
-            self._order_room = part = order_window.divide_room(
-                room, len(pools) - count
-            )
-            self._dispatch_pool(
-                pool, list(waiting[pool].values()), workers[pool], now_s
-            )
-            room -= part - self._order_room
-            cut |= self._order_room <= 0
+        while pools and room > 0:
+            # What some pools leave is for those that had more to start.
+            cut_pools = []
+            for count, pool in enumerate(pools):
+                self._order_room = part = order_window.divide_room(
+                    room, len(pools) - count
+                )
+                self._dispatch_pool(
+                    pool, list(waiting[pool].values()), workers[pool], now_s
+                )
+                room -= part - self._order_room
+                if self._order_room <= 0:
+                    cut_pools.append(pool)
+            pools, cut = cut_pools, cut or bool(cut_pools)
         self._cut_passes += cut
 
     def _rotate_pools(self, pools):
