Ask for a pass when a full window of orders has grown

Callers: on an owner that is behind, tasks wait while orders may be sent.

Cause: the answer that makes room in a full window asks for a pass. When the window grew while it was full, there was room before an answer came, and none asked for a pass: tasks waited for another event, or for 0.2 s.

Evidence: the test fails before the change.

Fix: the window remembers that it was full until an answer finds room.

--- a/arbutusrock/scheduling/order_window.py
+++ b/arbutusrock/scheduling/order_window.py
@@ -38,16 +38,19 @@
     38
     """
 
-    __slots__ = ('limit', 'in_flight', '_reached')
+    __slots__ = ('limit', 'in_flight', '_reached', '_full')
 
     def __init__(self):
         self.limit = INITIAL_ORDERS
         self.in_flight = 0
         self._reached = False
+        # Whether it was full since an answer last made room.
+        self._full = False
 
     def add(self, count=1):
         """Record that orders are sent."""
         self.in_flight += count
+        self._full |= self.in_flight >= self.limit
         self._reached |= self.in_flight >= self.limit
 
     def remove(self):
@@ -55,9 +58,12 @@
 
         :returns: whether orders may have waited for this.
         """
-        was_full = self.in_flight >= self.limit
+        self._full |= self.in_flight >= self.limit
         self.in_flight -= 1
-        return was_full and self.in_flight < self.limit
+        if not self._full or self.in_flight >= self.limit:
+            return False
+        self._full = False
+        return True
 
     def get_room(self):
         """Return how many more orders may be sent now."""
--- a/arbutusrock/scheduling/tests/test_order_window.py
+++ b/arbutusrock/scheduling/tests/test_order_window.py
@@ -90,6 +90,25 @@
     assert window.limit > 5 * order_window.INITIAL_ORDERS
 
 
+def test_next_answer_asks_for_a_pass_after_a_full_window_has_grown():
+    """Orders that had waited went on waiting for a pass without an event."""
+    window = order_window.OrderWindow()
+    window.add(window.limit)
+    window.record_lateness(0.01)
+    assert window.get_room() > 1
+    assert window.remove()
+    assert not window.remove()
+
+
+@pytest.mark.parametrize('lateness_s', [0.01, 0.3])
+def test_answers_ask_for_one_pass_once_there_is_room(lateness_s):
+    window = order_window.OrderWindow()
+    window.add(window.limit - 1)
+    window.record_lateness(lateness_s)
+    asked = [window.remove() for _ in range(window.in_flight)]
+    assert sum(asked) == (window.limit < order_window.INITIAL_ORDERS)
+
+
 @given(
     strategies.lists(
         strategies.tuples(
