Move the rows of jobs out of the job controller

Reading, writing and reading back the rows of jobs is job_table.JobTable now; the hand-over and the pages that show a job use it directly. No behaviour changes.

--- a/arbutusrock/daemon.py
+++ b/arbutusrock/daemon.py
@@ -126,9 +126,15 @@
             health=self.health,
             metrics=self.metrics,
         )
+        self.job_table = jobs.JobTable(
+            platform=self.platform,
+            batcher=self.batcher,
+            members=self.members,
+        )
         self.job_controller = jobs.JobController(
             platform=self.platform,
             batcher=self.batcher,
+            job_table=self.job_table,
             members=self.members,
             runner=self.runner,
             configuration=self.configuration,
@@ -136,6 +142,7 @@
         )
         self.handover = jobs.Handover(
             job_controller=self.job_controller,
+            job_table=self.job_table,
             platform=self.platform,
             members=self.members,
             permits=self.permits,
--- a/arbutusrock/jobs/__init__.py
+++ b/arbutusrock/jobs/__init__.py
@@ -4,6 +4,7 @@
 from arbutusrock.jobs.handover import Handover
 from arbutusrock.jobs.idempotency import IdempotencyRegistry
 from arbutusrock.jobs.job_controller import JobController
+from arbutusrock.jobs.job_table import JobTable
 from arbutusrock.jobs.records import create_job_id
 from arbutusrock.jobs.records import JobRow
 from arbutusrock.jobs.records import JobState
@@ -17,6 +18,7 @@
     'JobController',
     'JobRow',
     'JobState',
+    'JobTable',
     'Runner',
     'WorkItem',
     'create_job_id',
--- a/arbutusrock/jobs/handover.py
+++ b/arbutusrock/jobs/handover.py
@@ -28,13 +28,17 @@
 
     :param job_controller: :class:`arbutusrock.jobs.JobController` of this
         member.
+    :param job_table: :class:`arbutusrock.jobs.JobTable`.
     :param platform: :class:`arbutusrock.links.PlatformClient`.
     :param members: :class:`arbutusrock.machines.Members`.
     :param permits: :class:`arbutusrock.contracts.permits.PermitController`.
     """
 
-    def __init__(self, *, job_controller, platform, members, permits):
+    def __init__(
+        self, *, job_controller, job_table, platform, members, permits
+    ):
         self.job_controller = job_controller
+        self.job_table = job_table
         self.platform = platform
         self.members = members
         self.permits = permits
@@ -96,14 +100,14 @@
     async def _take_over_job(self, job, owner):
         """Take over one open job; return whether it was still the owner's."""
         try:
-            row, version = await self.job_controller.read(job)
+            row, version = await self.job_table.read(job)
         except errors.NotFound:
             return False
         if row.owner != owner or not job_rows.is_open(row):
             return False
         after = msgspec.structs.replace(row, owner=self.members.member_id)
         try:
-            await self.job_controller.commit(row, version, after)
+            await self.job_table.commit(row, version, after)
         except platform_client.Conflicted:
             return False
         team_name = contracts.TeamName(row.customer, row.team)
@@ -138,12 +142,12 @@
         )
 
     async def _release_job(self, job):
-        row, version = await self.job_controller.read(job)
+        row, version = await self.job_table.read(job)
         if (
             row.owner != self.members.member_id
             or row.state is not records.JobState.WAITING
         ):
             return
-        await self.job_controller.commit(
+        await self.job_table.commit(
             row, version, msgspec.structs.replace(row, owner='')
         )
--- a/arbutusrock/jobs/job_controller.py
+++ b/arbutusrock/jobs/job_controller.py
@@ -14,6 +14,7 @@
 from arbutusrock import errors
 from arbutusrock.jobs import answers
 from arbutusrock.jobs import job_rows
+from arbutusrock.jobs import job_table
 from arbutusrock.jobs import records
 from arbutusrock.jobs import work_item
 from arbutusrock.links import messages
@@ -22,7 +23,6 @@
 from arbutusrock.links import upstream_client
 from arbutusrock import logs
 from arbutusrock.utils import clocks
-from arbutusrock.utils import documents
 
 __all__ = ['JobController']
 
@@ -35,25 +35,12 @@
 LOG = logs.get_log('jobs')
 
 
-class _ConcurrentUpdate(Exception):
-    """The row changed: new owner, cancel, or an own write that came late."""
-
-
-class _VersionedJob:
-    """The row of a job and its version in the table service."""
-
-    __slots__ = ('row', 'version')
-
-    def __init__(self, *, row, version):
-        self.row = row
-        self.version = version
-
-
 class JobController(mode.Service):
     """Accepts, runs and cancels the jobs that this member owns.
 
     :param platform: :class:`arbutusrock.links.PlatformClient`.
     :param batcher: :class:`arbutusrock.links.batches.Batcher`.
+    :param job_table: :class:`arbutusrock.jobs.JobTable`.
     :param members: :class:`arbutusrock.machines.Members`.
     :param runner: :class:`arbutusrock.jobs.Runner`.
     :param configuration: the configuration in force.
@@ -61,11 +48,20 @@
     """
 
     def __init__(
-        self, *, platform, batcher, members, runner, configuration, audit_trail
+        self,
+        *,
+        platform,
+        batcher,
+        job_table,
+        members,
+        runner,
+        configuration,
+        audit_trail,
     ):
         super().__init__()
         self.platform = platform
         self.batcher = batcher
+        self.job_table = job_table
         self.members = members
         self.runner = runner
         self.configuration = configuration
@@ -132,17 +128,10 @@
                 LOG.warning('accept not undone', job=row.job, reason=str(exc))
                 return
 
-    async def read(self, job):
-        """Return ``(row, version)`` of a job; raise NotFound without one."""
-        found = await self.platform.read_row(job_rows.JOB_TABLE, job)
-        if found is None:
-            raise errors.NotFound(f'job {job}')
-        return documents.decode_row(found.value, records.JobRow), found.version
-
     async def cancel(self, job, who):
         """Cancel an unfinished job; a running one is asked to stop."""
         while True:
-            row, version = await self.read(job)
+            row, version = await self.job_table.read(job)
             if row.state in records.FINAL_STATES:
                 raise errors.JobStateConflict(f'job {job} is {row.state}')
             after = msgspec.structs.replace(
@@ -152,7 +141,7 @@
                 finished_at_s=clocks.wall_time_s(),
             )
             try:
-                await self.commit(row, version, after)
+                await self.job_table.commit(row, version, after)
                 break
             except platform_client.Conflicted:
                 continue
@@ -166,7 +155,7 @@
 
     async def retry(self, job, who):
         """Return a parked job to waiting, at an operator's request."""
-        row, version = await self.read(job)
+        row, version = await self.job_table.read(job)
         if row.state is not records.JobState.PARKED:
             raise errors.JobStateConflict(f'job {job} is {row.state}')
         after = msgspec.structs.replace(
@@ -177,7 +166,7 @@
             attempts=0,
             reason=f'retried by {who}',
         )
-        await self.commit(row, version, after)
+        await self.job_table.commit(row, version, after)
         self.enqueue(job)
         return after
 
@@ -235,14 +224,14 @@
     async def _run_job(self, job):
         while True:
             try:
-                row, version = await self.read(job)
+                row, version = await self.job_table.read(job)
                 await self._run_attempts(
-                    _VersionedJob(row=row, version=version)
+                    job_table.VersionedJob(row=row, version=version)
                 )
                 return
             except (errors.StoreUnavailable, errors.NodeNotServing):
                 await asyncio.sleep(RETRY_DELAY_S)
-            except _ConcurrentUpdate:
+            except job_table.ConcurrentUpdate:
                 # Read the row again: an own write may have come late.
                 await asyncio.sleep(RETRY_DELAY_S)
             except (errors.NotFound, errors.JobStateConflict):
@@ -294,7 +283,7 @@
         """
         while item.row.state is records.JobState.RUNNING:
             try:
-                await self._update_row(
+                await self.job_table.update(
                     item,
                     state=records.JobState.WAITING,
                     epoch=item.row.epoch + 1,
@@ -322,7 +311,7 @@
         if answered.status >= 500 and work.idempotent:
             queue = work.queue
             if row.attempts < queue.max_attempts:
-                await self._update_row(
+                await self.job_table.update(
                     item,
                     state=records.JobState.WAITING,
                     epoch=work.epoch + 1,
@@ -334,7 +323,7 @@
 
     async def _record_start(self, item, vm, work):
         """Store the worker before the send, so that a new owner can ask it."""
-        await self._update_row(
+        await self.job_table.update(
             item,
             state=records.JobState.RUNNING,
             worker=vm.vm,
@@ -363,7 +352,7 @@
                 return await self._handle_answer(item, work, outcome)
             case upstream_client.Unknown() if not work.idempotent:
                 raise errors.OutcomeUnknown(outcome.reason)
-        await self._update_row(
+        await self.job_table.update(
             item, state=records.JobState.WAITING, epoch=row.epoch + 1
         )
         return False
@@ -406,7 +395,7 @@
                 stored = await answers.store_answer(
                     self.platform, f'answers/{item.row.job}', answered, body
                 )
-                await self._update_row(
+                await self.job_table.update(
                     item,
                     state=(
                         records.JobState.FAILED
@@ -423,7 +412,7 @@
 
     async def _park(self, item, reason):
         LOG.warning('a job is parked', job=item.row.job, reason=reason)
-        await self._update_row(
+        await self.job_table.update(
             item,
             state=records.JobState.PARKED,
             reason=reason,
@@ -433,64 +422,6 @@
             'job parked', f'job/{item.row.job}', why=reason
         )
 
-    async def _update_row(self, item, **changes):
-        """Write a changed row and keep its new version in ``item``.
-
-        :raises _ConcurrentUpdate: when another change came first.
-        """
-        after = msgspec.structs.replace(item.row, **changes)
-        try:
-            item.version = await self.commit(item.row, item.version, after)
-        except platform_client.Conflicted:
-            raise _ConcurrentUpdate(item.row.job) from None
-        except errors.StoreUnavailable:
-            await self._read_back(item, after)
-            return
-        item.row = after
-
-    async def _read_back(self, item, after):
-        """Find out whether a write without an answer took effect."""
-        while True:
-            try:
-                row, version = await self.read(item.row.job)
-                break
-            except errors.StoreUnavailable:
-                await asyncio.sleep(RETRY_DELAY_S)
-        if row == after:
-            item.row, item.version = row, version
-            return
-        if row.owner != self.members.member_id:
-            raise _ConcurrentUpdate(row.job)
-        item.row, item.version = row, version
-        raise errors.StoreUnavailable(f'job {row.job} was not written')
-
-    async def commit(self, before, version, after):
-        """Write a changed row along with its entry by owner.
-
-        :returns: version of the written row.
-        :raises Conflicted: when another change came first.
-        """
-        writes = [job_rows.create_job_write(after)]
-        still_open = job_rows.is_open(after)
-        if before.owner != after.owner or not still_open:
-            writes.append(
-                job_rows.create_open_job_write(before.owner, before.job, None)
-            )
-        if still_open and (
-            before.owner != after.owner or not job_rows.is_open(before)
-        ):
-            writes.append(
-                job_rows.create_open_job_write(after.owner, after.job, b'')
-            )
-        return await self.batcher.commit(
-            [
-                table.Condition(
-                    table=job_rows.JOB_TABLE, key=after.job, version=version
-                )
-            ],
-            writes,
-        )
-
 
 def _is_transient(exc):
     """Return whether an error can go away by itself."""
--- a/arbutusrock/links/caller_api.py
+++ b/arbutusrock/links/caller_api.py
@@ -365,7 +365,7 @@
         return await self._load_job_response(first.job)
 
     async def _load_job_response(self, job):
-        row, _ = await self.node.job_controller.read(job)
+        row, _ = await self.node.job_table.read(job)
         return _create_job_response(row, 202)
 
     async def _read_team_job(self, request):
@@ -375,7 +375,7 @@
         :raises errors.NotFound: when the job is unknown or belongs to
             another team.
         """
-        row, _ = await self.node.job_controller.read(request.match_info['job'])
+        row, _ = await self.node.job_table.read(request.match_info['job'])
         key = self._find_key(request)
         if key is None:
             raise errors.KeyMissing('only the team of a job has access to it')
--- a/arbutusrock/links/explanations.py
+++ b/arbutusrock/links/explanations.py
@@ -298,7 +298,7 @@
 
 
 async def _explain_job(node, name):
-    row, _ = await node.job_controller.read(name)
+    row, _ = await node.job_table.read(name)
     now = [
         f'Job {name} of team {row.customer}/{row.team} is {row.state}.',
         f'{row.attempts} attempts; the owner is {row.owner or "nobody"}.',
--- a/arbutusrock/links/operator_api.py
+++ b/arbutusrock/links/operator_api.py
@@ -396,7 +396,7 @@
 
     async def show_job(self, request):
         """Return a job without its bodies and headers."""
-        row, _ = await self.node.job_controller.read(request.match_info['job'])
+        row, _ = await self.node.job_table.read(request.match_info['job'])
         return _create_json_response(explanations.describe_job(row))
 
     async def cancel_job(self, request):
