Hold no permit for a job whose start cannot be written

Callers' requests, which need no store, waited up to their deadline of 30 s. Cause: a job that got slot and permit stores its worker before it is sent. Without an answer the write was read back until the store answered, and slot and permit stayed with the job. Jobs that were queued took each permit that came free, or came from a peer, and kept it too. How many jobs are at this point when the store fails is chance. Ruled out: lost transfers (as many were received as sent), the majority rule (the requests waited in the queue, behind that check), a quota of 0 (only where no permit was held). Change: once the store is unresponsive, a start that is not confirmed gives slot and permit back, and a job whose turn comes writes nothing. The write is still waited for, without them; when it took effect the row returns to waiting with the next epoch, as nothing was sent. Then the job goes on.

--- a/arbutusrock/jobs/job_controller.py
+++ b/arbutusrock/jobs/job_controller.py
@@ -262,11 +262,15 @@
             except errors.OutcomeUnknown as exc:
                 await self._park(item, f'outcome unknown: {exc.detail}')
                 return
+            except errors.StoreUnavailable:
+                LOG.info('a job waits for the store', job=row.job)
+                await self.job_table.withdraw_start(item)
+                await asyncio.sleep(RETRY_DELAY_S)
             except errors.ArbutusrockError as exc:
                 if not _is_transient(exc):
                     await self._park(item, str(exc))
                     return
-                await self._return_to_waiting(item)
+                await self.job_table.return_to_waiting(item)
                 not_run_count += isinstance(exc, errors.UpstreamNotRun)
                 if not_run_count >= MAX_NOT_RUN_ATTEMPTS:
                     await self._park(item, f'never ran: {exc.detail}')
@@ -276,27 +280,12 @@
                 )
                 await asyncio.sleep(min(MAX_RETRY_DELAY_S, delay_s))
 
-    async def _return_to_waiting(self, item):
-        """Record that a started attempt did not run.
-
-        Else it would count as running and its worker, maybe gone, be asked.
-        """
-        while item.row.state is records.JobState.RUNNING:
-            try:
-                await self.job_table.update(
-                    item,
-                    state=records.JobState.WAITING,
-                    epoch=item.row.epoch + 1,
-                )
-            except errors.StoreUnavailable:
-                await asyncio.sleep(RETRY_DELAY_S)
-
     async def _attempt(self, item):
         """Run a waiting job once; return whether it is finished."""
         work = await self._create_work(item.row)
 
         async def record_start(vm):
-            await self._record_start(item, vm, work)
+            await self.job_table.record_start(item, vm, work.epoch)
 
         answered = await self.runner.run(work, before_send=record_start)
         return await self._handle_answer(item, work, answered)
@@ -321,16 +310,6 @@
         await self._finish(item, answered, body)
         return True
 
-    async def _record_start(self, item, vm, work):
-        """Store the worker before the send, so that a new owner can ask it."""
-        await self.job_table.update(
-            item,
-            state=records.JobState.RUNNING,
-            worker=vm.vm,
-            epoch=work.epoch,
-            attempts=item.row.attempts + 1,
-        )
-
     async def _resolve_running_job(self, item):
         """Ask the worker about an earlier owner's run; return if finished."""
         row = item.row
--- a/arbutusrock/jobs/job_table.py
+++ b/arbutusrock/jobs/job_table.py
@@ -13,11 +13,13 @@
 from arbutusrock.jobs import records
 from arbutusrock.links import platform_client
 from arbutusrock.links import table
+from arbutusrock import logs
 from arbutusrock.utils import documents
 
 __all__ = ['ConcurrentUpdate', 'JobTable', 'VersionedJob']
 
 RETRY_DELAY_S = 1.0
+LOG = logs.get_log('jobs')
 
 
 class ConcurrentUpdate(Exception):
@@ -25,13 +27,18 @@
 
 
 class VersionedJob:
-    """The row of a job and its version in the table service."""
+    """The row of a job and its version in the table service.
 
-    __slots__ = ('row', 'version')
+    :ivar unconfirmed_start: the :class:`asyncio.Task` that still writes a
+        start of which nothing was sent, or None.
+    """
+
+    __slots__ = ('row', 'version', 'unconfirmed_start')
 
     def __init__(self, *, row, version):
         self.row = row
         self.version = version
+        self.unconfirmed_start = None
 
 
 class JobTable:
@@ -98,6 +105,58 @@
             return
         item.row = after
 
+    async def record_start(self, item, vm, epoch):
+        """Store the worker before the send, so that a new owner can ask it.
+
+        The work holds a slot and a permit meanwhile, which other work could
+        use without the store. So this gives up once the store is unresponsive,
+        and :meth:`withdraw_start` has to follow.
+
+        :raises ConcurrentUpdate: when another change came first.
+        :raises errors.StoreUnavailable: when it is not known to be written.
+        """
+        self.platform.check_responsive()
+        update = asyncio.create_task(
+            self.update(
+                item,
+                state=records.JobState.RUNNING,
+                worker=vm.vm,
+                epoch=epoch,
+                attempts=item.row.attempts + 1,
+            )
+        )
+        item.unconfirmed_start = update
+        try:
+            await self.platform.wait_while_responsive(update)
+        except asyncio.CancelledError:
+            update.cancel()
+            raise
+        item.unconfirmed_start = None
+
+    async def withdraw_start(self, item):
+        """Wait for the store, and undo a start of which nothing was sent."""
+        update, item.unconfirmed_start = item.unconfirmed_start, None
+        try:
+            await (update or self._read_back(item, item.row))
+        except errors.StoreUnavailable as exc:
+            LOG.info('no start to undo', job=item.row.job, reason=str(exc))
+        await self.return_to_waiting(item)
+
+    async def return_to_waiting(self, item):
+        """Record that a started attempt did not run.
+
+        Else it would count as running and its worker, maybe gone, be asked.
+        """
+        while item.row.state is records.JobState.RUNNING:
+            try:
+                await self.update(
+                    item,
+                    state=records.JobState.WAITING,
+                    epoch=item.row.epoch + 1,
+                )
+            except errors.StoreUnavailable:
+                await asyncio.sleep(RETRY_DELAY_S)
+
     async def _read_back(self, item, after):
         """Find out whether a write without an answer took effect."""
         while True:
--- a/arbutusrock/links/platform_client.py
+++ b/arbutusrock/links/platform_client.py
@@ -21,6 +21,7 @@
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
 UNRESPONSIVE_AFTER_S = 1.0
+RESPONSIVE_CHECK_S = 0.1
 CHANGE_TABLE = 'change'
 LOG = logs.get_log('platform')
 
@@ -86,6 +87,20 @@
                 retry_after=self.access.retry_budget_s,
             )
 
+    async def wait_while_responsive(self, task):
+        """Wait for a task, but not while the platform is unresponsive.
+
+        :param task: :class:`asyncio.Task` that calls the platform; it goes on
+            when this raises.
+        :returns: result of the task.
+        :raises errors.StoreUnavailable: when the platform became unresponsive
+            first.
+        """
+        while not task.done():
+            self.check_responsive()
+            await asyncio.wait({task}, timeout=RESPONSIVE_CHECK_S)
+        return task.result()
+
     async def commit(self, conditions, writes, *, change_id=None):
         """Run one transaction.
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -48,6 +48,42 @@
     )
 
 
+@pytest.mark.asyncio
+async def test_jobs_leave_permits_to_requests_while_the_store_is_down(fleet):
+    """A job has to store its start, and kept its permit until it could."""
+    daemons = await harness.start_fleet(fleet, teams=[('auction', 1.0, 12)])
+    load = harness.LoadGenerator(fleet=fleet)
+    jobs = await test_daemon_lifecycle.submit_jobs(
+        load, daemons, 60, run_s=1.0
+    )
+
+    async def have_done():
+        return 'done' in await test_daemon_lifecycle.find_job_states(
+            fleet, jobs
+        )
+
+    await invariants.wait_for(have_done)
+    await fleet.set_platform_faults(down=True)
+    # The running jobs end, and queued ones get their permits.
+    await asyncio.sleep(3)
+    replies = await asyncio.gather(
+        *(
+            load.send(
+                daemons[i % 3],
+                run_s=0.05,
+                headers={'Arbutusrock-Timeout': '10'},
+            )
+            for i in range(30)
+        )
+    )
+    assert {reply.status for reply in replies} == {200}
+    await fleet.set_platform_faults()
+    await test_daemon_lifecycle.wait_jobs(fleet, jobs, ['done'])
+    await invariants.assert_invariants(
+        fleet, load.replies, limits={'pesajes/auction': 12}
+    )
+
+
 @pytest.mark.asyncio
 async def test_lost_store_answers_duplicate_and_lose_nothing(fleet):
     daemons = await harness.start_fleet(fleet)
