Ask the worker of a running job whose body cannot be read at first

A member that takes over a running job reads its body, when that is over 8 KB, from the object store before it asks the worker. Without an answer within the retry budget the job counted as an attempt that did not run: its row returned to waiting and it was sent again, though its worker had never been asked and may run it, or have run it. A POST can so have its effect twice. Cause: any error of the store was taken for one of an own attempt of which nothing was sent. That holds only for a row that was waiting.

--- a/arbutusrock/jobs/job_controller.py
+++ b/arbutusrock/jobs/job_controller.py
@@ -264,7 +264,9 @@
                 return
             except errors.StoreUnavailable:
                 LOG.info('a job waits for the store', job=row.job)
-                await self.job_table.withdraw_start(item)
+                if row.state is not records.JobState.RUNNING:
+                    await self.job_table.withdraw_start(item)
+                # Else its worker is still to be asked, now or once more.
                 await asyncio.sleep(RETRY_DELAY_S)
             except errors.ArbutusrockError as exc:
                 if not _is_transient(exc):
--- a/arbutusrock/jobs/tests/test_job_controller.py
+++ b/arbutusrock/jobs/tests/test_job_controller.py
@@ -90,6 +90,10 @@
         work.holds_slot = True
         return VM
 
+    def record_running(self, work):
+        self.held += 1
+        work.holds_slot = True
+
     def release(self, work):
         self.held -= work.holds_slot
         work.holds_slot = False
@@ -102,8 +106,11 @@
     monkeypatch.setattr(job_table, 'RETRY_DELAY_S', 0.01)
 
 
-def create_controller(store):
-    """Return a controller that owns one job, and its upstreams."""
+def create_controller(store, **fields):
+    """Return a controller that owns one job, and its upstreams.
+
+    :param fields: further fields of the job's row.
+    """
     row = records.JobRow(
         job=JOB,
         customer='c',
@@ -118,14 +125,19 @@
         patient=True,
         accepted_at_s=0.0,
         owner=OWNER,
+        **fields,
     )
     store._write([], [job_rows.create_job_write(row)])
     answered = upstream_client.Answered(status=200, headers=[], body=b'done')
-    upstreams = mock.Mock(exchange=mock.AsyncMock(return_value=answered))
+    upstreams = mock.Mock(
+        exchange=mock.AsyncMock(return_value=answered),
+        resolve=mock.AsyncMock(return_value=answered),
+    )
     members = mock.Mock(member_id=OWNER)
     configuration = mock.Mock(
         services={'records': (None, mock.Mock(pool='scales'))}
     )
+    configuration.get.return_value = VM
     controller = job_controller.JobController(
         platform=store,
         batcher=store,
@@ -205,3 +217,24 @@
     await asyncio.wait_for(running, 5)
     assert store.read_job().state is records.JobState.DONE
     assert upstreams.exchange.await_count == 1
+
+
+async def test_running_job_whose_body_cannot_be_read_is_not_sent_again(
+    short_delays, monkeypatch
+):
+    """Its worker has to be asked first; it may run the job, or have run it."""
+    store = FakeStore()
+    read_body = mock.AsyncMock(
+        side_effect=[errors.StoreUnavailable('no answer'), b'body']
+    )
+    monkeypatch.setattr(store, 'get_object', read_body)
+    controller, upstreams = create_controller(
+        store,
+        state=records.JobState.RUNNING,
+        worker='w1',
+        body_object='bodies/job-1',
+    )
+    await asyncio.wait_for(start_attempts(controller), 5)
+    upstreams.exchange.assert_not_awaited()
+    assert upstreams.resolve.await_count == 1
+    assert store.read_job().state is records.JobState.DONE
