--- a/arbutusrock/utils/http.py
+++ b/arbutusrock/utils/http.py
@@ -35,16 +35,11 @@
 
     :param base_url: ``http://host:port``.
     :param max_connections: maximum number of connections at a time.
-    :param create_timeout: creates the context manager that gives up a call
-        after a time in seconds.
     """
 
-    def __init__(
-        self, *, base_url, max_connections, create_timeout=asyncio.timeout
-    ):
+    def __init__(self, *, base_url, max_connections):
         self.base_url = base_url
         self.max_connections = max_connections
-        self._create_timeout = create_timeout
         self._session = None
         self._closed = False
 
@@ -87,7 +82,7 @@
         if query:
             url = url.with_query(query)
         try:
-            async with self._create_timeout(timeout_s):
+            async with asyncio.timeout(timeout_s):
                 async with self._session.request(
                     method, url, data=body, headers=headers
                 ) as reply:
