--- a/arbutusrock/engine/owner_load.py
+++ b/arbutusrock/engine/owner_load.py
@@ -5,8 +5,8 @@
 
 __all__ = ['OwnerLoad']
 
-# Lateness of the event loop above which the owner counts as behind. A pass
-# over a large fleet takes less on a VM that suits it.
+# Lateness of the event loop above which the owner counts as behind. Passes
+# over a large fleet make it late by less on a VM of one core.
 BEHIND_S = 0.1
 # Share of its last value that the lateness keeps at each measurement, so that
 # one prompt iteration of the loop does not hide a long one.
@@ -23,9 +23,8 @@
 class OwnerLoad:
     """Lateness of the owner's event loop, and the orders in flight.
 
-    While the owner is behind, its periodic parts run less often and one reply
-    of a worker collects more completions. A part that asks for nothing else
-    is served as before.
+    While the owner is behind, its periodic parts run less often, and one reply
+    of a worker collects more completions.
 
     :param metrics: :class:`arbutusrock.metrics.Metrics`.
     """
--- a/arbutusrock/scheduling/order_window.py
+++ b/arbutusrock/scheduling/order_window.py
@@ -7,10 +7,11 @@
 starts tasks again, so that it gets ever less done.
 
 The window shrinks while the event loop of the owner is late, and grows while
-orders fill it. An owner that keeps up never reaches it.
+orders fill it. An owner that keeps up sends the rest of a burst some
+milliseconds later.
 """
 
-__all__ = ['OrderWindow']
+__all__ = ['OrderWindow', 'divide_room']
 
 # Lateness of the event loop above which the window shrinks. An order waits for
 # the loop several times until its answer is read, and has 0.8 s for it.
