--- a/arbutusrock/engine/tests/test_state_writer.py
+++ b/arbutusrock/engine/tests/test_state_writer.py
@@ -293,3 +293,20 @@
     assert conflicts == [1]
     assert store.expected_versions[-1][state_writer.KEY_HEARTBEAT] == 5
     assert writer.flushes_completed == writer.flushes_started
+
+
+def test_roster_of_3000_workers_fits_a_row_of_the_store():
+    """A sweep with so many workers served nothing; suspected cause."""
+    workers = fleet.Fleet()
+    for number in range(3000):
+        entry = platform_messages.WorkerEntry(
+            worker_id=f'i-{number:010x}',
+            pool='pool-01',
+            address='h:1',
+            vm=f'm-{number:05x}',
+        )
+        workers.workers[entry.worker_id] = fleet.WorkerState(
+            entry=entry, now_s=0.0
+        )
+    roster = state_writer.build_roster(workers)
+    assert len(msgspec.msgpack.encode(roster)) <= 65536
