Time the periodic parts of the owner in one place

Passes over tasks, sizing of pools and the search for slow runs each took the time before and after, recorded it and computed the difference. OwnerLoad does that for all three; behaviour stays as it is.

--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -76,11 +76,7 @@
                 # No event; occurrences may have become due.
                 pass
             self.term.dispatch_due.clear()
-            began_at_s = clocks.now_s()
-            self.dispatch()
-            ended_at_s = clocks.now_s()
-            self.term.load.record_part(began_at_s, ended_at_s)
-            took_s = ended_at_s - began_at_s
+            took_s = self.term.load.run_part(self.dispatch)
             pause_s = min(MAX_PAUSE_S, took_s * PAUSE_FACTOR)
             if self.term.load.is_behind:
                 pause_s = max(pause_s, took_s)
@@ -133,9 +129,7 @@
 
     def _rotate_pools(self, pools):
         """Return the pools, another one first after each pass that was cut."""
-        if not pools:
-            return pools
-        first = self._cut_passes % len(pools)
+        first = self._cut_passes % max(1, len(pools))
         return pools[first:] + pools[:first]
 
     def _dispatch_pool(self, pool, steps, pool_workers, now_s):
--- a/arbutusrock/engine/owner_load.py
+++ b/arbutusrock/engine/owner_load.py
@@ -2,6 +2,7 @@
 
 from arbutusrock import logs
 from arbutusrock.scheduling import order_window
+from arbutusrock.utils import clocks
 
 __all__ = ['OwnerLoad']
 
@@ -52,6 +53,17 @@
         """Whether the event loop has been late lately."""
         return self.lateness_s > BEHIND_S
 
+    def run_part(self, part, *arguments):
+        """Call a periodic part, and record how long it held the loop up.
+
+        :returns: how long it took (s).
+        """
+        began_at_s = clocks.now_s()
+        part(*arguments)
+        ended_at_s = clocks.now_s()
+        self.record_part(began_at_s, ended_at_s)
+        return ended_at_s - began_at_s
+
     def record_part(self, began_at_s, ended_at_s):
         """Record that a periodic part has held the event loop up."""
         self._parts.append((began_at_s, ended_at_s))
--- a/arbutusrock/engine/straggler_controller.py
+++ b/arbutusrock/engine/straggler_controller.py
@@ -39,11 +39,7 @@
             )
             if self.term.holds_orders:
                 continue
-            now_s = clocks.now_s()
-            self.check(now_s)
-            ended_at_s = clocks.now_s()
-            self.term.load.record_part(now_s, ended_at_s)
-            took_s = ended_at_s - now_s
+            took_s = self.term.load.run_part(self.check, clocks.now_s())
 
     def check(self, now_s):
         """Check all runs once, after the speeds of their VMs."""
--- a/arbutusrock/engine/vm_controller.py
+++ b/arbutusrock/engine/vm_controller.py
@@ -92,14 +92,12 @@
                     > self.term.began_at_s + MAX_LIST_AGE_S
                 ):
                     await self.waves.reconcile(now_s)
-                began_at_s = clocks.now_s()
-                if began_at_s < resize_due_at_s:
+                if clocks.now_s() < resize_due_at_s:
                     continue
-                self._resize_pools(now_s)
-                ended_at_s = clocks.now_s()
-                self.term.load.record_part(began_at_s, ended_at_s)
-                resize_due_at_s = ended_at_s + self.term.load.compute_pause_s(
-                    0.0, ended_at_s - began_at_s
+                load = self.term.load
+                took_s = load.run_part(self._resize_pools, now_s)
+                resize_due_at_s = clocks.now_s() + load.compute_pause_s(
+                    0.0, took_s
                 )
 
     def _may_send_orders(self, now_s):
