--- a/arbutusrock/engine/plans.py
+++ b/arbutusrock/engine/plans.py
@@ -85,6 +85,12 @@
     start_at_ms: float = 0.0
     interval_ms: float = 0.0
 
+    def get_demand(self, step_number):
+        """Return what a task of a step needs; nothing of an unknown step."""
+        if step_number < len(self.steps):
+            return self.steps[step_number].demand
+        return Resources()
+
 
 class Submission(msgspec.Struct, kw_only=True, omit_defaults=True):
     """Row of an accepted job, with its queue's settings at that time.
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -7,7 +7,6 @@
 from arbutusrock.engine import crash_tracker
 from arbutusrock.engine import fleet
 from arbutusrock.engine import job_state
-from arbutusrock.engine import plans
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine import run_speeds
 from arbutusrock.engine import term as term_module
@@ -407,7 +406,8 @@
     def _adopt_or_stop(self, worker, report, now_s):
         """Adopt a run that an earlier owner started, or stop an unwanted one.
 
-        Either way the run counts on its worker until it has ended.
+        Either way the run counts on its worker until it has ended; one of an
+        unknown job counts as using all of it.
         """
         task = self.term.job_registry.find_task(report.task)
         adopted = (
@@ -423,7 +423,7 @@
             task=task if adopted else None,
             account=job.submission.account if job else '',
             worker=worker,
-            demand=_find_demand(job, parts, worker),
+            demand=job.plan.get_demand(parts[2]) if job else worker.capacity,
             now_s=now_s,
         )
         self.term.fleet.add_run(run)
@@ -493,14 +493,3 @@
                     and run.stop_answered_at_s < sent_at_s
                 ):
                     self._remove_and_requeue(run)
-
-
-def _find_demand(job, parts, worker):
-    """Return the resources of a run: the whole worker for an unknown job."""
-    if job is None:
-        return worker.capacity
-    steps = job.plan.steps
-    step = (
-        steps[parts[2]] if parts[2] < len(steps) else plans.StepPlan(count=1)
-    )
-    return step.demand
