--- a/arbutusrock/platform/workers.py
+++ b/arbutusrock/platform/workers.py
@@ -143,7 +143,7 @@
             address=address,
             max_connections=MAX_CONNECTIONS,
             headers={INSTANCE_HEADER: worker_id},
-            create_timeout=timeouts.CallTimeout,
+            create_timeout=timeouts.create_call_timeout,
         )
 
     async def close(self):
--- a/arbutusrock/utils/tests/test_timeouts.py
+++ b/arbutusrock/utils/tests/test_timeouts.py
@@ -61,7 +61,7 @@
         client = http_connections.PersistentClient(
             address=address,
             max_connections=2,
-            create_timeout=timeouts.CallTimeout,
+            create_timeout=timeouts.create_call_timeout,
         )
         calls = [
             asyncio.ensure_future(client.call('POST', '/', timeout_s=0.3))
@@ -88,7 +88,7 @@
 async def test_call_timeout_ends_on_time_while_loop_is_idle():
     began_at_s = time.monotonic()
     with pytest.raises(TimeoutError):
-        async with timeouts.CallTimeout(TIMEOUT_S):
+        async with timeouts.CallTimeout(timeout_s=TIMEOUT_S):
             await asyncio.sleep(5.0)
     assert TIMEOUT_S <= time.monotonic() - began_at_s < 2 * TIMEOUT_S
 
@@ -102,7 +102,7 @@
     blocker = asyncio.create_task(block())
     began_at_s = time.monotonic()
     with pytest.raises(TimeoutError):
-        async with timeouts.CallTimeout(TIMEOUT_S):
+        async with timeouts.CallTimeout(timeout_s=TIMEOUT_S):
             await asyncio.sleep(60.0)
     blocker.cancel()
     took_s = time.monotonic() - began_at_s
@@ -111,7 +111,7 @@
 
 async def test_call_timeout_lets_cancellation_through():
     async def wait():
-        async with timeouts.CallTimeout(5.0):
+        async with timeouts.CallTimeout(timeout_s=5.0):
             await asyncio.sleep(5.0)
 
     task = asyncio.create_task(wait())
--- a/arbutusrock/utils/timeouts.py
+++ b/arbutusrock/utils/timeouts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-__all__ = ['CallTimeout']
+__all__ = ['CallTimeout', 'create_call_timeout']
 
 # A timer that fires later than this shows that the event loop was held up.
 MAX_LATENESS_S = 0.02
@@ -28,7 +28,7 @@
 
     __slots__ = ('_timeout_s', '_inner', '_loop', '_latest_at_s', '_timer')
 
-    def __init__(self, timeout_s):
+    def __init__(self, *, timeout_s):
         self._timeout_s = timeout_s
         self._inner = asyncio.timeout(None)
 
@@ -55,3 +55,8 @@
             self._inner.reschedule(now_s)
         else:
             self._schedule(now_s + CATCH_UP_S, now_s > self._latest_at_s)
+
+
+def create_call_timeout(timeout_s):
+    """Return a :class:`CallTimeout`; it is called as ``asyncio.timeout``."""
+    return CallTimeout(timeout_s=timeout_s)
