--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -86,8 +86,7 @@
         # Capacity in the list of VMs, and when that list was requested.
         self.listed_capacity = None
         self.listed_at_s = now_s
-        # The two capacities that were last compared, and the smaller of each
-        # of their amounts.
+        # The capacities last compared, and the smaller of their amounts.
         self._smaller_capacity = (None, None, None)
         self.used_millicores = 0
         self.used_memory_mb = 0
@@ -105,8 +104,7 @@
         # Latest end of a lease that was ever sent, on its clock.
         self.lease_until_ms = None
         self.inherited_lease = inherited_lease or dark_workers.InheritedLease()
-        # Completions up to this number are durable, so that the worker may
-        # forget them.
+        # Completions up to this number are durable and may be forgotten.
         self.ack_cursor = 0
         self.last_completion = 0
         # Completions to acknowledge: (number, flush that makes it durable).
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -104,7 +104,6 @@
         self.pace_controller = pace_controller.PaceController(
             term=term, links=self.links
         )
-        # Changes of the table of jobs up to this version are applied.
         self._jobs_version = 0
         self.vm_controller = None
         if adapter.vm_client is not None:
