--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -279,6 +279,32 @@
                     self.record.add(f'entry of {worker.worker_id} expires')
                     await self.store.put('servers', worker.worker_id, None)
 
+    async def crash(self, vm, for_s):
+        """Kill a worker; a new one starts on its machine after a while.
+
+        The entry of the old one stays until it has been silent for long
+        enough.
+        """
+        worker = self.workers[vm]
+        worker_id, pool = worker.worker_id, self.vm_service.vms[vm]['pool']
+        self.record.add(f'TROUBLE: {worker_id} on {vm} crashes')
+        value, _ = self.store.rows[('servers', '', worker_id)]
+        await self.crash_worker(vm)
+        await self.store.put('servers', worker_id, value)
+        self._expiries.append(
+            asyncio.ensure_future(self._recover(vm, pool, worker_id, for_s))
+        )
+
+    async def _recover(self, vm, pool, worker_id, for_s):
+        await asyncio.sleep(for_s)
+        if self.vm_service.vms[vm]['state'] == 'up':
+            await self._start_worker(vm, pool)
+            self.record.add(
+                f'{self.workers[vm].worker_id} has started on {vm}'
+            )
+        await asyncio.sleep(max(0.0, SILENT_REPORTS * REPORT_S - for_s))
+        await self.store.put('servers', worker_id, None)
+
     # Links.
 
     def is_cut(self, one, other):
