--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -23,6 +23,7 @@
 from aiohttp import web
 
 from examples.standins.site import site as site_module
+from examples.standins.site import workers as workers_module
 
 __all__ = [
     'HELD',
@@ -31,6 +32,7 @@
     'UNRUNNABLE',
     'VIOLATED',
     'find_overlaps',
+    'find_repeats',
     'run_case',
 ]
 
@@ -40,6 +42,9 @@
 # silence the platform removes its entry.
 REPORT_S = 1.5
 SILENT_REPORTS = 3
+# When a worker that has started again under its id writes its first report,
+# within an interval; its old entry is there until then.
+FIRST_REPORT_S = 1.0
 HELD, VIOLATED, UNRUNNABLE = 0, 1, 2
 START_TIMEOUT_S = 20.0
 
@@ -166,6 +171,97 @@
                 await writer.drain()
 
 
+class Machine:
+    """The network of the machine of a worker, which can lose its power.
+
+    While it is without power it answers nothing. When it is back, connections
+    from before are reset, as no process knows them; those that were begun
+    meanwhile stay silent, as their first packets are lost.
+    """
+
+    def __init__(self):
+        self.target = ''
+        self.address = ''
+        self.has_power = True
+        self._server = None
+        self._tasks = set()
+        # Tasks of the connections from before the loss of power.
+        self._stale = set()
+
+    async def start(self, target):
+        """Listen on a free port and forward to a target."""
+        self.target = target
+        self._server = await asyncio.start_server(self._accept, HOST, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'{HOST}:{port}'
+        return self.address
+
+    def power_off(self):
+        """Answer nothing from now on."""
+        self.has_power = False
+        self._stale = set(self._tasks)
+
+    def power_on(self, target):
+        """Forward new connections to a new process."""
+        self.target = target
+        self.has_power = True
+        for task in self._stale:
+            task.cancel()
+        self._stale = set()
+
+    async def stop(self):
+        """Close the port and all connections."""
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(self, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        upstream, pumps = None, []
+        try:
+            if not self.has_power:
+                while await reader.read(65536):
+                    pass
+                return
+            host, _, port = self.target.rpartition(':')
+            upstream_reader, upstream = await asyncio.open_connection(
+                host, int(port)
+            )
+            pumps = [
+                asyncio.ensure_future(self._pump(reader, upstream, task)),
+                asyncio.ensure_future(
+                    self._pump(upstream_reader, writer, task)
+                ),
+            ]
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            for item in (writer, upstream):
+                if item is not None:
+                    item.transport.abort()
+            self._tasks.discard(task)
+
+    async def _pump(self, reader, writer, task):
+        """Copy bytes one way; those sent without power are lost."""
+        while True:
+            try:
+                data = await reader.read(65536)
+            except OSError:
+                data = b''
+            if not data:
+                while task in self._stale:  # noqa: ASYNC110
+                    await asyncio.sleep(0.05)
+                return
+            if task not in self._stale:
+                writer.write(data)
+                await writer.drain()
+
+
 class NodeProcess:
     """A node of the fleet manager in a process of its own."""
 
@@ -237,6 +333,8 @@
         self.home = home
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.processes = {}
+        # Machine by VM, where the workers of a case need them.
+        self.machines = {}
         # Link by (node, address).
         self.links = {}
         # Places that are cut off from all others.
@@ -305,6 +403,52 @@
         await asyncio.sleep(max(0.0, SILENT_REPORTS * REPORT_S - for_s))
         await self.store.put('servers', worker_id, None)
 
+    async def map_machine(self, vm, address):
+        """Return the address of a machine that forwards to its worker."""
+        machine = self.machines.get(vm)
+        if machine is None:
+            machine = self.machines[vm] = Machine()
+            await machine.start(address)
+        else:
+            machine.power_on(address)
+        return machine.address
+
+    async def power_cycle(self, vm, for_s):
+        """Turn a machine off and on; its worker returns under its old id."""
+        worker = self.workers[vm]
+        pool = self.vm_service.vms[vm]['pool']
+        self.record.add(f'TROUBLE: {worker.worker_id} on {vm} loses power')
+        self.machines[vm].power_off()
+        tasks, runner = self._worker_tasks.pop(vm)
+        for task in tasks:
+            task.cancel()
+        worker.abort_runs()
+        await asyncio.sleep(for_s)
+        await runner.cleanup()
+        successor = workers_module.StandInWorker(
+            worker_id=worker.worker_id, ledger=self.ledger
+        )
+        runner, address = await site_module._serve(  # noqa: SLF001
+            successor.create_app()
+        )
+        self.workers[vm] = successor
+        address = await self.map_machine(vm, address)
+        self._worker_tasks[vm] = (
+            [
+                asyncio.ensure_future(successor.enforce_lease()),
+                asyncio.ensure_future(
+                    self._report_later(vm, pool, successor, address)
+                ),
+            ],
+            runner,
+        )
+        self.record.add(f'{worker.worker_id} has started again on {vm}')
+
+    async def _report_later(self, vm, pool, worker, address):
+        await asyncio.sleep(FIRST_REPORT_S)
+        await self.register_worker(vm, pool, worker, address)
+        await self._report(vm, pool, worker, address)
+
     # Links.
 
     def is_cut(self, one, other):
@@ -506,6 +650,8 @@
             task.cancel()
         for link in self.links.values():
             await link.stop()
+        for machine in self.machines.values():
+            await machine.stop()
         for runner in self._apps:
             await runner.cleanup()
         await super().stop()
@@ -561,6 +707,25 @@
     return found
 
 
+def find_repeats(ledger):
+    """Return a line for each start after an end ``done`` that was noted."""
+    found = []
+    for first in ledger:
+        if first.outcome != 'done' or first.acknowledged_at_s is None:
+            continue
+        found += [
+            f'TWICE: {first.task} ended done as run {first.run} on '
+            f'{first.worker_id}, which was taken note of, and was started '
+            f'again as run {second.run} on {second.worker_id} '
+            f'{second.started_at_s - first.ended_at_s:.3f} s later'
+            for second in ledger
+            if second.task == first.task
+            and second is not first
+            and second.started_at_s > first.ended_at_s
+        ]
+    return found
+
+
 def run_case(play, folder):
     """Run a case and exit with its result.
 
