--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -123,7 +123,9 @@
         upstream = None
         pumps = []
         try:
-            await self._open.wait()
+            held = await self._hold(reader)
+            if held is None:
+                return
             host, _, port = self.target.rpartition(':')
             try:
                 upstream_reader, upstream = await asyncio.open_connection(
@@ -131,6 +133,7 @@
                 )
             except OSError:
                 return
+            upstream.write(held)
             pumps = [
                 asyncio.ensure_future(self._pump(reader, upstream)),
                 asyncio.ensure_future(self._pump(upstream_reader, writer)),
@@ -146,6 +149,26 @@
                     item.transport.abort()
             self._tasks.discard(task)
 
+    async def _hold(self, reader):
+        """Hold up a new connection until the link is open.
+
+        :returns: what its caller has sent; None when it has closed the
+            connection meanwhile, so that nothing passes.
+        """
+        held = b''
+        while not self._open.is_set():
+            try:
+                async with asyncio.timeout(0.05):
+                    data = await reader.read(65536)
+            except TimeoutError:
+                continue
+            except OSError:
+                return None
+            if not data:
+                return None
+            held += data
+        return held
+
     async def _pump(self, reader, writer):
         held = b''
         while True:
@@ -444,6 +467,20 @@
         )
         self.record.add(f'{worker.worker_id} has started again on {vm}')
 
+    async def store_report_late(self, vm, late_s):
+        """Store a report that a worker sends now late_s later, unanswered."""
+        worker_id = self.workers[vm].worker_id
+        value, _ = self.store.rows[('servers', '', worker_id)]
+        entry = json.loads(base64.b64decode(value))
+        entry['seq'] += 1
+        self.record.add(f'{worker_id} on {vm} sends a report')
+        await asyncio.sleep(late_s)
+        self.record.add(
+            f'TROUBLE: the report of {worker_id}, born {entry["born"]}, '
+            'is stored now'
+        )
+        await self._put_document('servers', worker_id, entry)
+
     async def _report_later(self, vm, pool, worker, address):
         await asyncio.sleep(FIRST_REPORT_S)
         await self.register_worker(vm, pool, worker, address)
