--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,8 +12,9 @@
 TASKS = 6
 TASK_MS = 9000
 DOWN_S = 0.8
-# How long after it was sent the last report is stored.
-LATE_S = 5.0
+# The last report is stored with the first report of the present life that
+# comes this long after it was sent.
+LATE_S = 4.2
 
 
 async def submit(site, node, job_id, task_ms):
--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -44,9 +44,10 @@
 SILENT_REPORTS = 3
 # When a worker that has started again under its id writes its first report,
 # within an interval; its old entry is there until then.
-FIRST_REPORT_S = 1.0
+FIRST_REPORT_S = 0.5
 HELD, VIOLATED, UNRUNNABLE = 0, 1, 2
 START_TIMEOUT_S = 20.0
+MAX_CASE_S = 100.0
 
 
 class Record:
@@ -468,16 +469,28 @@
         self.record.add(f'{worker.worker_id} has started again on {vm}')
 
     async def store_report_late(self, vm, late_s):
-        """Store a report that a worker sends now late_s later, unanswered."""
+        """Store a report that a worker sends now later, without an answer.
+
+        It is stored with the next report of the worker's present life, when
+        late_s have passed.
+        """
         worker_id = self.workers[vm].worker_id
-        value, _ = self.store.rows[('servers', '', worker_id)]
+        key = ('servers', '', worker_id)
+        value, _ = self.store.rows[key]
         entry = json.loads(base64.b64decode(value))
         entry['seq'] += 1
+        sent_at_s = time.monotonic()
         self.record.add(f'{worker_id} on {vm} sends a report')
         await asyncio.sleep(late_s)
+        _, version = self.store.rows[key]
+        await self.wait_until(
+            lambda: self.store.rows[key][1] != version,
+            f'{worker_id} has reported',
+            timeout_s=REPORT_S + 0.2,
+        )
         self.record.add(
-            f'TROUBLE: the report of {worker_id}, born {entry["born"]}, '
-            'is stored now'
+            f'TROUBLE: the report of {worker_id}, born {entry["born"]}, is '
+            f'stored {time.monotonic() - sent_at_s:.2f} s after it was sent'
         )
         await self._put_document('servers', worker_id, entry)
 
@@ -763,6 +776,11 @@
     return found
 
 
+async def _play(play, record, trouble):
+    async with asyncio.timeout(MAX_CASE_S):
+        return await play(record, trouble)
+
+
 def run_case(play, folder):
     """Run a case and exit with its result.
 
@@ -773,7 +791,7 @@
     record = Record(path=pathlib.Path(folder) / 'record.txt')
     trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
-        violations = asyncio.run(play(record, trouble))
+        violations = asyncio.run(_play(play, record, trouble))
     except Exception as exc:  # noqa: BLE001
         record.write([f'could not run: {exc!r}'])
         print(f'could not run: {exc!r}', file=sys.stderr)
