--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,86 +1,74 @@
-"""Another program registers itself for a machine that has a worker.
-
-Its entry names a service that no manifest names. The worker goes on.
-"""
+"""A worker loses power for a moment in a burst and returns under its id."""
 
 import asyncio
-import base64
-import json
 import pathlib
-import time
 
 from examples.standins.site.site import create_step
 from review.common import lab
 
-POOLS = {'alpha': 4}
-JOB = 'b2' * 8
-TASKS = 4
-# The entry is there for this time.
-ENTRY_S = 8.0
+POOLS = {'alpha': 7}
+JOBS = 80
+JOB_INTERVAL_S = 0.05
+TASKS = 12
+TASK_MS = 200
+# The machine is down for this time.
+DOWN_S = 0.6
+SETTLE_S = 10.0
 
 
-def create_foreign_entry(site, vm):
-    """Return the entry of another program on a machine."""
-    return {
-        'service': 'inventory-agent',
-        'address': f'{lab.HOST}:9',
-        'zone': site.vm_service.vms[vm]['zone'],
-        'version': 'v7',
-        'slots': 1,
-        'state': 'ready',
-        'coldRemainingMs': 0,
-        'capacity': {'cpu': 100, 'memMb': 64, 'gpus': 0},
-        'labels': [],
-        'machine': vm,
-        'born': int(time.time() * 1000),
-        'seq': 1,
-    }
+async def submit_jobs(site, node):
+    """Submit jobs at a steady rate; return the ids of those accepted."""
+    accepted = []
+    for number in range(JOBS):
+        job_id = f'{0xE400000000000000 + number:016x}'
+        status, _ = await site.request(
+            'POST',
+            'alpha',
+            job_id,
+            node=node,
+            body={
+                'spec': f'{{"ms": {TASK_MS}}}',
+                'steps': [create_step(TASKS, cpu=100, estimateMs=TASK_MS)],
+            },
+        )
+        if status == 200:
+            accepted.append(job_id)
+        await asyncio.sleep(JOB_INTERVAL_S)
+    return accepted
+
+
+def find_latest(site):
+    """Return the machine of the worker that started a task last."""
+    started = {run.worker_id: run.started_at_s for run in site.ledger}
+    return max(
+        site.workers,
+        key=lambda vm: started.get(site.workers[vm].worker_id, 0.0),
+    )
 
 
 async def play(record, trouble):
     """Return the violations."""
-    site = lab.Lab(record=record, pools=POOLS, home='z1')
+    site = lab.Lab(record=record, pools=POOLS, home='z1', cores=32)
+    site.map_address = site.map_machine
     await site.start()
     try:
         owner = await site.start_process('front-1', place='z1')
         await site.wait_owned(owner)
         other = await site.start_process('front-2', place='z1')
-        step = create_step(TASKS, cpu=3000, longRunning=True)
-        status, _ = await site.request(
-            'POST',
-            'alpha',
-            JOB,
-            node=other,
-            body={'spec': '{"lasts": 1}', 'steps': [step]},
-        )
-        if status != 200:
-            raise RuntimeError(f'the job was answered {status}')
-        await site.wait_until(
-            lambda: sum(not run.ended_at_s for run in site.ledger) == TASKS,
-            'all tasks run',
-        )
-        await asyncio.sleep(3.0)
-        busy = {run.worker_id for run in site.ledger if not run.ended_at_s}
-        vm = next(
-            name
-            for name, worker in site.workers.items()
-            if worker.worker_id in busy
-        )
-        if trouble:
-            entry = create_foreign_entry(site, vm)
-            record.add(f'TROUBLE: entry agent-1 of another writer: {entry}')
-            value = base64.b64encode(json.dumps(entry).encode()).decode()
-            await site.store.put('servers', 'agent-1', value)
-        await asyncio.sleep(ENTRY_S)
-        if trouble:
-            await site.store.put('servers', 'agent-1', None)
+        submitting = asyncio.ensure_future(submit_jobs(site, other))
         await asyncio.sleep(2.0)
-        await site.request('GET', 'alpha', JOB, node=other)
+        if trouble:
+            await site.power_cycle(find_latest(site), DOWN_S)
+        accepted = await submitting
+        await asyncio.sleep(SETTLE_S)
+        states = [
+            (await site.request('GET', 'alpha', job_id, node=other))[1]
+            for job_id in accepted
+        ]
         site.add_runs()
-        record.add(
-            f'worker of {vm}: {site.workers[vm].worker_id}, up all the while'
-        )
-        return lab.find_overlaps(site.ledger)
+        completed = sum(state == {'state': 'completed'} for state in states)
+        record.add(f'{completed} of {len(accepted)} jobs are completed')
+        return lab.find_overlaps(site.ledger) + lab.find_repeats(site.ledger)
     finally:
         await site.stop()
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,80 +1,90 @@
-"""The last report of a worker that crashed is stored after it is back."""
+"""Jobs are submitted to a deployment with many registered workers."""
 
 import asyncio
+import base64
+import json
 import pathlib
+import time
 
 from examples.standins.site.site import create_step
+from review.common import idle
 from review.common import lab
 
-POOLS = {'alpha': 7}
-FIRST_JOB = 'e5' * 8
-JOB = 'f5' * 8
-TASKS = 6
-TASK_MS = 9000
-DOWN_S = 0.8
-# The last report is stored with the first report of the present life that
-# comes this long after it was sent.
-LATE_S = 4.2
+POOLS = {'alpha': 4, 'beta': 0}
+# Idle workers of another pool, with and without the disruption.
+MANY, FEW = 2999, 1499
+JOBS = 5
+WAIT_S = 30.0
 
 
-async def submit(site, node, job_id, task_ms):
-    """Submit a job with tasks for most workers."""
-    status, _ = await site.request(
-        'POST',
-        'alpha',
-        job_id,
-        node=node,
-        body={
-            'spec': f'{{"ms": {task_ms}}}',
-            'steps': [create_step(TASKS, cpu=2000, estimateMs=task_ms)],
-        },
-    )
-    if status != 200:
-        raise RuntimeError(f'the job was answered {status}')
-
-
-def find_running(site, job_id):
-    """Return the runs of a job that are in progress."""
-    return [
-        run
-        for run in site.ledger
-        if run.task.startswith(job_id) and not run.ended_at_s
-    ]
+async def register_idle_workers(site, count):
+    """Register idle workers; return their server."""
+    born_ms = int(time.time() * 1000)
+    server, address = await idle.serve(born_ms)
+    for number in range(count):
+        entry = {
+            'service': 'beta',
+            'address': address,
+            'zone': 'z1',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'coldRemainingMs': 0,
+            'capacity': {'cpu': 32000, 'memMb': 65536, 'gpus': 0},
+            'labels': ['a', f'r{number // 12}'],
+            'machine': f'm-{number:06x}',
+            'born': born_ms,
+            'seq': 1,
+        }
+        value = base64.b64encode(json.dumps(entry).encode()).decode()
+        await site.store.put('servers', f'i-{number:010x}', value)
+    return server
 
 
 async def play(record, trouble):
     """Return the violations."""
     site = lab.Lab(record=record, pools=POOLS, home='z1')
-    site.map_address = site.map_machine
     await site.start()
+    server = None
     try:
+        count = MANY if trouble else FEW
+        server = await register_idle_workers(site, count)
+        record.add(f'TROUBLE: {count} idle workers are registered')
         owner = await site.start_process('front-1', place='z1')
         await site.wait_owned(owner)
         other = await site.start_process('front-2', place='z1')
-        await submit(site, other, FIRST_JOB, 1000)
         await asyncio.sleep(3.0)
-        vm = sorted(site.workers)[0]
-        worker_id = site.workers[vm].worker_id
-        if trouble:
-            late = asyncio.ensure_future(site.store_report_late(vm, LATE_S))
-            await site.power_cycle(vm, DOWN_S)
-        await asyncio.sleep(2.0)
-        await submit(site, other, JOB, TASK_MS)
-        await site.wait_until(
-            lambda: len(find_running(site, JOB)) == TASKS, 'all tasks run'
-        )
-        on_worker = [
-            run
-            for run in find_running(site, JOB)
-            if run.worker_id == worker_id
-        ]
-        record.add(f'{worker_id} has {len(on_worker)} of these runs')
-        if trouble:
-            await late
-        await asyncio.sleep(4.0)
+        accepted = []
+        for number in range(JOBS):
+            job_id = f'{0xA600000000000000 + number:016x}'
+            status, _ = await site.request(
+                'POST',
+                'alpha',
+                job_id,
+                node=other,
+                body={'spec': '{"ms": 100}', 'steps': [create_step(2)]},
+            )
+            if status == 200:
+                accepted.append(job_id)
+        await asyncio.sleep(WAIT_S)
+        violations = []
+        for job_id in accepted:
+            status, answer = await site.request(
+                'GET', 'alpha', job_id, node=other
+            )
+            started = any(run.task.startswith(job_id) for run in site.ledger)
+            if answer != {'state': 'completed'}:
+                violations.append(
+                    f'LOST: job {job_id} was accepted and is {answer} after '
+                    f'{WAIT_S:.0f} s; started: {started}'
+                )
         site.add_runs()
-        return lab.find_overlaps(site.ledger) + lab.find_repeats(site.ledger)
+        if not accepted:
+            raise RuntimeError('no job was accepted')
+        return violations
     finally:
+        if server is not None:
+            server.close()
         await site.stop()
 
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -8,4 +8,4 @@
     exit 1
 }
 python3 -m compileall -q examples/standins review
-PYTHONPATH="target/deps:." python3 -c 'import review.common.lab'
+PYTHONPATH="target/deps:." python3 -c 'import review.common.idle, review.common.lab'
--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -401,32 +401,6 @@
                     self.record.add(f'entry of {worker.worker_id} expires')
                     await self.store.put('servers', worker.worker_id, None)
 
-    async def crash(self, vm, for_s):
-        """Kill a worker; a new one starts on its machine after a while.
-
-        The entry of the old one stays until it has been silent for long
-        enough.
-        """
-        worker = self.workers[vm]
-        worker_id, pool = worker.worker_id, self.vm_service.vms[vm]['pool']
-        self.record.add(f'TROUBLE: {worker_id} on {vm} crashes')
-        value, _ = self.store.rows[('servers', '', worker_id)]
-        await self.crash_worker(vm)
-        await self.store.put('servers', worker_id, value)
-        self._expiries.append(
-            asyncio.ensure_future(self._recover(vm, pool, worker_id, for_s))
-        )
-
-    async def _recover(self, vm, pool, worker_id, for_s):
-        await asyncio.sleep(for_s)
-        if self.vm_service.vms[vm]['state'] == 'up':
-            await self._start_worker(vm, pool)
-            self.record.add(
-                f'{self.workers[vm].worker_id} has started on {vm}'
-            )
-        await asyncio.sleep(max(0.0, SILENT_REPORTS * REPORT_S - for_s))
-        await self.store.put('servers', worker_id, None)
-
     async def map_machine(self, vm, address):
         """Return the address of a machine that forwards to its worker."""
         machine = self.machines.get(vm)
@@ -468,32 +442,6 @@
         )
         self.record.add(f'{worker.worker_id} has started again on {vm}')
 
-    async def store_report_late(self, vm, late_s):
-        """Store a report that a worker sends now later, without an answer.
-
-        It is stored with the next report of the worker's present life, when
-        late_s have passed.
-        """
-        worker_id = self.workers[vm].worker_id
-        key = ('servers', '', worker_id)
-        value, _ = self.store.rows[key]
-        entry = json.loads(base64.b64decode(value))
-        entry['seq'] += 1
-        sent_at_s = time.monotonic()
-        self.record.add(f'{worker_id} on {vm} sends a report')
-        await asyncio.sleep(late_s)
-        _, version = self.store.rows[key]
-        await self.wait_until(
-            lambda: self.store.rows[key][1] != version,
-            f'{worker_id} has reported',
-            timeout_s=REPORT_S + 0.2,
-        )
-        self.record.add(
-            f'TROUBLE: the report of {worker_id}, born {entry["born"]}, is '
-            f'stored {time.monotonic() - sent_at_s:.2f} s after it was sent'
-        )
-        await self._put_document('servers', worker_id, entry)
-
     async def _report_later(self, vm, pool, worker, address):
         await asyncio.sleep(FIRST_REPORT_S)
         await self.register_worker(vm, pool, worker, address)
