Act on a worker only once its incarnation has answered

Cause: the id of a worker does not tell which incarnation answers. Orders that waited for a connection went to the next one, and a renewal with the cursor of the former one acknowledged its completions unread. In the log of the case 164 runs were 'running' with an age of -0.688 s: confirmed by an incarnation that the owner did not know. Related: an order that is carried out after the restart has a lease on a clock that began anew; tickets were kept by id.

Change: each new connection begins with a renewal that extends nothing and acknowledges nothing, and whose answer must come from the incarnation that is meant. Orders without an answer are revoked at the next incarnation before their tasks are queued again. Tickets belong to an incarnation.

--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -4,10 +4,11 @@
 import enum
 import math
 
+from arbutusrock.engine import platform_messages
 from arbutusrock.scheduling import dark_workers
 from arbutusrock.scheduling import Resources
 
-__all__ = ['Fleet', 'IncarnationEnd', 'WorkerState']
+__all__ = ['END_BY_OUTCOME', 'Fleet', 'IncarnationEnd', 'WorkerState']
 
 # Runs that a log line about their worker names, the newest first.
 MAX_LOGGED_RUNS = 20
@@ -23,6 +24,13 @@
     UNREGISTERED = 'it is no longer registered'
 
 
+# What an answer to an order shows about the incarnation that it was meant for.
+END_BY_OUTCOME = {
+    platform_messages.OrderOutcome.GONE: IncarnationEnd.ADDRESS_TAKEN,
+    platform_messages.OrderOutcome.RESTARTED: IncarnationEnd.RESTARTED,
+}
+
+
 class WorkerState:
     """One incarnation of a worker, and the runs on it.
 
@@ -419,6 +427,12 @@
             run.task.runs.remove(run)
             run.task.step.runs_by_vm[run.counted_vm] -= 1
 
+    def move_run(self, run, worker):
+        """Move a run to another worker."""
+        self.remove_run(run)
+        run.worker = worker
+        self.add_run(run)
+
     def _update_usage(self, run, sign):
         demand, worker = run.demand, run.worker
         if run.task is None or not run.task.step.plan.fills:
--- a/arbutusrock/engine/job_state.py
+++ b/arbutusrock/engine/job_state.py
@@ -193,6 +193,20 @@
         crashes = self.step.job.progress.crashes
         return crashes.get(self.unit.progress_key, ()) if crashes else ()
 
+    def may_adopt(self, number):
+        """Return whether a run that an earlier owner started is wanted.
+
+        :param number: of the run.
+        """
+        if self.step.plan.gang:
+            others = [run for task in self.step.tasks for run in task.runs]
+            return self.status is not TaskStatus.DONE and all(
+                other.number == number for other in others
+            )
+        # A run of a blocked task is adopted too: the earlier owner has seen
+        # completions of preceding tasks that have not reached this owner yet.
+        return self.status in {TaskStatus.BLOCKED, TaskStatus.WAITING}
+
 
 class Step:
     """One step of one occurrence of a job."""
@@ -221,8 +235,7 @@
         self.waiting = {}
         self.done_count = 0
         self.unblocked = False
-        # Answers of the policy service by worker: (ticket, expiry), with an
-        # empty ticket for a worker that it does not allow.
+        # Answers of the policy service by worker, kept by TicketCache.
         self.tickets = {}
         # Number of runs by VM, for StepPlan.most_per_worker.
         self.runs_by_vm = {}
--- a/arbutusrock/engine/platform_messages.py
+++ b/arbutusrock/engine/platform_messages.py
@@ -129,8 +129,11 @@
     BAD_TICKET = 'bad ticket'
     INVALID = 'invalid'
     UNHEALTHY = 'unhealthy'
-    # Another incarnation of the worker answers at the address.
+    # A worker with another id answers at the address.
     GONE = 'gone'
+    # A later incarnation of the worker answers under its id; it was not given
+    # the order.
+    RESTARTED = 'restarted'
     # The order was not delivered.
     UNREACHABLE = 'unreachable'
     # No answer: it may have been carried out, or may be seconds later.
--- a/arbutusrock/engine/registration_controller.py
+++ b/arbutusrock/engine/registration_controller.py
@@ -193,7 +193,9 @@
             # A late registration of an incarnation that is known to be over.
             return
         self._end_earlier_incarnation(entry)
-        self._add(entry)
+        successor = self._add(entry)
+        if worker is not None:
+            self.run_controller.unanswered_orders.revoke(worker, successor)
 
     def _update(self, worker, entry):
         if entry.draining and not worker.entry.draining:
@@ -257,17 +259,19 @@
 
     def _sweep_worker(self, worker_id, worker, now_s):
         unregistered_since_s = worker.unregistered_since_s
+        is_gone = (
+            unregistered_since_s is not None
+            and now_s - unregistered_since_s > UNREGISTERED_GRACE_S
+        )
         if worker.ended:
-            if unregistered_since_s is not None:
+            if is_gone or (unregistered_since_s and not worker.runs):
+                self.run_controller.requeue_runs(worker)
                 del self.term.fleet.workers[worker_id]
             return
         if not worker.unresponsive or not worker.is_lease_expired(now_s):
             return
         self.run_controller.handle_lease_expiry(worker)
-        if (
-            unregistered_since_s is not None
-            and now_s - unregistered_since_s > UNREGISTERED_GRACE_S
-        ):
+        if is_gone:
             self.run_controller.end_incarnation(
                 worker, fleet_module.IncarnationEnd.UNREGISTERED
             )
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -10,6 +10,7 @@
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine import run_speeds
 from arbutusrock.engine import term as term_module
+from arbutusrock.engine import unanswered_orders
 from arbutusrock import logs
 from arbutusrock.scheduling import crash_attribution
 from arbutusrock.utils import clocks
@@ -39,6 +40,9 @@
         self.crash_tracker = crash_tracker.CrashTracker(
             term=term, state_writer=state_writer, on_give_up=self._give_up
         )
+        self.unanswered_orders = unanswered_orders.UnansweredOrders(
+            term=term, run_controller=self
+        )
         # WorkerLink by worker id, for stop orders. The owner of the
         # connections sets it.
         self.links = {}
@@ -60,7 +64,7 @@
     def release_reservation(self, run):
         """Remove a run whose start order was not sent."""
         self.crash_tracker.drop_run(run)
-        self._remove_and_requeue(run)
+        self.requeue_run(run)
 
     def _give_up(self, task):
         """Fail the job of a task that crashes the workers that start it."""
@@ -110,10 +114,10 @@
                     run.confirmed_at_s = now_s
                 self._log_failed_start(run, outcome)
                 return
-            case platform_messages.OrderOutcome.GONE:
-                self.end_incarnation(
-                    worker, fleet.IncarnationEnd.ADDRESS_TAKEN
-                )
+            case _ if outcome in fleet.END_BY_OUTCOME:
+                self.end_incarnation(worker, fleet.END_BY_OUTCOME[outcome])
+                # This order was refused.
+                self.unanswered_orders.resolve(run, reply)
                 return
             case platform_messages.OrderOutcome.UNREACHABLE:
                 worker.unresponsive = True
@@ -129,7 +133,7 @@
                 self._record_failed_attempt(run.task, run)
         self._log_failed_start(run, outcome)
         self.crash_tracker.drop_run(run)
-        self._remove_and_requeue(run)
+        self.requeue_run(run)
 
     @staticmethod
     def _log_failed_start(run, outcome):
@@ -141,7 +145,7 @@
             outcome=outcome.value,
         )
 
-    def _remove_and_requeue(self, run):
+    def requeue_run(self, run):
         """Remove a run that is no longer running, and queue its task again."""
         self.term.fleet.remove_run(run)
         self.term.request_dispatch()
@@ -172,6 +176,9 @@
     def end_incarnation(self, worker, cause):
         """Record that a worker's incarnation and all its runs have ended.
 
+        After a restart under the same id, the runs whose start orders have no
+        answer stay with it (:mod:`arbutusrock.engine.unanswered_orders`).
+
         :param cause: :class:`fleet.IncarnationEnd`.
         """
         if worker.ended:
@@ -186,7 +193,8 @@
             tasks=worker.describe_runs(),
         )
         self.crash_tracker.record_end(worker, cause)
-        self._requeue_runs(worker)
+        kept = self.unanswered_orders.find_kept(worker, cause)
+        self.requeue_runs(worker, kept)
         self.term.request_dispatch()
         self.term.request_flush()
 
@@ -205,15 +213,21 @@
             tasks=worker.describe_runs(),
         )
         self.crash_tracker.record_silence(worker)
-        self._requeue_runs(worker)
+        self.requeue_runs(worker)
 
-    def _requeue_runs(self, worker):
+    def requeue_runs(self, worker, kept=frozenset()):
+        """Remove the runs of a worker, and queue their tasks again.
+
+        :param kept: runs that stay.
+        """
         for run in list(worker.runs.values()):
+            if run in kept:
+                continue
             if run.task is not None:
                 self.term.job_registry.record_checkpoint(
                     run.task, run.checkpoint
                 )
-            self._remove_and_requeue(run)
+            self.requeue_run(run)
 
     def handle_renewal(self, worker, reply, sent_at_s):
         """Handle the reply to a renewal that was sent at ``sent_at_s``.
@@ -290,7 +304,7 @@
         ):
             worker.ack_cursor = worker.pending_acks.pop()[0]
         if run is not None:
-            self._remove_and_requeue(run)
+            self.requeue_run(run)
 
     def _apply_completion(self, worker, completion, task, run, now_s):
         match completion.kind:
@@ -413,7 +427,7 @@
         adopted = (
             task is not None
             and not task.step.job.ended
-            and self._should_adopt(task, report.run)
+            and task.may_adopt(report.run)
         )
         parts = job_state.parse_task_name(report.task)
         job = self.term.job_registry.load_job(parts[0]) if parts else None
@@ -448,20 +462,6 @@
             self.stop_run(run, 'unwanted run')
         return run
 
-    @staticmethod
-    def _should_adopt(task, number):
-        if task.step.plan.gang:
-            others = [r for t in task.step.tasks for r in t.runs]
-            return task.status is not job_state.TaskStatus.DONE and all(
-                other.number == number for other in others
-            )
-        # A run of a blocked task is adopted too: the earlier owner has seen
-        # completions of preceding tasks that have not reached this owner yet.
-        return task.status in {
-            job_state.TaskStatus.BLOCKED,
-            job_state.TaskStatus.WAITING,
-        }
-
     def _handle_missing_runs(self, worker, reported, sent_at_s):
         """Stop or remove runs that the worker does not report.
 
@@ -492,4 +492,4 @@
                     run.stop_answered_at_s is not None
                     and run.stop_answered_at_s < sent_at_s
                 ):
-                    self._remove_and_requeue(run)
+                    self.requeue_run(run)
--- a/arbutusrock/engine/tickets.py
+++ b/arbutusrock/engine/tickets.py
@@ -14,10 +14,26 @@
 LOG = logs.get_log('policy')
 
 
+class _Answer:
+    """Answer of the policy service about a worker.
+
+    :param ticket: empty when the worker is not allowed.
+    :param born_ms: start of the incarnation that it was asked for.
+    """
+
+    __slots__ = ('ticket', 'expires_at_s', 'born_ms')
+
+    def __init__(self, *, ticket, expires_at_s, born_ms):
+        self.ticket = ticket
+        self.expires_at_s = expires_at_s
+        self.born_ms = born_ms
+
+
 class TicketCache:
     """Requests tickets for steps and keeps them until they expire.
 
-    They are kept in :attr:`arbutusrock.engine.job_state.Step.tickets`.
+    They are kept in :attr:`arbutusrock.engine.job_state.Step.tickets`. One is
+    valid for the incarnation of the worker that it was requested for.
 
     :param term: :class:`arbutusrock.engine.term.Term`.
     :param client: client of the policy service; None means that all workers
@@ -49,18 +65,32 @@
         advice = self._get_advice(step)
         if advice is None:
             return None
+        known = self.term.fleet.workers
         valid = {
             worker_id
-            for worker_id, (ticket, expires_at_s) in step.tickets.items()
-            if ticket and now_s < expires_at_s
+            for worker_id, answer in step.tickets.items()
+            if worker_id in known
+            and self._is_current(answer, known[worker_id], now_s)
+            and answer.ticket
         }
         if not any(worker.worker_id in valid for worker in workers):
             self._request_missing(step, workers, advice, now_s)
         return valid
 
-    def get_ticket(self, step, worker_id):
+    @staticmethod
+    def get_ticket(step, worker_id):
         """Return the ticket for a start order, or an empty string."""
-        return step.tickets.get(worker_id, ('', 0.0))[0]
+        answer = step.tickets.get(worker_id)
+        return '' if answer is None else answer.ticket
+
+    @staticmethod
+    def _is_current(answer, worker, now_s):
+        """Return whether an answer is about the incarnation of a worker."""
+        return (
+            answer is not None
+            and answer.born_ms == worker.entry.born_ms
+            and now_s < answer.expires_at_s
+        )
 
     def _request_missing(self, step, workers, advice, now_s):
         if id(step) in self._pending_steps:
@@ -68,17 +98,25 @@
         unanswered = [
             worker
             for worker in workers
-            if now_s >= step.tickets.get(worker.worker_id, ('', 0.0))[1]
+            if not self._is_current(
+                step.tickets.get(worker.worker_id), worker, now_s
+            )
         ]
         unanswered.sort(key=lambda worker: -worker.free_millicores)
-        worker_ids = [
-            worker.worker_id for worker in unanswered[:MAX_WORKERS_PER_REQUEST]
-        ]
-        if worker_ids:
+        born_ms = {
+            worker.worker_id: worker.entry.born_ms
+            for worker in unanswered[:MAX_WORKERS_PER_REQUEST]
+        }
+        if born_ms:
             self._pending_steps.add(id(step))
-            self.spawn(self._request_tickets(step, worker_ids, advice))
+            self.spawn(self._request_tickets(step, born_ms, advice))
+
+    async def _request_tickets(self, step, born_ms, advice):
+        """Request tickets.
 
-    async def _request_tickets(self, step, worker_ids, advice):
+        :param born_ms: when each worker started, by its id.
+        """
+        worker_ids = list(born_ms)
         name = f'{step.job.job_id}.{step.key}'
         wait_s = (advice.decide_ms + advice.each_ms * len(worker_ids)) / 1000
         try:
@@ -94,9 +132,10 @@
         expires_at_s = clocks.now_s() + valid_s - EXPIRY_MARGIN_S
         granted = {item.worker_id: item.ticket for item in tickets}
         for worker_id in worker_ids:
-            step.tickets[worker_id] = (
-                granted.get(worker_id, ''),
-                expires_at_s,
+            step.tickets[worker_id] = _Answer(
+                ticket=granted.get(worker_id, ''),
+                expires_at_s=expires_at_s,
+                born_ms=born_ms[worker_id],
             )
         LOG.info(
             'tickets received for a step',
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -141,9 +141,9 @@
         match reply.outcome:
             case platform_messages.OrderOutcome.FENCED:
                 raise term_module.OwnershipLost(worker.worker_id)
-            case platform_messages.OrderOutcome.GONE:
+            case _ if reply.outcome in fleet.END_BY_OUTCOME:
                 self.run_controller.end_incarnation(
-                    worker, fleet.IncarnationEnd.ADDRESS_TAKEN
+                    worker, fleet.END_BY_OUTCOME[reply.outcome]
                 )
             case _:
                 self._handle_failed_renewal(reply)
@@ -265,20 +265,36 @@
                 self.term.request_dispatch()
 
     async def _send_start_order(self, run, order):
-        if self.worker.in_evacuated_data_centre and self._has_run(run):
+        reason = self._find_reason_not_to_send(run)
+        if reason:
             LOG.info(
-                'a start order was not sent, as its data centre is evacuated',
+                'a start order was not sent',
                 task=run.name,
                 run=run.number,
+                worker=self.worker.worker_id,
+                reason=reason,
                 data_centre=self.worker.entry.data_centre,
             )
-            self.run_controller.release_reservation(run)
+            if self._has_run(run):
+                self.run_controller.release_reservation(run)
             return
         reply = await self.client.start_run(order)
-        if run.worker.ended:
+        if self.worker.ended:
+            self.run_controller.unanswered_orders.resolve(run, reply)
             return
         self.run_controller.handle_start_reply(run, reply)
 
+    def _find_reason_not_to_send(self, run):
+        """Return why an order is not sent; empty when it may be.
+
+        The worker may have changed since the run was added to it.
+        """
+        if self.worker.ended or not self._has_run(run):
+            return 'the worker does not have the run any more'
+        if self.worker.in_evacuated_data_centre:
+            return 'its data centre is evacuated'
+        return ''
+
     def send_stop(self, run):
         """Order a run to stop, and repeat that until it is answered."""
         self.spawn(self._stop(run))
@@ -297,9 +313,9 @@
                     return
                 case platform_messages.OrderOutcome.FENCED:
                     raise term_module.OwnershipLost(worker.worker_id)
-                case platform_messages.OrderOutcome.GONE:
+                case _ if reply.outcome in fleet.END_BY_OUTCOME:
                     self.run_controller.end_incarnation(
-                        worker, fleet.IncarnationEnd.ADDRESS_TAKEN
+                        worker, fleet.END_BY_OUTCOME[reply.outcome]
                     )
                 case _:
                     await asyncio.sleep(RETRY_DELAY_S)
--- a/arbutusrock/platform/adapter.py
+++ b/arbutusrock/platform/adapter.py
@@ -50,6 +50,7 @@
         return workers.WorkerClient(
             address=entry.address,
             worker_id=entry.worker_id,
+            born_ms=entry.born_ms,
             metrics=self.metrics,
         )
 
--- a/arbutusrock/platform/workers.py
+++ b/arbutusrock/platform/workers.py
@@ -1,5 +1,7 @@
 """Client of a worker, and decoder of the registrations of workers."""
 
+import functools
+
 import msgspec
 
 from arbutusrock.engine import platform_messages
@@ -19,6 +21,7 @@
 # the worker.
 RENEWAL_MARGIN_S = 0.8
 INSTANCE_HEADER = 'Arbutusrock-Expected-Instance'
+RENEWAL_PATH = '/api/hold'
 LOG = logs.get_log('workers')
 
 _OUTCOME_BY_REASON = {
@@ -86,8 +89,16 @@
     born: int = 0
 
 
+class _WireIncarnation(msgspec.Struct):
+    born: int = 0
+
+
+# What the decoders of answers raise for malformed data.
+_DECODE_ERRORS = (ValueError, TypeError, IndexError)
+
 _decode_worker = msgspec.json.Decoder(_WireWorker).decode
 _decode_order_reply = msgspec.json.Decoder(_WireOrderReply).decode
+_decode_incarnation = msgspec.json.Decoder(_WireIncarnation).decode
 _decode_renewal_reply = msgspec.json.Decoder(_WireRenewalReply).decode
 _encode = msgspec.json.Encoder().encode
 
@@ -130,15 +141,26 @@
 class WorkerClient:
     """Client of one incarnation of a worker.
 
+    A worker may start again under its id, so the id does not tell whether the
+    incarnation that answers is the one that is meant. Each new connection
+    therefore begins with a renewal that extends no lease and acknowledges no
+    completion; its answer says when the incarnation started. A connection ends
+    with the process that accepted it, so all later calls reach the same one.
+
     :param address: ``host:port``.
-    :param worker_id: the incarnation that must answer; any other one at the
-        address refuses the call.
+    :param worker_id: worker that must answer; any other one at the address
+        refuses the call.
+    :param born_ms: Unix time at which the incarnation started; 0 accepts the
+        one that answers first.
     :param metrics: counts calls.
     """
 
-    def __init__(self, *, address, worker_id, metrics):
+    def __init__(self, *, address, worker_id, metrics, born_ms=0):
         self.metrics = metrics
         self.worker_id = worker_id
+        self.born_ms = born_ms
+        # Set once a later incarnation has answered.
+        self._is_over = False
         self._http = http_connections.PersistentClient(
             address=address,
             max_connections=MAX_CONNECTIONS,
@@ -205,7 +227,7 @@
         if wait_s:
             body['waitMs'] = int(wait_s * 1000)
         answer = await self._call(
-            '/api/hold', body, timeout_s=wait_s + RENEWAL_MARGIN_S
+            RENEWAL_PATH, body, timeout_s=wait_s + RENEWAL_MARGIN_S
         )
         if isinstance(answer, platform_messages.OrderReply):
             return answer
@@ -213,12 +235,8 @@
             return _to_order_reply(answer)
         try:
             return _to_renewal_reply(_decode_renewal_reply(answer.body))
-        except (ValueError, TypeError, IndexError) as exc:
-            LOG.warning(
-                'the reply of a worker cannot be decoded',
-                worker=self.worker_id,
-                error=str(exc),
-            )
+        except _DECODE_ERRORS as exc:
+            self._log_malformed(exc)
             return platform_messages.OrderReply(
                 outcome=platform_messages.OrderOutcome.UNKNOWN
             )
@@ -232,18 +250,75 @@
     async def _call(self, path, body, *, timeout_s):
         self.metrics.count('worker_calls', (('path', path),))
         try:
+            if self._is_over:
+                raise _OtherIncarnation(self.worker_id)
             return await self._http.call(
                 'POST',
                 path,
                 body=_encode(body),
                 timeout_s=timeout_s,
+                greet=functools.partial(self._greet, path, body['fenceToken']),
             )
-        except http.NotSent:
+        except _OtherIncarnation:
+            outcome = platform_messages.OrderOutcome.RESTARTED
+        except http_connections.GreetingRefused as exc:
+            return _to_order_reply(exc.answer)
+        except (http.NotSent, http_connections.NothingWritten):
             outcome = platform_messages.OrderOutcome.UNREACHABLE
         except http.NoAnswer:
             outcome = platform_messages.OrderOutcome.UNKNOWN
         return platform_messages.OrderReply(outcome=outcome)
 
+    async def _greet(self, path, epoch, send):
+        """Check which incarnation has accepted a new connection.
+
+        :param path: of the call that the connection was opened for.
+        :param epoch: fencing token of that call.
+        :returns: the answer, which is also that to a renewal; None for
+            orders.
+        :raises _OtherIncarnation: another one did.
+        :raises http_connections.GreetingRefused: the worker did not answer
+            with a report.
+        :raises http.NotSent: its report is malformed.
+        """
+        self.metrics.count('worker_greetings')
+        answer = await send(
+            'POST',
+            RENEWAL_PATH,
+            _encode({'fenceToken': epoch, 'ackCursor': 0}),
+        )
+        if answer.status != 200:
+            raise http_connections.GreetingRefused(answer=answer)
+        try:
+            born_ms = _decode_incarnation(answer.body).born
+        except _DECODE_ERRORS as exc:
+            self._log_malformed(exc)
+            raise http.NotSent('a greeting has a malformed answer') from exc
+        if not self.born_ms:
+            self.born_ms = born_ms
+        elif born_ms and born_ms != self.born_ms:
+            self._is_over = True
+            LOG.info(
+                'a later incarnation of a worker has accepted a connection',
+                worker=self.worker_id,
+                call=path,
+                expected_born_ms=self.born_ms,
+                born_ms=born_ms,
+            )
+            raise _OtherIncarnation(self.worker_id)
+        return answer if path == RENEWAL_PATH else None
+
+    def _log_malformed(self, exc):
+        LOG.warning(
+            'the reply of a worker cannot be decoded',
+            worker=self.worker_id,
+            error=str(exc),
+        )
+
+
+class _OtherIncarnation(http.NotSent):
+    pass
+
 
 def _to_order_reply(answer):
     try:
--- a/arbutusrock/utils/http_connections.py
+++ b/arbutusrock/utils/http_connections.py
@@ -12,7 +12,7 @@
 
 from arbutusrock.utils import http
 
-__all__ = ['PersistentClient']
+__all__ = ['GreetingRefused', 'NothingWritten', 'PersistentClient']
 
 # A longer answer counts as malformed. One with 500 reports of completion has
 # about 100 KB.
@@ -38,6 +38,23 @@
 )
 
 
+class GreetingRefused(http.NotSent):
+    """The server refused the greeting of a new connection.
+
+    The request that the connection was opened for was not written.
+
+    :param answer: :class:`http.Answer` to the greeting.
+    """
+
+    def __init__(self, *, answer):
+        super().__init__(f'a greeting was answered with {answer.status}')
+        self.answer = answer
+
+
+class NothingWritten(http.NoAnswer):
+    """The time-out has passed before the request was written."""
+
+
 class PersistentClient:
     """Client with a few persistent connections to one server.
 
@@ -97,19 +114,28 @@
             if not waiter.done():
                 waiter.set_exception(self._create_closed_error())
 
-    async def call(self, method, path, *, timeout_s, body=None, headers=None):
+    async def call(
+        self, method, path, *, timeout_s, body=None, headers=None, greet=None
+    ):
         """Make one call; its connection is closed unless it is answered.
 
         The time-out includes the wait for a free connection. It raises
         :class:`http.NoAnswer` even if nothing was written by then, like
         :class:`http.HTTPClient`: an overdue call says less about the server
-        than a refused connection, and callers treat the two differently.
+        than a refused connection, and callers treat the two differently. Its
+        subclass :class:`NothingWritten` tells those that want to know.
 
         :param body: JSON, as bytes.
+        :param greet: coroutine function that makes the first call of a new
+            connection, so that a server which has changed is noticed before
+            anything else is written. It is called with a coroutine function
+            that takes ``(method, path, body)``. What it returns is the result
+            of the whole call, unless that is None; what it raises ends the
+            call and closes the connection.
         :returns: :class:`http.Answer`; the names of its headers are in lower
             case.
-        :raises NotSent: nothing was written: no connection was made, or the
-            client is closed.
+        :raises NotSent: nothing was written: no connection was made, its
+            greeting failed, or the client is closed.
         :raises NoAnswer: no complete answer came within ``timeout_s``, it is
             malformed or too long, or the connection broke.
         :raises ValueError: the call cannot be expressed in HTTP.
@@ -119,7 +145,7 @@
         if not self._address_is_valid:
             raise http.NotSent(f'{self.address!r} is not an address')
         request = self._encode_request(method, path, body or b'', headers)
-        connection = None
+        connection, written = None, False
         try:
             async with self._create_timeout(timeout_s):
                 if self._free_slots:
@@ -127,7 +153,15 @@
                 else:
                     await self._wait_for_slot()
                 try:
-                    connection = self._take_idle() or await self._connect()
+                    connection = self._take_idle()
+                    if connection is None:
+                        connection = await self._connect()
+                        greeting = greet and await self._greet(
+                            connection, greet
+                        )
+                        if greeting:
+                            return greeting
+                    written = True
                     return await connection.send(request)
                 except BaseException:
                     # A late answer would be taken for that of the next call.
@@ -137,7 +171,8 @@
                 finally:
                     self._release_slot(connection)
         except TimeoutError as exc:
-            raise http.NoAnswer(f'{self.address}: TimeoutError') from exc
+            error = http.NoAnswer if written else NothingWritten
+            raise error(f'{self.address}: TimeoutError') from exc
 
     async def _wait_for_slot(self):
         waiter = asyncio.get_running_loop().create_future()
@@ -186,6 +221,20 @@
             raise http.NotSent(f'{self.address}: closed before the request')
         return connection
 
+    async def _greet(self, connection, greet):
+        async def send(method, path, body):
+            return await connection.send(
+                self._encode_request(method, path, body, None)
+            )
+
+        try:
+            greeting = await greet(send)
+        except http.NoAnswer as exc:
+            raise http.NotSent(f'no greeting: {exc}') from exc
+        if not (greeting or connection.is_open()):
+            raise http.NotSent(f'{self.address}: closed after its greeting')
+        return greeting
+
     def _forget_connection(self, connection):
         self._connections.discard(connection)
         if connection in self._idle:
--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -15,11 +15,12 @@
 from arbutusrock.platform import adapter as adapter_module
 from arbutusrock.platform import ingress as ingress_module
 from arbutusrock.platform import internal_api
+from examples.standins.site import site_node as site_node_module
 from examples.standins.site import store as store_module
 from examples.standins.site import vm_service
 from examples.standins.site import workers
 
-__all__ = ['Site', 'SiteNode', 'create_step']
+__all__ = ['Site', 'create_step']
 
 HOST = '127.0.0.1'
 API_KEY = 'key-1'
@@ -40,49 +41,14 @@
     }
 
 
-async def _serve(app):
+async def _serve(app, port=0):
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.05)
     await runner.setup()
-    site = web.TCPSite(runner, HOST, 0)
+    site = web.TCPSite(runner, HOST, port)
     await site.start()
     return runner, f'{HOST}:{runner.addresses[0][1]}'
 
 
-class SiteNode:
-    """One node of the fleet manager, run in this process."""
-
-    def __init__(
-        self,
-        *,
-        node,
-        adapter,
-        runners,
-        address,
-        readiness_address,
-        internal_address,
-    ):
-        self.node = node
-        self.adapter = adapter
-        self.runners = runners
-        self.address = address
-        self.readiness_address = readiness_address
-        # Address for the calls of operators and other nodes.
-        self.internal_address = internal_address
-
-    @property
-    def is_owner(self):
-        """Whether the node owns the unit and has written its state."""
-        leader = self.node.leader
-        return leader is not None and leader.state_writer.flushes_completed > 0
-
-    async def kill(self):
-        """Stop without handing the unit over, as a killed process does."""
-        for runner in self.runners:
-            await runner.cleanup()
-        await self.node.stop()
-        await self.adapter.close()
-
-
 class Site:
     """Store, VMs with workers, advice service, configuration and nodes.
 
@@ -273,8 +239,16 @@
 
     # Workers.
 
-    async def _start_worker(self, vm, pool):
-        worker_id = f'i-{next(self._worker_numbers):04d}'
+    async def _start_worker(
+        self, vm, pool, *, worker_id=None, port=0, silent_s=0.0
+    ):
+        """Start a worker.
+
+        :param worker_id: of an earlier incarnation; None for a new id.
+        :param port: its port; 0 for any.
+        :param silent_s: time until it registers.
+        """
+        worker_id = worker_id or f'i-{next(self._worker_numbers):04d}'
         worker = workers.StandInWorker(
             worker_id=worker_id,
             ledger=self.ledger,
@@ -283,7 +257,7 @@
             ),
         )
         worker.clock_rate = self.clock_rates.get(vm, 1.0)
-        runner, address = await _serve(worker.create_app())
+        runner, address = await _serve(worker.create_app(), port)
         if self.map_address is not None:
             address = await self.map_address(vm, address)
         self.workers[vm] = worker
@@ -294,14 +268,18 @@
             self.set_millicores(vm, self.millicores[vm])
         tasks = [
             asyncio.ensure_future(worker.enforce_lease()),
-            asyncio.ensure_future(self._report(vm, pool, worker, address)),
+            asyncio.ensure_future(
+                self._report(vm, pool, worker, address, silent_s)
+            ),
         ]
         self._worker_tasks[vm] = (tasks, runner)
-        await self.register_worker(vm, pool, worker, address)
+        if not silent_s:
+            await self.register_worker(vm, pool, worker, address)
 
-    async def _report(self, vm, pool, worker, address):
+    async def _report(self, vm, pool, worker, address, silent_s=0.0):
         while True:
-            await asyncio.sleep(REGISTRATION_INTERVAL_S)
+            await asyncio.sleep(silent_s or REGISTRATION_INTERVAL_S)
+            silent_s = 0.0
             await self.register_worker(vm, pool, worker, address)
 
     async def register_worker(self, vm, pool, worker, address, **fields):
@@ -330,13 +308,41 @@
     async def _stop_worker(self, vm):
         if vm not in self._worker_tasks:
             return
+        worker, _ = await self._kill_worker(vm)
+        await self.store.put('servers', worker.worker_id, None)
+
+    def get_worker_address(self, vm):
+        """Return the address at which the worker of a VM listens."""
+        _, runner = self._worker_tasks[vm]
+        return f'{HOST}:{runner.addresses[0][1]}'
+
+    async def _kill_worker(self, vm):
+        """End a worker, which stays registered; return it and its port."""
         tasks, runner = self._worker_tasks.pop(vm)
         for task in tasks:
             task.cancel()
         worker = self.workers.pop(vm)
         worker.abort_runs()
+        port = runner.addresses[0][1]
         await runner.cleanup()
-        await self.store.put('servers', worker.worker_id, None)
+        return worker, port
+
+    async def reboot_worker(self, vm, *, down_s, silent_s):
+        """Turn a VM off and on; its worker returns under its id and address.
+
+        :param down_s: how long the VM is off.
+        :param silent_s: time from then until the worker registers; the entry
+            of its former incarnation is there until then.
+        """
+        worker, port = await self._kill_worker(vm)
+        await asyncio.sleep(down_s)
+        await self._start_worker(
+            vm,
+            self.vm_service.vms[vm]['pool'],
+            worker_id=worker.worker_id,
+            port=port,
+            silent_s=silent_s,
+        )
 
     async def crash_worker(self, vm):
         """Kill a worker; its runs are lost and its registration is removed."""
@@ -365,7 +371,7 @@
         """Start one node of the fleet manager in this process.
 
         :param overrides: settings that replace the defaults.
-        :returns: :class:`SiteNode`.
+        :returns: :class:`site_node_module.SiteNode`.
         """
         fields = {
             'callers': f'{HOST}:0',
@@ -403,7 +409,7 @@
             runners.append(runner)
             addresses.append(f'{HOST}:{runner.addresses[0][1]}')
         node.peers.announce(addresses[2])
-        site_node = SiteNode(
+        site_node = site_node_module.SiteNode(
             node=node,
             adapter=adapter,
             runners=runners,
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -25,6 +25,9 @@
 SLOW_DELAY_S = 0.5
 # A slowed owner runs for this long at a time.
 SLOW_RUN_S = 0.03
+# A worker is back under its id within this time, and registers later.
+MAX_REBOOT_S = 2.0
+REPORT_DELAY_S = 0.5
 WAVE_DURATION_S = 15
 DATA_CENTRES = ('z1', 'z2')
 # An evacuation lasts this much longer than other faults, so that starts after
@@ -87,9 +90,13 @@
 
     async def _start_worker_link(self, vm, address):
         """Start a proxy in front of a worker and return its address."""
-        link = proxy.FaultProxy(target_port=int(address.rpartition(':')[2]))
-        await link.start()
-        self.worker_links[vm] = link
+        port = int(address.rpartition(':')[2])
+        link = self.worker_links.get(vm)
+        # After a reboot it is at its former address.
+        if link is None or link.target_port != port:
+            link = proxy.FaultProxy(target_port=port)
+            await link.start()
+            self.worker_links[vm] = link
         return f'127.0.0.1:{link.port}'
 
     async def inject_fault(self, fault):
@@ -248,6 +255,12 @@
                 state = self.site.vm_service.vms[vm]
                 if state['id'] is None and state['state'] == 'up':
                     await self.site.restart_worker(vm)
+            case 'worker reboots':
+                await self.site.reboot_worker(
+                    vm,
+                    down_s=min(fault.duration_s, MAX_REBOOT_S),
+                    silent_s=REPORT_DELAY_S,
+                )
             case 'worker carries out late':
                 worker.faults.execution_delay_s = LATE_EXECUTION_DELAY_S
                 await asyncio.sleep(fault.duration_s)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -39,6 +39,7 @@
     'VM service silent': 'vms',
     'VM service loses answers': 'vms',
     'worker crash': 'worker',
+    'worker reboots': 'worker',
     'worker link cut': 'worker',
     'worker link one way': 'worker',
     'worker link reset': 'worker',
@@ -60,11 +61,14 @@
     'evacuation',
     'worker silent',
     'slow the owner',
+    'worker reboots',
 }
 _SECOND_KINDS = _FIRST_KINDS | {'worker shrinks', 'deadly tasks'}
 _THIRD_KINDS = _SECOND_KINDS | {'evacuation'}
+_FIFTH_KINDS = _THIRD_KINDS | {'worker silent', 'slow the owner'}
 KIND_SETS = {
     'all': sorted(TARGET_BY_KIND),
+    'fifth': sorted(_FIFTH_KINDS),
     'fourth': sorted(_THIRD_KINDS | {'worker silent'}),
     'third': sorted(_THIRD_KINDS),
     'second': sorted(_SECOND_KINDS),
