Decode what others write with bounds, and with one error

What was seen, with rows before real processes: one entry of another writer, nested deeply in a field that is not decoded, ended each owner in turn, and no job was started any more; the same in a row of operators ended all processes. Numbers of 400 digits over the entry of a sound worker: no job was started after a change of the owner. Ports out of range did no harm.

Cause: msgspec raises RecursionError, which is no DecodeError, for nesting in fields that it skips, and takes integers of any length.

Change: one module of decoders for all that others write; each malformed datum raises msgspec.DecodeError. Figures, ports and names are bounded. An entry that is not used is logged with the reason.

--- a/arbutusrock/commands/config.py
+++ b/arbutusrock/commands/config.py
@@ -11,6 +11,7 @@
 from arbutusrock.platform import operator_rows
 from arbutusrock.scheduling import configuration_check
 from arbutusrock.scheduling import Resources
+from arbutusrock.utils import decoders
 
 __all__ = ['check_config']
 
@@ -63,8 +64,8 @@
 
 def _holds_wave(data):
     try:
-        return 'wave' in msgspec.json.decode(data, type=dict)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return 'wave' in decoders.decode_json(data, dict)
+    except msgspec.DecodeError:
         return False
 
 
--- a/arbutusrock/engine/configuration_watcher.py
+++ b/arbutusrock/engine/configuration_watcher.py
@@ -115,7 +115,7 @@
                     self._apply_cordon(change, row.version)
                     return change.data_centre
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            LOG.error('a row cannot be decoded', key=row.key, error=str(exc))
+            LOG.error('a row cannot be decoded', row=row.key, error=str(exc))
         return None
 
     def _apply_cordon(self, change, version):
--- a/arbutusrock/engine/owner_knowledge.py
+++ b/arbutusrock/engine/owner_knowledge.py
@@ -12,6 +12,7 @@
 from arbutusrock.scheduling import knowledge_ageing
 from arbutusrock.scheduling import vm_speeds
 from arbutusrock.utils import clocks
+from arbutusrock.utils import decoders
 
 __all__ = ['KEY', 'OwnerKnowledge', 'create_knowledge']
 
@@ -52,13 +53,13 @@
     def __init__(self, *, export, restore, data_type, max_age_s):
         self.export = export
         self.restore = restore
-        self.decode = msgspec.msgpack.Decoder(data_type).decode
+        self.decode = decoders.create_msgpack_decoder(data_type)
         self.max_age_s = max_age_s
 
 
 _encode = msgspec.msgpack.Encoder(order='deterministic').encode
-_decode_header = msgspec.msgpack.Decoder(_Header).decode
-_decode_row = msgspec.msgpack.Decoder(KnowledgeRow).decode
+_decode_header = decoders.create_msgpack_decoder(_Header)
+_decode_row = decoders.create_msgpack_decoder(KnowledgeRow)
 
 
 class OwnerKnowledge:
--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -16,6 +16,7 @@
 from arbutusrock import logs
 from arbutusrock.scheduling import dark_workers
 from arbutusrock.utils import clocks
+from arbutusrock.utils import decoders
 
 __all__ = ['Claim', 'OwnerElector']
 
@@ -62,8 +63,10 @@
     released: bool = False
 
 
-_decode_claim = msgspec.msgpack.Decoder(Claim).decode
-_decode_heartbeat = msgspec.msgpack.Decoder(state_writer.OwnerHeartbeat).decode
+_decode_claim = decoders.create_msgpack_decoder(Claim)
+_decode_heartbeat = decoders.create_msgpack_decoder(
+    state_writer.OwnerHeartbeat
+)
 
 
 class OwnerElector:
--- a/arbutusrock/engine/peers.py
+++ b/arbutusrock/engine/peers.py
@@ -6,6 +6,7 @@
 from arbutusrock.engine import feeds
 from arbutusrock.engine import rows
 from arbutusrock import logs
+from arbutusrock.utils import decoders
 from arbutusrock.utils import http
 
 __all__ = ['RELAY_PATH', 'Peers']
@@ -108,8 +109,7 @@
     addresses = {}
     for row in found:
         address = (row.value or b'').decode(errors='replace')
-        host, _, port = address.rpartition(':')
-        if host and port.isascii() and port.isdigit():
+        if decoders.is_address(address):
             addresses[row.key] = address
         else:
             LOG.error(
--- a/arbutusrock/engine/plans.py
+++ b/arbutusrock/engine/plans.py
@@ -4,6 +4,7 @@
 
 from arbutusrock.scheduling import crash_attribution
 from arbutusrock.scheduling import Resources
+from arbutusrock.utils import decoders
 
 __all__ = [
     'JobPlan',
@@ -139,7 +140,7 @@
     ended_ms: float = 0.0
 
 
-_decode_status = msgspec.msgpack.Decoder(_Status).decode
+_decode_status = decoders.create_msgpack_decoder(_Status)
 
 
 def has_ended(data):
@@ -177,5 +178,5 @@
 
 
 encode_row = msgspec.msgpack.Encoder().encode
-decode_submission = msgspec.msgpack.Decoder(Submission).decode
-decode_progress = msgspec.msgpack.Decoder(JobProgress).decode
+decode_submission = decoders.create_msgpack_decoder(Submission)
+decode_progress = decoders.create_msgpack_decoder(JobProgress)
--- a/arbutusrock/engine/relay.py
+++ b/arbutusrock/engine/relay.py
@@ -13,6 +13,7 @@
 from arbutusrock.engine import rows
 from arbutusrock import logs
 from arbutusrock.utils import clocks
+from arbutusrock.utils import decoders
 from arbutusrock.utils import http
 
 __all__ = ['FailoverStore']
@@ -91,8 +92,8 @@
 
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode_call = msgspec.msgpack.Decoder(Transact | ReadRange | Watch).decode
-_decode_answer = msgspec.msgpack.Decoder(Answer).decode
+_decode_call = decoders.create_msgpack_decoder(Transact | ReadRange | Watch)
+_decode_answer = decoders.create_msgpack_decoder(Answer)
 
 
 class FailoverStore:
--- a/arbutusrock/engine/roster.py
+++ b/arbutusrock/engine/roster.py
@@ -14,6 +14,7 @@
 
 from arbutusrock.engine import rows
 from arbutusrock import logs
+from arbutusrock.utils import decoders
 
 __all__ = ['MAX_NAME_BYTES', 'Roster', 'build_roster']
 
@@ -27,7 +28,7 @@
 LOG = logs.get_log('journal')
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(dict[str, tuple[str, str]]).decode
+_decode = decoders.create_msgpack_decoder(dict[str, tuple[str, str]])
 
 
 class _Segment:
--- a/arbutusrock/engine/wave_controller.py
+++ b/arbutusrock/engine/wave_controller.py
@@ -14,6 +14,7 @@
 from arbutusrock import logs
 from arbutusrock.scheduling import wave_selection
 from arbutusrock.utils import clocks
+from arbutusrock.utils import decoders
 
 __all__ = ['WaveController', 'WaveRecord']
 
@@ -83,9 +84,16 @@
             self.store, rows.TABLE_WAVES, (rows.OWNER_PART,)
         )
         for row in found:
-            self.records[int(row.key)] = msgspec.msgpack.decode(
-                row.value, type=WaveRecord
-            )
+            try:
+                record = decoders.decode_msgpack(row.value, WaveRecord)
+                self.records[int(row.key)] = record
+            except ValueError as exc:
+                # The wave begins anew.
+                LOG.error(
+                    'the progress of a wave cannot be decoded',
+                    wave=row.key,
+                    error=str(exc),
+                )
 
     async def reconcile(self, now_s):
         """Advance all waves, and report which are completed."""
--- a/arbutusrock/links/operator_api.py
+++ b/arbutusrock/links/operator_api.py
@@ -16,6 +16,7 @@
 from arbutusrock import logs
 from arbutusrock.machines import waves
 from arbutusrock.utils import clocks
+from arbutusrock.utils import decoders
 from arbutusrock import zones
 
 __all__ = ['OperatorAPI']
@@ -279,7 +280,7 @@
 
     async def grant_key(self, request):
         """Grant a key; only this answer contains its secret."""
-        body = msgspec.json.decode(await request.read(), type=KeyRequest)
+        body = decoders.decode_json(await request.read(), KeyRequest)
         change, key, secret = await self.node.operator_actions.grant_key(
             body.customer,
             body.team,
@@ -355,7 +356,7 @@
 
     async def start_wave(self, request):
         """Start a maintenance wave."""
-        body = msgspec.json.decode(await request.read(), type=WaveRequest)
+        body = decoders.decode_json(await request.read(), WaveRequest)
         vm_names = set(body.vms) | self._find_vms(body)
         change = await self.node.operator_actions.start_wave(
             body.wave,
--- a/arbutusrock/links/peers.py
+++ b/arbutusrock/links/peers.py
@@ -16,6 +16,7 @@
 from arbutusrock.links import messages
 from arbutusrock import logs
 from arbutusrock.utils import clocks
+from arbutusrock.utils import decoders
 
 __all__ = ['PeerLink', 'Peers']
 
@@ -201,7 +202,7 @@
         self.handlers = {}
         self._socket = None
         self._encode = msgspec.msgpack.Encoder().encode
-        self._decode = msgspec.msgpack.Decoder(InboundMessage).decode
+        self._decode = decoders.create_msgpack_decoder(InboundMessage)
 
     def start(self):
         """Listen, and set ``port`` to the one in use."""
--- a/arbutusrock/links/platform_client.py
+++ b/arbutusrock/links/platform_client.py
@@ -15,6 +15,7 @@
 from arbutusrock.links import table
 from arbutusrock import logs
 from arbutusrock.utils import clocks
+from arbutusrock.utils import decoders
 
 __all__ = ['Conflicted', 'PlatformClient']
 
@@ -202,7 +203,7 @@
         data = await self._request_with_retries(
             'GET', '/vms', None, 'list_reads'
         )
-        return msgspec.msgpack.decode(data, type=list[table.ListedVM])
+        return decoders.decode_msgpack(data, list[table.ListedVM])
 
     async def reboot_vm(self, vm, change_id):
         """Ask the platform to reboot a drained VM.
@@ -217,7 +218,7 @@
         data = await self._request_with_retries(
             'POST', path, self._encode(request), counter
         )
-        return msgspec.msgpack.decode(data, type=answer_type)
+        return decoders.decode_msgpack(data, answer_type)
 
     async def _request_with_retries(self, method, path, body, counter):
         """Make one call; repeat it with back-off within the retry budget.
--- a/arbutusrock/links/upstream_client.py
+++ b/arbutusrock/links/upstream_client.py
@@ -16,6 +16,7 @@
 from arbutusrock import logs
 from arbutusrock.machines import vms
 from arbutusrock.utils import clocks
+from arbutusrock.utils import decoders
 
 __all__ = ['Answered', 'NotRun', 'Refused', 'Unknown', 'UpstreamClient']
 
@@ -335,7 +336,7 @@
         ) as answer:
             if answer.status != 200:
                 raise _InvalidAnswer(f'status {answer.status}')
-            reply = msgspec.json.decode(await answer.read(), type=_TaskState)
+            reply = decoders.decode_json(await answer.read(), _TaskState)
         if reply.task != work.task_id:
             raise _InvalidAnswer('the state belongs to another task')
         return reply.state
@@ -364,7 +365,7 @@
             async with self._unpooled_session.get(
                 self._get_url(vm, '/_health')
             ) as answer:
-                health = msgspec.json.decode(await answer.read(), type=_Health)
+                health = decoders.decode_json(await answer.read(), _Health)
         except (
             aiohttp.ClientError,
             TimeoutError,
--- a/arbutusrock/platform/advice.py
+++ b/arbutusrock/platform/advice.py
@@ -8,6 +8,7 @@
 
 from arbutusrock.engine import platform_messages
 from arbutusrock import logs
+from arbutusrock.utils import decoders
 from arbutusrock.utils import http
 
 __all__ = ['AdviceClient']
@@ -16,11 +17,11 @@
 class _WireTickets(msgspec.Struct):
     # Pairs of worker id and ticket, for the workers that may run the step.
     good: list[tuple[str, str]] = []
-    validMs: float = 0.0  # noqa: N815
+    validMs: decoders.Figure = 0.0  # noqa: N815
 
 
 LOG = logs.get_log('advice')
-_decode = msgspec.json.Decoder(_WireTickets).decode
+_decode = decoders.create_json_decoder(_WireTickets)
 
 
 class AdviceClient:
--- a/arbutusrock/platform/job_bodies.py
+++ b/arbutusrock/platform/job_bodies.py
@@ -5,6 +5,7 @@
 from arbutusrock.engine import plans
 from arbutusrock import errors
 from arbutusrock.scheduling import Resources
+from arbutusrock.utils import decoders
 
 __all__ = ['decode_job', 'encode_state', 'encode_waiting_count']
 
@@ -21,12 +22,12 @@
 
 class _WireStep(msgspec.Struct):
     # The fields without a comment are described at plans.StepPlan.
-    count: int
+    count: decoders.Integer
     # Millicores.
-    cpu: int = 0
-    memMb: int = 0  # noqa: N815
-    gpus: int = 0
-    estimateMs: float = 0.0  # noqa: N815
+    cpu: decoders.Integer = 0
+    memMb: decoders.Integer = 0  # noqa: N815
+    gpus: decoders.Integer = 0
+    estimateMs: decoders.Figure = 0.0  # noqa: N815
     # Indexes, from 0, of the steps that must be completed first.
     after: tuple[int, ...] = ()
     gang: bool = False
@@ -35,27 +36,27 @@
     # A label that the worker must have.
     requires: str = ''
     # Maximum number of tasks of the step on one worker; 0 means no limit.
-    antiAffinity: int = 0  # noqa: N815
+    antiAffinity: decoders.Integer = 0  # noqa: N815
     checkpointing: bool = False
     speculative: bool = False
     longRunning: bool = False  # noqa: N815
     image: str = ''
-    targetMs: float = 0.0  # noqa: N815
+    targetMs: decoders.Figure = 0.0  # noqa: N815
     fills: bool = False
     # Disruption budget: how many tasks may be unavailable at once through
     # actions of the fleet manager.
-    mayMiss: int = 0  # noqa: N815
+    mayMiss: decoders.Integer = 0  # noqa: N815
 
 
 class _WireJob(msgspec.Struct):
     spec: str
     steps: list[_WireStep]
-    times: int = 0
-    startAtMs: float = 0.0  # noqa: N815
-    intervalMs: float = 0.0  # noqa: N815
+    times: decoders.Integer = 0
+    startAtMs: decoders.Figure = 0.0  # noqa: N815
+    intervalMs: decoders.Figure = 0.0  # noqa: N815
 
 
-_decode_job = msgspec.json.Decoder(_WireJob).decode
+_decode_job = decoders.create_json_decoder(_WireJob)
 _STATE_NAMES = {
     plans.JobStatus.QUEUED: 'queued',
     plans.JobStatus.RUNNING: 'running',
@@ -72,7 +73,7 @@
     """
     try:
         wire = _decode_job(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except msgspec.DecodeError as exc:
         raise errors.InvalidRequest(f'body: {exc}') from exc
     _check_job(wire)
     return plans.JobPlan(
--- a/arbutusrock/platform/operator_rows.py
+++ b/arbutusrock/platform/operator_rows.py
@@ -8,6 +8,7 @@
 from arbutusrock.platform import workers
 from arbutusrock.scheduling import configuration
 from arbutusrock.scheduling import configuration_check
+from arbutusrock.utils import decoders
 
 __all__ = [
     'decode_entries',
@@ -23,9 +24,9 @@
 
 
 class _WireAdvice(msgspec.Struct):
-    decideMs: float = 0.0  # noqa: N815
-    eachMs: float = 0.0  # noqa: N815
-    validMs: float = 0.0  # noqa: N815
+    decideMs: decoders.Figure = 0.0  # noqa: N815
+    eachMs: decoders.Figure = 0.0  # noqa: N815
+    validMs: decoders.Figure = 0.0  # noqa: N815
 
 
 class _WireRoute(msgspec.Struct):
@@ -34,13 +35,13 @@
     pathPrefix: str  # noqa: N815
     # The pool whose workers run the tasks.
     service: str
-    priority: int = 0
-    maxAttempts: int = 3  # noqa: N815
-    stretch: float = 1.0
+    priority: decoders.Integer = 0
+    maxAttempts: decoders.Integer = 3  # noqa: N815
+    stretch: decoders.Figure = 1.0
     # The objective for the duration of a job is ``stretch`` times its critical
     # path, plus this time.
-    sloMs: float = 1000.0  # noqa: N815
-    timeoutMs: float = 0.0  # noqa: N815
+    sloMs: decoders.Figure = 1000.0  # noqa: N815
+    timeoutMs: decoders.Figure = 0.0  # noqa: N815
     # Jobs may be submitted without an API key.
     public: bool = False
     advice: _WireAdvice | None = None
@@ -56,20 +57,20 @@
 class _WireTenant(msgspec.Struct):
     name: str
     apiKeys: tuple[str, ...] = ()  # noqa: N815
-    weight: float = 1.0
+    weight: decoders.Figure = 1.0
     # Resources that its runs may use at once; 0 means no limit.
     maximum: workers.WireResources | None = None
 
 
 class _WireLimits(msgspec.Struct):
-    maxHeaderBytes: int = 16384  # noqa: N815
-    maxBodyBytes: int = 262144  # noqa: N815
-    headerTimeoutMs: int = 3000  # noqa: N815
-    idleTimeoutMs: int = 15000  # noqa: N815
+    maxHeaderBytes: decoders.Integer = 16384  # noqa: N815
+    maxBodyBytes: decoders.Integer = 262144  # noqa: N815
+    headerTimeoutMs: decoders.Integer = 3000  # noqa: N815
+    idleTimeoutMs: decoders.Integer = 15000  # noqa: N815
 
 
 class _WireConfiguration(msgspec.Struct):
-    version: int
+    version: decoders.Integer
     routes: list[_WireRoute] = []
     services: list[_WireService] = []
     tenants: list[_WireTenant] = []
@@ -77,15 +78,16 @@
 
 
 class _WireWave(msgspec.Struct):
-    wave: int
+    wave: decoders.Integer
     machines: tuple[str, ...]
-    durationS: float  # noqa: N815
+    durationS: decoders.Figure  # noqa: N815
     # Maximum number of VMs that may be down at once for the wave.
-    maximum: int = 1
+    maximum: decoders.Integer = 1
 
 
-_decode_configuration = msgspec.json.Decoder(_WireConfiguration).decode
-_decode_wave = msgspec.json.Decoder(_WireWave).decode
+_decode_configuration = decoders.create_json_decoder(_WireConfiguration)
+_decode_wave = decoders.create_json_decoder(_WireWave)
+_decode_object = decoders.create_json_decoder(dict)
 
 
 def decode_operator_row(row):
@@ -228,8 +230,8 @@
     problem = ''
     if data is not None:
         try:
-            msgspec.json.decode(data, type=dict)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            _decode_object(data)
+        except msgspec.DecodeError as exc:
             problem = str(exc)
     return platform_messages.CordonChange(
         data_centre=name, active=data is not None, problem=problem
--- a/arbutusrock/platform/store.py
+++ b/arbutusrock/platform/store.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from arbutusrock.engine import rows
+from arbutusrock.utils import decoders
 from arbutusrock.utils import http
 
 __all__ = ['StoreClient']
@@ -61,7 +62,7 @@
         return b''
 
 
-_decode_rows = msgspec.json.Decoder(_WireRows).decode
+_decode_rows = decoders.create_json_decoder(_WireRows)
 _encode = msgspec.json.Encoder().encode
 
 
--- a/arbutusrock/platform/vm_service.py
+++ b/arbutusrock/platform/vm_service.py
@@ -5,6 +5,7 @@
 from arbutusrock.engine import platform_messages
 from arbutusrock import logs
 from arbutusrock.platform import workers
+from arbutusrock.utils import decoders
 from arbutusrock.utils import http
 
 __all__ = ['VMClient']
@@ -42,8 +43,8 @@
     reason: str = ''
 
 
-_decode_page = msgspec.json.Decoder(_WirePage).decode
-_decode_refusal = msgspec.json.Decoder(_WireRefusal).decode
+_decode_page = decoders.create_json_decoder(_WirePage)
+_decode_refusal = decoders.create_json_decoder(_WireRefusal)
 
 
 class VMClient:
--- a/arbutusrock/platform/workers.py
+++ b/arbutusrock/platform/workers.py
@@ -5,8 +5,10 @@
 import msgspec
 
 from arbutusrock.engine import platform_messages
+from arbutusrock.engine import roster
 from arbutusrock import logs
 from arbutusrock.scheduling import Resources
+from arbutusrock.utils import decoders
 from arbutusrock.utils import http
 from arbutusrock.utils import http_connections
 from arbutusrock.utils import timeouts
@@ -20,6 +22,8 @@
 # How long the answer to a lease renewal may take beyond the wait requested of
 # the worker.
 RENEWAL_MARGIN_S = 0.8
+# Characters of a name that is too long in a log line.
+MAX_NAME_CHARACTERS = 80
 INSTANCE_HEADER = 'Arbutusrock-Expected-Instance'
 RENEWAL_PATH = '/api/hold'
 LOG = logs.get_log('workers')
@@ -46,9 +50,9 @@
     :param cpu: millicores.
     """
 
-    cpu: int = 0
-    memMb: int = 0  # noqa: N815
-    gpus: int = 0
+    cpu: decoders.Count = 0
+    memMb: decoders.Count = 0  # noqa: N815
+    gpus: decoders.Count = 0
 
     def to_resources(self):
         """Return the equivalent :class:`Resources`."""
@@ -68,60 +72,57 @@
     # Name of the VM.
     machine: str = ''
     # Unix time in ms when the worker started.
-    born: int = 0
+    born: decoders.Count = 0
     # How much longer it is slow after its start.
-    coldRemainingMs: float = 0.0  # noqa: N815
+    coldRemainingMs: decoders.Figure = 0.0  # noqa: N815
     # Minimum time until a draining worker leaves.
-    remainingMs: float | None = None  # noqa: N815
+    remainingMs: decoders.Figure | None = None  # noqa: N815
 
 
 class _WireOrderReply(msgspec.Struct):
-    clockMs: float | None = None  # noqa: N815
+    clockMs: decoders.Figure | None = None  # noqa: N815
     reason: str = ''
 
 
 class _WireRenewalReply(msgspec.Struct):
-    clockMs: float  # noqa: N815
+    clockMs: decoders.Figure  # noqa: N815
     # Rows of task, run, checkpoint, percent and load; load may be absent.
     running: list[list[str | float | int | None]] = []
     # Rows of number, task, run, kind and checkpoint; the last may be absent.
     ended: list[list[str | float | int | None]] = []
-    born: int = 0
+    born: decoders.Count = 0
 
 
 class _WireIncarnation(msgspec.Struct):
-    born: int = 0
+    born: decoders.Count = 0
 
 
 # What the decoders of answers raise for malformed data.
-_DECODE_ERRORS = (ValueError, TypeError, IndexError)
+_DECODE_ERRORS = (ValueError, TypeError, IndexError, OverflowError)
 
-_decode_worker = msgspec.json.Decoder(_WireWorker).decode
-_decode_order_reply = msgspec.json.Decoder(_WireOrderReply).decode
-_decode_incarnation = msgspec.json.Decoder(_WireIncarnation).decode
-_decode_renewal_reply = msgspec.json.Decoder(_WireRenewalReply).decode
+_decode_worker = decoders.create_json_decoder(_WireWorker)
+_decode_order_reply = decoders.create_json_decoder(_WireOrderReply)
+_decode_incarnation = decoders.create_json_decoder(_WireIncarnation)
+_decode_renewal_reply = decoders.create_json_decoder(_WireRenewalReply)
 _encode = msgspec.json.Encoder().encode
 
 
 def decode_worker(worker_id, data):
     """Return the registration in ``data``, or None when it is not valid.
 
-    Entries of other programs may lack fields or have fields of other types.
+    Entries of other programs may lack fields, or have fields of other types
+    and figures out of range.
     """
     try:
         wire = _decode_worker(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
-    host, _, port = wire.address.rpartition(':')
-    if wire.state not in {'ready', 'draining'} or not port.isdigit():
-        return None
-    if not host or not wire.service:
-        return None
-    # It is sent as a header.
-    if not worker_id.isprintable():
-        return None
-    capacity = wire.capacity.to_resources()
-    if min(capacity.cpu, capacity.memory_mb, capacity.accelerators) < 0:
+        _check_worker(worker_id, wire)
+    except msgspec.DecodeError as exc:
+        LOG.warning(
+            'an entry names no worker to use',
+            worker=worker_id[:MAX_NAME_CHARACTERS],
+            bytes=len(data),
+            error=str(exc),
+        )
         return None
     return platform_messages.WorkerEntry(
         worker_id=worker_id,
@@ -129,7 +130,7 @@
         address=wire.address,
         data_centre=wire.zone,
         draining=wire.state == 'draining',
-        capacity=capacity,
+        capacity=wire.capacity.to_resources(),
         labels=wire.labels,
         vm=wire.machine,
         born_ms=wire.born,
@@ -138,6 +139,26 @@
     )
 
 
+def _check_worker(worker_id, wire):
+    """Check what the types of a registration do not tell.
+
+    :raises msgspec.DecodeError: it names no worker.
+    """
+    if wire.state not in {'ready', 'draining'}:
+        raise msgspec.DecodeError(f'unknown state {wire.state[:20]!r}')
+    if not decoders.is_address(wire.address):
+        raise msgspec.DecodeError(f'no address: {wire.address[:40]!r}')
+    if not wire.service:
+        raise msgspec.DecodeError('no pool')
+    # It is sent as a header.
+    if not worker_id.isprintable():
+        raise msgspec.DecodeError('its id is not printable')
+    # They become parts of rows, which have a limited size.
+    for name in (worker_id, wire.service, wire.machine, wire.zone):
+        if len(name.encode(errors='replace')) > roster.MAX_NAME_BYTES:
+            raise msgspec.DecodeError(f'a name is too long: {name[:20]!r}')
+
+
 class WorkerClient:
     """Client of one incarnation of a worker.
 
@@ -323,7 +344,7 @@
 def _to_order_reply(answer):
     try:
         wire = _decode_order_reply(answer.body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except msgspec.DecodeError:
         wire = _WireOrderReply()
     outcome = _OUTCOME_BY_STATUS.get(
         answer.status, platform_messages.OrderOutcome.UNKNOWN
@@ -344,10 +365,21 @@
     )
 
 
+def _to_count(value):
+    """Return an integer of a report.
+
+    :raises ValueError: it is out of range, and could not be stored.
+    """
+    number = int(value)
+    if not 0 <= number <= decoders.MAX_FIGURE:
+        raise ValueError(f'{number} is out of range')
+    return number
+
+
 def _to_run_report(row):
     return platform_messages.RunReport(
         task=row[0],
-        run=int(row[1]),
+        run=_to_count(row[1]),
         checkpoint=row[2] or '',
         percent=float(row[3] or 0),
         load=float(row[4] or 0) if len(row) > 4 else 0.0,
@@ -356,9 +388,9 @@
 
 def _to_completion_report(row):
     return platform_messages.CompletionReport(
-        number=int(row[0]),
+        number=_to_count(row[0]),
         task=row[1],
-        run=int(row[2]),
+        run=_to_count(row[2]),
         kind=platform_messages.CompletionKind(row[3]),
         checkpoint=(row[4] or '') if len(row) > 4 else '',
     )
--- a/arbutusrock/utils/documents.py
+++ b/arbutusrock/utils/documents.py
@@ -7,6 +7,8 @@
 import typing
 
 import msgspec
+
+from arbutusrock.utils import decoders
 import yaml
 
 __all__ = ['decode_row', 'encode_row', 'find_errors', 'parse_document']
@@ -200,4 +202,4 @@
 
 def decode_row(data, record_type):
     """Return the record that is encoded in the bytes of a table row."""
-    return msgspec.json.decode(data, type=record_type)
+    return decoders.decode_json(data, record_type)
--- a/arbutusrock/utils/http_connections.py
+++ b/arbutusrock/utils/http_connections.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from arbutusrock.utils import decoders
 from arbutusrock.utils import http
 
 __all__ = ['GreetingRefused', 'NothingWritten', 'PersistentClient']
@@ -82,11 +83,7 @@
     ):
         self.address = address
         self._host, _, self._port = address.rpartition(':')
-        self._address_is_valid = (
-            self._host != ''
-            and self._port.isdecimal()
-            and _is_visible(address)
-        )
+        self._address_is_valid = decoders.is_address(address)
         self._create_timeout = create_timeout
         self._constant_headers = _encode_headers(headers)
         # Request line and constant headers by method and path.
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -4,6 +4,7 @@
 import time
 
 from examples.standins import proxy
+from examples.standins.site import odd_entries
 from examples.standins.site import Site
 from soak import daemons
 from soak import schedule
@@ -152,6 +153,10 @@
                 )
             case 'evacuation':
                 await self._evacuate(fault)
+            case 'odd entries':
+                await odd_entries.write_odd_entries(
+                    self.site, over_sound_entries=fault.target_selector < 0.5
+                )
             case 'deadly tasks':
                 self.deadly_count += 1
                 await asyncio.sleep(fault.duration_s)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -51,6 +51,7 @@
     'configuration': 'operator',
     'wave': 'operator',
     'evacuation': 'operator',
+    'odd entries': 'operator',
 }
 
 # Kinds of faults that a seed draws from, by the name of the set. Seeds that
@@ -62,12 +63,14 @@
     'worker silent',
     'slow the owner',
     'worker reboots',
+    'odd entries',
 }
 _SECOND_KINDS = _FIRST_KINDS | {'worker shrinks', 'deadly tasks'}
 _THIRD_KINDS = _SECOND_KINDS | {'evacuation'}
 _FIFTH_KINDS = _THIRD_KINDS | {'worker silent', 'slow the owner'}
 KIND_SETS = {
     'all': sorted(TARGET_BY_KIND),
+    'sixth': sorted(_FIFTH_KINDS | {'worker reboots', 'odd entries'}),
     'fifth': sorted(_FIFTH_KINDS),
     'fourth': sorted(_THIRD_KINDS | {'worker silent'}),
     'third': sorted(_THIRD_KINDS),
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -13,6 +13,8 @@
 EVACUATION_RUN = (7633, 14.0, 4, 'third')
 # Draws workers that are silent but registered, and kills of the owner.
 SILENCE_RUN = (8238, 14.0, 4, 'fourth')
+# Draws workers that reboot, odd entries and kills of the owner.
+REBOOT_RUN = (9337, 14.0, 4, 'sixth')
 SEEDS_PATH = pathlib.Path(__file__).with_name('seeds.txt')
 
 
@@ -33,6 +35,7 @@
         CRASH_RUN,
         EVACUATION_RUN,
         SILENCE_RUN,
+        REBOOT_RUN,
         *load_regression_runs(),
     ],
 )
