Bound the leases of an owner that the store does not confirm

Cause: the earlier owner renewed leases without end, took lost workers for dead by its own leases, and started their tasks. The wait of the next owner assumed that no lease is granted after its claim.

Change: leases are extended for 3 s after the last confirmation, the next owner waits for that much longer (7.05 s), and an owner concludes from an ended lease only while it is confirmed. A release ends all extensions.

--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -105,6 +105,7 @@
             term=term, links=self.links
         )
         self._jobs_version = 0
+        self._leases_extended = True
         self.vm_controller = None
         if adapter.vm_client is not None:
             self.vm_controller = vm_controller.VMController(
@@ -363,6 +364,26 @@
         if found:
             self.term.request_dispatch()
 
+    def _report_leases(self):
+        """Log when leases are not extended any more, and when again."""
+        extended = self.term.may_grant_leases
+        if extended == self._leases_extended:
+            return
+        self._leases_extended = extended
+        unconfirmed_s = round(clocks.now_s() - self.term.confirmed_at_s, 2)
+        if extended:
+            LOG.info('leases are extended again', epoch=self.term.epoch)
+        else:
+            LOG.warning(
+                'the store does not confirm the ownership; nothing is started',
+                epoch=self.term.epoch,
+                unconfirmed_s=unconfirmed_s,
+                released=self.term.released,
+            )
+        self.term.metrics.count(
+            'lease_extensions', (('state', 'on' if extended else 'off'),)
+        )
+
     async def _detect_stalls(self):
         """Detect stalls of the process.
 
@@ -375,6 +396,7 @@
             self.term.load.record_lateness(now_s - due_at_s, now_s)
             self.term.phases.report_due(self.term.epoch)
             self.term.inherited_waits.update()
+            self._report_leases()
             if self.term.detect_stall():
                 LOG.warning('the process stalled')
                 self.term.request_flush()
--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -153,9 +153,11 @@
                 await leader.state_writer.wait_until_durable()
         except TimeoutError:
             LOG.warning('rows were not written before the hand-over')
+        # No lease may be extended once a next owner can claim the unit.
+        term.released = True
         try:
             async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
-                await self.elector.release(term.claim_version)
+                term.released = await self.elector.release(term.claim_version)
         except TimeoutError:
             # Other nodes take over once this process has ended.
             LOG.warning('the unit was not released before the stop')
--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -321,9 +321,14 @@
         return True
 
     async def release(self, claim_version):
-        """Give the unit up, so that another node can claim it at once."""
+        """Give the unit up, so that another node can claim it at once.
+
+        :returns: whether it is given up, or another node owns it already.
+        """
         if claim_version != self._versions[state_writer.KEY_CLAIM]:
-            return
+            return True
         claim = msgspec.structs.replace(self._claim, released=True)
         if await self._write_claim(claim, expected=(state_writer.KEY_CLAIM,)):
             LOG.info('the unit is released', epoch=claim.epoch)
+            return True
+        return False
--- a/arbutusrock/engine/registration_controller.py
+++ b/arbutusrock/engine/registration_controller.py
@@ -271,7 +271,7 @@
         if not worker.unresponsive or not worker.is_lease_expired(now_s):
             return
         self.run_controller.handle_lease_expiry(worker)
-        if is_gone:
+        if is_gone and self.term.is_confirmed_at(now_s):
             self.run_controller.end_incarnation(
                 worker, fleet_module.IncarnationEnd.UNREGISTERED
             )
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -201,9 +201,10 @@
     def handle_lease_expiry(self, worker):
         """Queue the tasks of an unresponsive worker again.
 
-        Called once all leases ever sent to it have expired: nothing runs.
+        Called once all leases ever sent to it have expired: nothing runs, if
+        no next owner has extended them.
         """
-        if not worker.runs:
+        if not worker.runs or not self.term.is_confirmed_at(clocks.now_s()):
             return
         LOG.info(
             'the lease of an unresponsive worker has expired',
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -12,12 +12,13 @@
 from arbutusrock.scheduling import dark_workers
 from arbutusrock.scheduling import estimates
 from arbutusrock.scheduling import forecast
+from arbutusrock.scheduling import lease_bounds
 from arbutusrock.scheduling import quotas
 from arbutusrock.scheduling import vm_health
 from arbutusrock.scheduling import vm_speeds
 from arbutusrock.utils import clocks
 
-__all__ = ['CONFIRMATION_VALID_S', 'LEASE_S', 'OwnershipLost', 'Term']
+__all__ = ['LEASE_S', 'OwnershipLost', 'Term']
 
 # Long enough to bridge the takeover by another node (about 3 s), short
 # enough that the work of a lost worker is soon run elsewhere.
@@ -25,10 +26,6 @@
 # A longer gap between two checks of the clock counts as a stall of the
 # process. It is half of the time that other nodes wait before they take over.
 MIN_STALL_S = 0.8
-# A confirmation of the ownership holds for this time from when the store was
-# asked. Other nodes take over after at least 1.6 s without a heartbeat, or at
-# once when the process of the owner has ended and can start nothing.
-CONFIRMATION_VALID_S = 1.4
 # The number of a run is epoch x this + count, so that runs of different owners
 # never share a number.
 RUNS_PER_EPOCH = 1_000_000
@@ -106,6 +103,9 @@
         # Set when changed rows should be written.
         self.flush_due = asyncio.Event()
         self.stopping = False
+        # Whether the unit is, or may be, given up: a next owner claims it
+        # without a wait then.
+        self.released = False
         self._run_count = 0
         self._checked_at_s = self.began_at_s
         # When the last stall of the process was detected; None once the
@@ -120,10 +120,8 @@
     @property
     def inherited_leases_end_at_s(self):
         """When all leases granted by an earlier owner have ended."""
-        return (
-            self.began_at_s
-            + self.lease_s / dark_workers.MIN_CLOCK_RATE
-            + dark_workers.LEASE_MARGIN_S
+        return self.began_at_s + lease_bounds.compute_inherited_wait_s(
+            self.lease_s
         )
 
     def create_run_number(self):
@@ -164,7 +162,22 @@
 
     def is_confirmed_at(self, at_s):
         """Return whether this node is known to own the unit at a time."""
-        return at_s < self.confirmed_at_s + CONFIRMATION_VALID_S
+        return at_s < self.confirmed_at_s + lease_bounds.CONFIRMATION_VALID_S
+
+    def compute_lease_end_s(self, now_s):
+        """Return until when leases may be extended now, maybe in the past."""
+        if self.released:
+            return now_s
+        return lease_bounds.compute_lease_end_s(
+            now_s, self.confirmed_at_s, self.lease_s
+        )
+
+    @property
+    def may_grant_leases(self):
+        """Whether a lease that is granted now lets a run do some work."""
+        now_s = clocks.now_s()
+        left_s = self.compute_lease_end_s(now_s) - now_s
+        return left_s >= lease_bounds.MIN_START_LEASE_S
 
     def may_start(self, job):
         """Return whether tasks of a job may be started.
@@ -173,7 +186,7 @@
         that node may have read it as new and started it too. The job then
         waits for the next confirmation.
         """
-        return self.is_confirmed_at(job.read_at_s)
+        return self.is_confirmed_at(job.read_at_s) and self.may_grant_leases
 
     def fits_account_limit(self, name, demand):
         """Return whether an account may use ``demand`` more."""
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -181,12 +181,14 @@
     def _extend_lease(self, now_s):
         """Return the new end of the lease in ms of the worker's clock.
 
-        Returns None while the clock of the worker is not known.
+        Returns None while the clock of the worker is not known, or the lease
+        may not be extended.
         """
         clock_ms = self.worker.estimate_clock_ms(now_s)
-        if clock_ms is None:
+        left_s = self.term.compute_lease_end_s(now_s) - now_s
+        if clock_ms is None or left_s <= 0:
             return None
-        until_ms = clock_ms + self.term.lease_s * 1000
+        until_ms = clock_ms + left_s * 1000
         self.worker.lease_until_ms = max(
             until_ms, self.worker.lease_until_ms or 0.0
         )
@@ -244,6 +246,7 @@
             and self.worker.free_accelerators >= 0
             and not self.term.holds_orders
             and not self.term.stopping
+            and self.term.may_grant_leases
         )
 
     def _create_order(self, run, spec, ticket):
@@ -293,6 +296,8 @@
             return 'the worker does not have the run any more'
         if self.worker.in_evacuated_data_centre:
             return 'its data centre is evacuated'
+        if not self.term.may_grant_leases:
+            return 'the store has not confirmed the ownership for long'
         return ''
 
     def send_stop(self, run):
