Show that an owner lives while it loads, whatever the backlog

Causes: the first heartbeat came after the load, which was one go; the time-out was the same for each owner in a row; jobs with running tasks could be loaded after others had filled the memory of their account; what was stored during the load was read after the first starts.

Change: workers first, then jobs in slices, the most urgent first, with heartbeats and renewals meanwhile; the time-out doubles for each owner in a row that has not loaded; reported tasks are known whatever is in memory; changes are caught up with before the first start.

--- a/arbutusrock/engine/crash_tracker.py
+++ b/arbutusrock/engine/crash_tracker.py
@@ -215,8 +215,10 @@
                 for run in job.progress.unresolved.get(task.progress_key, ()):
                     entry = _create_entry(run)
                     worker = workers.get(run.worker_id)
-                    if worker is None or not _is_incarnation(
-                        worker.entry, entry
+                    if (
+                        worker is None
+                        or worker.ended
+                        or not _is_incarnation(worker.entry, entry)
                     ):
                         worker = former_workers.setdefault(
                             (run.worker_id, run.born_ms),
--- a/arbutusrock/engine/feeds.py
+++ b/arbutusrock/engine/feeds.py
@@ -8,7 +8,12 @@
 from arbutusrock.engine import rows
 from arbutusrock import logs
 
-__all__ = ['follow_table', 'read_parts', 'read_with_retries']
+__all__ = [
+    'RETRY_DELAY_S',
+    'follow_table',
+    'read_parts',
+    'read_with_retries',
+]
 
 RETRY_DELAY_S = 0.2
 # A read without an answer for this time is made once more beside it, as a
--- a/arbutusrock/engine/job_registry.py
+++ b/arbutusrock/engine/job_registry.py
@@ -2,6 +2,7 @@
 
 from arbutusrock.engine import job_state
 from arbutusrock.engine import plans
+from arbutusrock.utils import clocks
 
 __all__ = ['JobRegistry']
 
@@ -63,13 +64,18 @@
 
     def start_due_occurrences(self, wall_s, now_s):
         """Start the occurrences that are due."""
-        for job in list(self._scheduled.values()):
-            while job.job_id in self._scheduled:
-                number = job.next_occurrence
-                due_unix_s = self._get_due_unix_s(job, number)
-                if due_unix_s > wall_s or not self._has_memory(job):
-                    break
-                self._start_occurrence(job, number, due_unix_s, now_s)
+        for job_id in list(self._scheduled):
+            self.start_job(job_id, wall_s, now_s)
+
+    def start_job(self, job_id, wall_s, now_s):
+        """Start the occurrences of one job that are due."""
+        job = self._scheduled.get(job_id)
+        while job is not None and job_id in self._scheduled:
+            number = job.next_occurrence
+            due_unix_s = self._get_due_unix_s(job, number)
+            if due_unix_s > wall_s or not self._has_memory(job):
+                break
+            self._start_occurrence(job, number, due_unix_s, now_s)
 
     @staticmethod
     def _get_due_unix_s(job, number):
@@ -278,17 +284,33 @@
         return self.jobs.get(job_id)
 
     def find_task(self, name):
-        """Return the task with a name as known to workers, or None."""
+        """Return the task with a name as known to workers, or None.
+
+        A worker that reports a task shows that an earlier owner has started
+        its occurrence, which is then held in memory whatever there is.
+        """
         parts = job_state.parse_task_name(name)
         job = self.jobs.get(parts[0]) if parts else None
         if job is None:
             return None
+        self._start_reported(job, parts[1])
         occurrence = job.occurrences.get(parts[1])
         if occurrence is None or parts[2] >= len(occurrence.steps):
             return None
         tasks = occurrence.steps[parts[2]].tasks
         return tasks[parts[3]] if parts[3] < len(tasks) else None
 
+    def _start_reported(self, job, number):
+        wall_s, now_s = clocks.wall_time_s(), clocks.now_s()
+        while (
+            number >= job.next_occurrence
+            and job.job_id in self._scheduled
+            and self._get_due_unix_s(job, number) <= wall_s
+        ):
+            earlier = job.next_occurrence
+            due_unix_s = self._get_due_unix_s(job, earlier)
+            self._start_occurrence(job, earlier, due_unix_s, now_s)
+
     def count_unstarted_jobs(self):
         """Return the number of jobs without a started task, by queue.
 
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 
 import msgspec
 
@@ -38,6 +39,10 @@
 # The knowledge of an earlier owner is done without when the store has not
 # returned it within this time.
 KNOWLEDGE_TIMEOUT_S = 0.5
+# Jobs are loaded in slices of this length. Each is followed by a pause of the
+# same length, in which heartbeats, renewals and calls are served.
+MAX_SLICE_S = 0.01
+LAST_RANK = (True, math.inf)
 # How often the process checks whether it stalled.
 STALL_CHECK_INTERVAL_S = 0.1
 LOG = logs.get_log('owner')
@@ -129,7 +134,13 @@
                 # What operators have asked for since this node last read it
                 # must be known before the first order.
                 refreshed = self.spawn(self.term.configuration.refresh())
-                jobs_version, workers_version = await self._load()
+                jobs = self.spawn(self._read_jobs())
+                workers_version = await self._load_workers()
+                # Heartbeats and leases go on while the jobs are loaded,
+                # however many there are.
+                self.spawn(self.state_writer.run())
+                self.spawn(self._detect_stalls())
+                jobs_version = await self._load_jobs(*await jobs)
                 await refreshed
                 LOG.info(
                     'this node owns the unit',
@@ -141,7 +152,6 @@
                     took_s=round(clocks.now_s() - self.term.began_at_s, 3),
                 )
                 for part in (
-                    self.state_writer.run(),
                     self.registration_controller.run(workers_version),
                     self.registration_controller.sweep(),
                     feeds.follow_table(
@@ -152,7 +162,6 @@
                         wait_s=WATCH_TIMEOUT_S,
                         version=jobs_version,
                     ),
-                    self._detect_stalls(),
                     self.dispatcher.run(),
                     self.evacuation.run(),
                     self.cordon_controller.run(),
@@ -187,21 +196,26 @@
         if self.links.get(worker_id) is link:
             del self.links[worker_id]
 
-    async def _load(self):
-        """Read all rows at once, then apply them in order.
-
-        The knowledge is applied first, as jobs are estimated with it. The
-        tasks must exist before workers report what they run.
-
-        :returns: versions of the tables of jobs and of workers.
-        """
-        jobs, progress, workers, roster, knowledge = await asyncio.gather(
+    async def _read_jobs(self):
+        """Read the rows of all jobs, and those of their progress."""
+        return await asyncio.gather(
             feeds.read_with_retries(
                 self.store, rows.TABLE_JOBS, rows.JOB_PARTS
             ),
             feeds.read_with_retries(
                 self.store, rows.TABLE_PROGRESS, (rows.OWNER_PART,)
             ),
+        )
+
+    async def _load_workers(self):
+        """Load all workers, and have their leases renewed.
+
+        What an earlier owner has learned is applied first, as it must not be
+        replaced by the next heartbeat.
+
+        :returns: version of the table of workers.
+        """
+        workers, roster, knowledge = await asyncio.gather(
             feeds.read_with_retries(self.store, rows.TABLE_WORKERS, ('',)),
             feeds.read_with_retries(
                 self.store, rows.TABLE_ROSTER, (rows.OWNER_PART,)
@@ -209,15 +223,12 @@
             self._read_knowledge(),
         )
         self.state_writer.knowledge.restore(knowledge)
-        job_rows, jobs_version = jobs
-        self._load_jobs(job_rows, progress[0])
-        self._jobs_version = jobs_version
         worker_rows, workers_version = workers
         # Workers of the earlier owner, which may have runs.
         self.registration_controller.load(
             worker_rows, self.state_writer.roster.load(roster[0])
         )
-        return jobs_version, workers_version
+        return workers_version
 
     async def _read_knowledge(self):
         """Return the bytes of the knowledge of an earlier owner, or None."""
@@ -234,14 +245,61 @@
             None,
         )
 
-    def _load_jobs(self, job_rows, found):
-        """Add all jobs with their progress."""
-        progress_rows = {row.key: row for row in found}
+    async def _load_jobs(self, jobs, progress):
+        """Add all jobs with their progress, in slices.
+
+        Nothing is started and no completion is noted before all are known:
+        the tasks must exist before workers report what they run.
+
+        :returns: version of the table of jobs.
+        """
+        registry = self.term.job_registry
+        job_rows, self._jobs_version = jobs
+        progress_rows = {row.key: row for row in progress[0]}
+        slice_began_at_s = clocks.now_s()
+        # Cancellations come last, as they name jobs.
+        ranks = {
+            row.key: plans.get_load_rank(row.value)
+            for row in job_rows
+            if row.value and not row.key.endswith(CANCEL_SUFFIX)
+        }
+        job_rows.sort(key=lambda row: ranks.get(row.key, LAST_RANK))
         for row in job_rows:
             self._apply_job_row(row, progress_rows, inherited=True)
-        self.term.job_registry.start_due_occurrences(
-            clocks.wall_time_s(), clocks.now_s()
-        )
+            # Creating the tasks takes most of the time.
+            registry.start_job(row.key, clocks.wall_time_s(), clocks.now_s())
+            slice_s = clocks.now_s() - slice_began_at_s
+            if slice_s >= MAX_SLICE_S:
+                await asyncio.sleep(slice_s)
+                slice_began_at_s = clocks.now_s()
+        await self._catch_up()
+        self.run_controller.crash_tracker.restore()
+        self.term.jobs_loaded.set()
+        self.term.phases.mark('rows_read')
+        return self._jobs_version
+
+    async def _catch_up(self):
+        """Apply what was stored while the jobs were loaded.
+
+        A job that was cancelled meanwhile must not be started.
+        """
+        while True:
+            try:
+                found, version = await self.store.watch(
+                    rows.TABLE_JOBS, after=self._jobs_version, wait_s=0.0
+                )
+                whole = False
+            except rows.HistoryLost:
+                found, version = await feeds.read_with_retries(
+                    self.store, rows.TABLE_JOBS, rows.JOB_PARTS
+                )
+                whole = True
+            except (rows.StoreRefused, rows.StoreSilent) as exc:
+                LOG.info('changes of jobs cannot be read', error=str(exc))
+                await asyncio.sleep(feeds.RETRY_DELAY_S)
+                continue
+            self._apply_job_rows(found, whole, version)
+            return
 
     def _apply_job_row(self, row, progress_rows, *, inherited=False):
         """Apply the row of a job or of a cancellation.
--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -118,6 +118,7 @@
             named_leases=self.elector.named_leases,
         )
         if self.elector.heartbeat is not None:
+            term.inherited_waiting = self.elector.heartbeat.waiting
             term.forecast.restore(
                 self.elector.heartbeat.bursts, self.elector.heartbeat_at_s
             )
--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership.py
@@ -23,6 +23,9 @@
 # An owner is replaced after this time without a heartbeat, that is, after
 # three missed heartbeats.
 HEARTBEAT_TIMEOUT_S = 1.6
+# That time-out is doubled for each owner in a row that was replaced before it
+# had loaded its jobs, at most this many times: the next one may need as long.
+MAX_DOUBLINGS = 3
 # Random part of that time-out, so that nodes that miss the same heartbeats
 # claim one after another.
 CLAIM_JITTER_S = 0.3
@@ -53,6 +56,8 @@
 
     :param epoch: rises with each owner; the fencing token of its orders.
     :param nonce: random number that tells two claims of one node apart.
+    :param unfinished: number of claims in a row before this one whose owners
+        have not loaded their jobs.
     :param released: the owner gave the unit up and no other node has claimed
         it yet.
     """
@@ -60,6 +65,7 @@
     epoch: int
     node: str
     nonce: int
+    unfinished: int = 0
     released: bool = False
 
 
@@ -135,7 +141,7 @@
             elif self.monitor.has_ended:
                 await self._delay_claim()
                 reason = 'the process of the owner has ended'
-            elif unresponsive_s > threshold_s:
+            elif unresponsive_s > threshold_s * self._compute_patience():
                 reason = 'the owner is unresponsive'
             else:
                 reason = ''
@@ -147,7 +153,10 @@
             began_at_s = clocks.now_s()
             wait_s = min(
                 WATCH_TIMEOUT_S,
-                max(MIN_WATCH_TIMEOUT_S, threshold_s - unresponsive_s),
+                max(
+                    MIN_WATCH_TIMEOUT_S,
+                    threshold_s * self._compute_patience() - unresponsive_s,
+                ),
             )
             version, no_heartbeat = await self._watch_owner(version, wait_s)
             # A store that does not answer says nothing about the owner.
@@ -157,6 +166,21 @@
                 else 0.0
             )
 
+    def _has_loaded(self, claim):
+        """Return whether the owner of a claim has loaded its jobs."""
+        heartbeat = self._stored_heartbeat
+        return heartbeat is not None and heartbeat.loaded_epoch == claim.epoch
+
+    def _compute_patience(self):
+        """Return the factor on the time until the owner is replaced.
+
+        Otherwise each next owner would be replaced for the same reason as the
+        last one, and none would ever start anything.
+        """
+        if self._claim is None or self._has_loaded(self._claim):
+            return 1
+        return 2 ** min(self._claim.unfinished, MAX_DOUBLINGS)
+
     async def _delay_claim(self):
         """Wait so that the nodes claim one after another."""
         jitter_s = random.uniform(0, UNOWNED_CLAIM_JITTER_S)  # noqa: S311
@@ -253,16 +277,21 @@
 
     async def _try_claim(self, reason, unresponsive_s):
         previous = self._claim
+        unfinished = 0
+        if previous is not None and not self._has_loaded(previous):
+            unfinished = previous.unfinished + 1
         claim = Claim(
             epoch=(previous.epoch if previous else 0) + 1,
             node=self.node,
             nonce=random.getrandbits(48),  # noqa: S311
+            unfinished=unfinished,
         )
         LOG.info(
             'this node claims the unit',
             reason=reason,
             silent_s=round(unresponsive_s, 2),
             epoch=claim.epoch,
+            unfinished=unfinished,
         )
         # The heartbeat must be unchanged, too: one written since the last read
         # may not name a worker whose lease was extended.
--- a/arbutusrock/engine/plans.py
+++ b/arbutusrock/engine/plans.py
@@ -17,6 +17,7 @@
     'decode_submission',
     'encode_row',
     'get_ended_ms',
+    'get_load_rank',
     'has_ended',
 ]
 
@@ -140,6 +141,20 @@
     ended_ms: float = 0.0
 
 
+class _StepUrgency(msgspec.Struct):
+    long_running: bool = False
+
+
+class _PlanUrgency(msgspec.Struct):
+    steps: tuple[_StepUrgency, ...] = ()
+
+
+class _Urgency(msgspec.Struct):
+    plan: _PlanUrgency
+    accepted_ms: float = 0.0
+
+
+_decode_urgency = decoders.create_msgpack_decoder(_Urgency)
 _decode_status = decoders.create_msgpack_decoder(_Status)
 
 
@@ -153,6 +168,22 @@
     return _decode_status(data).ended_ms
 
 
+def get_load_rank(data):
+    """Return by what jobs are loaded: the lowest first.
+
+    Long-running ones come first, then those that were accepted first, which
+    the earlier owner had begun before others.
+
+    :param data: encoded row of a job.
+    """
+    try:
+        found = _decode_urgency(data)
+    except msgspec.DecodeError:
+        return (False, 0.0)
+    lasting = any(step.long_running for step in found.plan.steps)
+    return (not lasting, found.accepted_ms)
+
+
 def encode_progress(progress, max_bytes):
     """Encode a :class:`JobProgress` in at most ``max_bytes``.
 
--- a/arbutusrock/engine/registration_controller.py
+++ b/arbutusrock/engine/registration_controller.py
@@ -72,7 +72,6 @@
                 loaded=True,
             )
         self._add_unregistered(roster)
-        self.run_controller.crash_tracker.restore()
         self.term.phases.expect_workers(len(may_hold_runs))
         named = self.term.named_leases.keys() & roster.keys()
         LOG.info(
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -241,6 +241,9 @@
             self.end_incarnation(worker, fleet.IncarnationEnd.RESTARTED)
             return
         worker.record_report(reply.clock_ms, now_s)
+        if not self.term.jobs_loaded.is_set():
+            # Its completions would be taken for those of unknown jobs.
+            return
         if not worker.has_answered and self._has_unloaded_job(reply, now_s):
             return
         if not worker.has_answered or worker.unresponsive:
--- a/arbutusrock/engine/state_writer.py
+++ b/arbutusrock/engine/state_writer.py
@@ -41,6 +41,8 @@
 
     :param waiting: number of jobs without a started task, by queue.
     :param bursts: learned properties of the bursts, by pool.
+    :param loaded_epoch: epoch of the owner once it has loaded its jobs; 0
+        before.
     :param dark: names of silent workers for the next owner, as of
         :meth:`arbutusrock.scheduling.dark_workers.DarkWorkers.name`.
     """
@@ -49,6 +51,7 @@
     number: int
     waiting: dict[str, int] = {}
     bursts: dict[str, tuple[float, float]] = {}
+    loaded_epoch: int = 0
     dark: object = None
 
 
@@ -189,8 +192,11 @@
         heartbeat = OwnerHeartbeat(
             node=self.term.settings.name,
             number=self._heartbeat_count,
-            waiting=self.term.job_registry.count_unstarted_jobs(),
+            waiting=self.term.count_waiting_jobs(),
             bursts=self.term.forecast.export_bursts(now_s),
+            loaded_epoch=(
+                self.term.epoch if self.term.jobs_loaded.is_set() else 0
+            ),
             dark=names or None,
         )
         value = msgspec.msgpack.encode(heartbeat)
--- a/arbutusrock/engine/takeover_phases.py
+++ b/arbutusrock/engine/takeover_phases.py
@@ -61,7 +61,6 @@
     def expect_workers(self, count):
         """Record how many workers must be asked for inherited runs."""
         self._expected = count
-        self.mark('rows_read')
 
     def record_answer(self, worker):
         """Record an answer; the first of a possible holder of runs counts."""
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -73,6 +73,9 @@
         self.claim_version = claim_version
         self.heartbeat_version = heartbeat_version
         self.named_leases = named_leases or {}
+        # Number of waiting jobs by queue, as of the earlier owner; reported
+        # until the jobs are loaded.
+        self.inherited_waiting = {}
         self.dark_workers = dark_workers.DarkWorkers(epoch=epoch)
         self.settings = settings
         self.configuration = configuration
@@ -98,6 +101,9 @@
         self.share_ledger = share_ledger.ShareLedger(term=self)
         # VMs whose runs must still be moved off for a wave.
         self.vms_to_drain = set()
+        # Set once all jobs are known. Until then nothing is concluded from
+        # what workers report.
+        self.jobs_loaded = asyncio.Event()
         # Set when the dispatcher should look at the waiting tasks.
         self.dispatch_due = asyncio.Event()
         # Set when changed rows should be written.
@@ -124,6 +130,12 @@
             self.lease_s
         )
 
+    def count_waiting_jobs(self):
+        """Return the number of jobs without a started task, by queue."""
+        if not self.jobs_loaded.is_set():
+            return self.inherited_waiting
+        return self.job_registry.count_unstarted_jobs()
+
     def create_run_number(self):
         """Return a run number above those of all earlier runs."""
         self._run_count += 1
--- a/arbutusrock/engine/tests/samples.py
+++ b/arbutusrock/engine/tests/samples.py
@@ -38,9 +38,9 @@
 def create_term(*, epoch, **fields):
     """Return a term whose claim has version 7, without a configuration.
 
-    The store has confirmed the ownership just now.
+    The store has confirmed the ownership just now, and the jobs are loaded.
     """
-    return term_module.Term(
+    term = term_module.Term(
         epoch=epoch,
         claim_version=7,
         settings=SETTINGS,
@@ -50,6 +50,8 @@
         metrics=metrics.Metrics(),
         **{'claim_sent_at_s': clocks.now_s(), **fields},
     )
+    term.jobs_loaded.set()
+    return term
 
 
 def create_run_controller(entries, *, epoch):
--- a/arbutusrock/engine/tests/test_job_registry.py
+++ b/arbutusrock/engine/tests/test_job_registry.py
@@ -45,6 +45,24 @@
     assert second.occurrences
 
 
+def test_reported_task_of_a_job_that_waits_for_memory_is_known():
+    """Guards against LOST: its runs were stopped after a takeover.
+
+    The earlier owner had started it before the jobs that fill the memory now.
+    """
+    registry = job_registry.JobRegistry()
+    add_job(registry, '1' * 16, times=0, count=20_000)
+    add_job(registry, '2' * 16, times=0, count=20_000)
+    scheduled = add_job(registry, '3' * 16, times=10, count=1)
+    registry.start_due_occurrences(1e9, 0.0)
+    for name in (f'{"2" * 16}.0.0.7', f'{"3" * 16}.2.0.0'):
+        assert registry.find_task(name).step.job.occurrences
+    assert sorted(scheduled.occurrences) == [0, 1, 2]
+    # The job has no such occurrences.
+    assert registry.find_task(f'{"2" * 16}.1.0.0') is None
+    assert registry.find_task(f'{"3" * 16}.10.0.0') is None
+
+
 def test_failed_runs_of_serving_task_end_no_job():
     registry = job_registry.JobRegistry()
     plan = plans.JobPlan(
--- a/arbutusrock/engine/tests/test_ownership.py
+++ b/arbutusrock/engine/tests/test_ownership.py
@@ -182,3 +182,47 @@
     elector = ownership.OwnerElector(store=store, node='n1')
     epoch, _ = await elector.acquire()
     assert epoch == 5
+
+
+@pytest.mark.parametrize(
+    ('unfinished', 'loaded_epoch', 'factor'),
+    [(0, 0, 1), (1, 0, 2), (2, 0, 4), (9, 0, 8), (9, 3, 8), (9, 4, 1)],
+)
+async def test_acquire_waits_longer_after_owners_that_have_not_loaded(
+    monkeypatch, unfinished, loaded_epoch, factor
+):
+    """Guards against LOST: each next owner was replaced while it loaded."""
+    clock = Clock()
+    began_at_s = clock.now
+    monkeypatch.setattr(ownership.clocks, 'now_s', clock.now_s)
+    store = UnresponsiveOwnerStore(clock)
+    claim = ownership.Claim(
+        epoch=4, node='other', nonce=1, unfinished=unfinished
+    )
+    heartbeat = state_writer.OwnerHeartbeat(
+        node='other', number=1, loaded_epoch=loaded_epoch
+    )
+
+    async def read_range(table, **_options):
+        return [
+            rows.Row(
+                table=table,
+                key=key,
+                value=msgspec.msgpack.encode(value),
+                version=7,
+            )
+            for key, value in (
+                (state_writer.KEY_CLAIM, claim),
+                (state_writer.KEY_HEARTBEAT, heartbeat),
+            )
+        ], 7
+
+    store.read_range = read_range
+    elector = ownership.OwnerElector(store=store, node='n1', cores=2.0)
+    await elector.acquire()
+    elapsed_s = clock.now - began_at_s
+    shortest_s = ownership.HEARTBEAT_TIMEOUT_S * factor
+    longest_s = shortest_s + ownership.CLAIM_JITTER_S * factor
+    assert shortest_s <= elapsed_s <= longest_s + 0.02
+    put = msgspec.msgpack.decode(store.claim_call[1][0].value)
+    assert put['unfinished'] == (0 if loaded_epoch == 4 else unfinished + 1)
--- a/arbutusrock/engine/tests/test_run_controller.py
+++ b/arbutusrock/engine/tests/test_run_controller.py
@@ -77,6 +77,20 @@
     assert worker.used_millicores == 5000
 
 
+@pytest.mark.parametrize('end', [None, *platform_messages.CompletionKind])
+def test_report_is_put_off_until_all_jobs_are_loaded(end):
+    """Completions of jobs that are not loaded were acknowledged at once."""
+    term, controller, worker = create_controller()
+    term.began_at_s -= run_controller.JOB_LOAD_GRACE_S + 1
+    term.jobs_loaded.clear()
+    handle_report(controller, worker, end)
+    assert worker.clock_ms is not None
+    assert not worker.has_answered
+    assert not worker.runs
+    assert not worker.ack_cursor
+    assert not worker.pending_acks
+
+
 def test_run_of_unknown_job_uses_whole_worker():
     term, controller, worker = create_controller()
     term.began_at_s -= run_controller.JOB_LOAD_GRACE_S + 1
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -28,6 +28,10 @@
 # The interval is also at least this times the number of workers with runs,
 # which bounds the renewals of all workers together to 1,000 a second.
 RENEWAL_SPACING_S = 0.001
+# Interval of renewals while the owner loads its jobs, as a fraction of the
+# lease. Nothing can be done with the answers then, and on a small VM frequent
+# renewals leave no processor time for the jobs and the heartbeat.
+LOADING_LEASE_FRACTION = 0.3
 # Delay before an order or renewal that was not answered is sent again.
 RETRY_DELAY_S = 0.25
 # Poll time while a suspect starts, beside which no other task may start.
@@ -90,6 +94,11 @@
         those that are not acknowledged.
         """
         worker = self.worker
+        if not self.term.jobs_loaded.is_set() and worker.last_reply_at_s > (
+            self._began_at_s
+        ):
+            await self._wait_for_jobs()
+            return
         if not worker.pending_acks:
             if worker.runs or worker.last_reply_at_s > self._began_at_s:
                 busy = self.term.fleet.count_busy_workers()
@@ -108,6 +117,20 @@
             # meanwhile.
             return
 
+    async def _wait_for_jobs(self):
+        """Wait until the jobs are loaded, or the lease is to be renewed."""
+        if not self.worker.lease_until_ms:
+            # The first answer has shown the clock of the worker.
+            await asyncio.sleep(MIN_RENEWAL_INTERVAL_S)
+            return
+        try:
+            async with asyncio.timeout(
+                self.term.lease_s * LOADING_LEASE_FRACTION
+            ):
+                await self.term.jobs_loaded.wait()
+        except TimeoutError:
+            return
+
     async def _renew(self):
         worker = self.worker
         sent_at_s = clocks.now_s()
@@ -147,7 +170,9 @@
                 )
             case _:
                 self._handle_failed_renewal(reply)
-                await asyncio.sleep(RETRY_DELAY_S)
+                await asyncio.sleep(
+                    self.term.load.compute_renewal_pause_s(RETRY_DELAY_S)
+                )
 
     def _choose_poll_wait_s(self):
         """Return how long the worker may hold back its reply to a renewal."""
