--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections
 import math
 
 import msgspec
@@ -109,8 +110,7 @@
         self.pace_controller = pace_controller.PaceController(
             term=term, links=self.links
         )
-        self._jobs_version = 0
-        self._leases_extended = True
+        self._jobs_version, self._leases_extended = 0, True
         self.vm_controller = None
         if adapter.vm_client is not None:
             self.vm_controller = vm_controller.VMController(
@@ -257,13 +257,18 @@
         job_rows, self._jobs_version = jobs
         progress_rows = {row.key: row for row in progress[0]}
         slice_began_at_s = clocks.now_s()
-        # Cancellations come last, as they name jobs.
-        ranks = {
-            row.key: plans.get_load_rank(row.value)
+        outlines = {
+            row.key: plans.read_outline(row.value)
             for row in job_rows
             if row.value and not row.key.endswith(CANCEL_SUFFIX)
         }
-        job_rows.sort(key=lambda row: ranks.get(row.key, LAST_RANK))
+        self._count_waiting(outlines, progress_rows)
+        # Cancellations come last, as they name jobs.
+        job_rows.sort(
+            key=lambda row: (
+                outlines[row.key].rank if outlines.get(row.key) else LAST_RANK
+            )
+        )
         for row in job_rows:
             self._apply_job_row(row, progress_rows, inherited=True)
             # Creating the tasks takes most of the time.
@@ -278,6 +283,20 @@
         self.term.phases.mark('rows_read')
         return self._jobs_version
 
+    def _count_waiting(self, outlines, progress_rows):
+        """Count the jobs that wait, for callers that ask during the load.
+
+        :param outlines: :class:`plans.Outline` or None, by job.
+        :param progress_rows: rows of progress, by job.
+        """
+        waiting = collections.Counter(
+            outline.queue
+            for job_id, outline in outlines.items()
+            if outline and not outline.plan.times
+            if job_id not in progress_rows
+        )
+        self.term.inherited_waiting = dict(waiting)
+
     async def _catch_up(self):
         """Apply what was stored while the jobs were loaded.
 
--- a/arbutusrock/engine/plans.py
+++ b/arbutusrock/engine/plans.py
@@ -17,8 +17,8 @@
     'decode_submission',
     'encode_row',
     'get_ended_ms',
-    'get_load_rank',
     'has_ended',
+    'read_outline',
 ]
 
 
@@ -141,20 +141,34 @@
     ended_ms: float = 0.0
 
 
-class _StepUrgency(msgspec.Struct):
+class _StepOutline(msgspec.Struct):
     long_running: bool = False
 
 
-class _PlanUrgency(msgspec.Struct):
-    steps: tuple[_StepUrgency, ...] = ()
+class _PlanOutline(msgspec.Struct):
+    steps: tuple[_StepOutline, ...] = ()
+    times: int = 0
+
 
+class Outline(msgspec.Struct):
+    """What decides on the order in which jobs are loaded."""
 
-class _Urgency(msgspec.Struct):
-    plan: _PlanUrgency
+    queue: str
+    plan: _PlanOutline
     accepted_ms: float = 0.0
 
+    @property
+    def rank(self):
+        """Jobs are loaded in this order, the lowest first.
+
+        Long-running ones come first, then those that were accepted first,
+        which the earlier owner had begun before others.
+        """
+        lasting = any(step.long_running for step in self.plan.steps)
+        return (not lasting, self.accepted_ms)
 
-_decode_urgency = decoders.create_msgpack_decoder(_Urgency)
+
+_decode_outline = decoders.create_msgpack_decoder(Outline)
 _decode_status = decoders.create_msgpack_decoder(_Status)
 
 
@@ -168,20 +182,12 @@
     return _decode_status(data).ended_ms
 
 
-def get_load_rank(data):
-    """Return by what jobs are loaded: the lowest first.
-
-    Long-running ones come first, then those that were accepted first, which
-    the earlier owner had begun before others.
-
-    :param data: encoded row of a job.
-    """
+def read_outline(data):
+    """Return the :class:`Outline` of an encoded row; None if it has none."""
     try:
-        found = _decode_urgency(data)
+        return _decode_outline(data)
     except msgspec.DecodeError:
-        return (False, 0.0)
-    lasting = any(step.long_running for step in found.plan.steps)
-    return (not lasting, found.accepted_ms)
+        return None
 
 
 def encode_progress(progress, max_bytes):
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term.py
@@ -73,8 +73,7 @@
         self.claim_version = claim_version
         self.heartbeat_version = heartbeat_version
         self.named_leases = named_leases or {}
-        # Number of waiting jobs by queue, as of the earlier owner; reported
-        # until the jobs are loaded.
+        # Waiting jobs by queue, reported until the jobs are loaded.
         self.inherited_waiting = {}
         self.dark_workers = dark_workers.DarkWorkers(epoch=epoch)
         self.settings = settings
@@ -101,16 +100,14 @@
         self.share_ledger = share_ledger.ShareLedger(term=self)
         # VMs whose runs must still be moved off for a wave.
         self.vms_to_drain = set()
-        # Set once all jobs are known. Until then nothing is concluded from
-        # what workers report.
+        # Until it is set, nothing is concluded from what workers report.
         self.jobs_loaded = asyncio.Event()
         # Set when the dispatcher should look at the waiting tasks.
         self.dispatch_due = asyncio.Event()
         # Set when changed rows should be written.
         self.flush_due = asyncio.Event()
         self.stopping = False
-        # Whether the unit is, or may be, given up: a next owner claims it
-        # without a wait then.
+        # The unit is, or may be, given up: a next owner claims it at once.
         self.released = False
         self._run_count = 0
         self._checked_at_s = self.began_at_s
--- a/arbutusrock/engine/tests/test_leader.py
+++ b/arbutusrock/engine/tests/test_leader.py
@@ -146,8 +146,11 @@
             assert (await read_heartbeat(store)).waiting == {'q': 5}
         assert not leader.term.jobs_loaded.is_set()
         store.jobs_due.set()
+        while (await read_heartbeat(store)).waiting == {'q': 5}:
+            pass
         await leader.term.jobs_loaded.wait()
         assert len(leader.term.job_registry.jobs) == 20
+        assert leader.term.inherited_waiting == {'q': 20}
 
 
 async def test_jobs_are_loaded_in_slices(monkeypatch):
