Take the end of an incarnation from answers, not from entries

Cause: the owner took an entry alone as proof, by its start.

Change: an incarnation is over by the answer of a later one under its id, or of another worker on its VM. Entries of a known id count as reports with the same start, address and pool; a later start waits. An entry without a start is no worker's. An entry that nobody answers for does not hide the worker on its VM.

--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -74,6 +74,7 @@
         'unresolved',
         'ended_at_s',
         'in_roster',
+        'rivals',
         'flush_done',
     )
 
@@ -128,13 +129,13 @@
         self.uncleared_run = None
         # Until then it gets no runs, so that a suspect can be started there.
         self.held_until_s = 0.0
-        # Runs that may have crashed it: (task, UnresolvedRun) by the name of
-        # the task and the number of the run.
+        # (task, UnresolvedRun) that may have crashed it, by (task name, run).
         self.unresolved = {}
         self.ended_at_s = None
-        # Whether it is in the stored roster, so that a later owner would know
-        # that it may hold runs.
+        # Whether it is in the stored roster, as one that may hold runs.
         self.in_roster = False
+        # Earlier workers on its VM, which are over once it has answered.
+        self.rivals = ()
         # Set when a flush has made completions durable.
         self.flush_done = asyncio.Event()
 
@@ -261,6 +262,11 @@
             return None
         return self.clock_ms + (now_s - self.clock_read_at_s) * 1000
 
+    def take_rivals(self):
+        """Return the earlier workers on its VM, once."""
+        rivals, self.rivals = self.rivals, ()
+        return rivals
+
     def record_report(self, clock_ms, now_s):
         """Record the clock and the time of a report of what runs there."""
         self.record_clock(clock_ms, now_s)
--- a/arbutusrock/engine/registration_controller.py
+++ b/arbutusrock/engine/registration_controller.py
@@ -1,7 +1,10 @@
 """Follows the registrations of workers in the store.
 
-Workers that register are added to the fleet. Those whose registration lapses,
-whose VM runs another worker or that were restarted are removed.
+Workers that register are added to the fleet, and those whose registration
+lapses are removed. An entry alone ends no incarnation: another program may
+have written it, and the store may carry a report out late. That a worker was
+restarted, or that its VM runs another one, is taken from the answer of the
+incarnation that is there now.
 """
 
 import asyncio
@@ -51,6 +54,9 @@
         self.decode = decode
         self.run_controller = run_controller
         self.connect = connect
+        # Newest entry of a later incarnation by worker, while the known one is
+        # not known to be over.
+        self._later_entries = {}
         self._revival_delay_s = (
             REVIVAL_INTERVALS * term.settings.worker_report_s
         )
@@ -177,25 +183,52 @@
             self.run_controller.crash_tracker.replace_worker(worker, successor)
             return
         if worker is not None and not worker.ended:
-            if entry.born_ms > worker.entry.born_ms > 0:
-                self.run_controller.end_incarnation(
-                    worker, fleet_module.IncarnationEnd.RESTARTED
-                )
-            else:
+            if self._is_of_incarnation(worker, entry):
                 self._update(worker, entry)
-                return
-        elif (
+            return
+        if (
             worker is not None
             and entry.born_ms <= worker.entry.born_ms
             and clocks.now_s() - worker.ended_at_s < self._revival_delay_s
         ):
             # A late registration of an incarnation that is known to be over.
             return
-        self._end_earlier_incarnation(entry)
+        self._add_successor(entry, worker)
+
+    def _add_successor(self, entry, worker):
+        """Add a worker.
+
+        :param worker: an earlier incarnation under its id, or None.
+        """
+        rivals = self._find_rivals(entry)
         successor = self._add(entry)
+        successor.rivals = rivals
         if worker is not None:
             self.run_controller.unanswered_orders.revoke(worker, successor)
 
+    def _is_of_incarnation(self, worker, entry):
+        """Return whether an entry is a report of a known incarnation.
+
+        One of a later incarnation is kept until the worker itself shows that
+        the known one is over.
+        """
+        known = worker.entry
+        if entry.born_ms > known.born_ms:
+            self._later_entries[entry.worker_id] = entry
+        elif entry.born_ms == known.born_ms and (
+            (entry.address, entry.pool) == (known.address, known.pool)
+        ):
+            return True
+        LOG.info(
+            'an entry is not of the incarnation that is known',
+            worker=entry.worker_id,
+            born_ms=entry.born_ms,
+            known_born_ms=known.born_ms,
+            pool=entry.pool,
+            known_pool=known.pool,
+        )
+        return False
+
     def _update(self, worker, entry):
         if entry.draining and not worker.entry.draining:
             LOG.info(
@@ -224,19 +257,16 @@
         if drains or resized:
             self.term.request_dispatch()
 
-    def _end_earlier_incarnation(self, entry):
-        """End earlier incarnations on the VM: it runs one worker at a time."""
-        if not entry.vm:
-            return
-        for worker in list(self.term.fleet.workers.values()):
-            if (
-                worker.entry.vm == entry.vm
-                and not worker.ended
-                and worker.entry.born_ms < entry.born_ms
-            ):
-                self.run_controller.end_incarnation(
-                    worker, fleet_module.IncarnationEnd.REPLACED
-                )
+    def _find_rivals(self, entry):
+        """Return the earlier workers on the VM: it runs one at a time."""
+        return [
+            worker
+            for worker in self.term.fleet.workers.values()
+            if entry.vm
+            and worker.entry.vm == entry.vm
+            and not worker.ended
+            and worker.entry.born_ms < entry.born_ms
+        ]
 
     def _record_unregistered(self, worker_id):
         worker = self.term.fleet.workers.get(worker_id)
@@ -263,6 +293,10 @@
             and now_s - unregistered_since_s > UNREGISTERED_GRACE_S
         )
         if worker.ended:
+            entry = self._later_entries.pop(worker_id, None)
+            if entry is not None and entry.born_ms > worker.entry.born_ms:
+                self._add_successor(entry, worker)
+                return
             if is_gone or (unregistered_since_s and not worker.runs):
                 self.run_controller.requeue_runs(worker)
                 del self.term.fleet.workers[worker_id]
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -20,8 +20,7 @@
 # A renewal reply holds at most this many completions; a full one means that
 # more may follow in the next reply.
 COMPLETIONS_PER_PAGE = 500
-# Time for which a new owner defers the reports of a worker that names a job
-# whose row it has not loaded yet.
+# How long a new owner defers reports of a job whose row it has not loaded.
 JOB_LOAD_GRACE_S = 2.0
 LOG = logs.get_log('runs')
 
@@ -249,6 +248,8 @@
         if not worker.has_answered or worker.unresponsive:
             self.term.request_dispatch()
         self.term.phases.record_answer(worker)
+        for rival in worker.take_rivals():
+            self.end_incarnation(rival, fleet.IncarnationEnd.REPLACED)
         worker.has_answered = True
         worker.unresponsive = False
         for completion in sorted(reply.ended, key=lambda item: item.number):
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vm_views.py
@@ -43,12 +43,18 @@
 
 
 def map_workers_by_vm(fleet):
-    """Return the current worker of each VM, by the name of the VM."""
-    return {
-        worker.entry.vm: worker
-        for worker in fleet.workers.values()
-        if worker.entry.vm and not worker.ended
-    }
+    """Return the current worker of each VM, by the name of the VM.
+
+    An entry that nobody answers for does not hide a worker that has answered.
+    """
+    found = {}
+    for worker in fleet.workers.values():
+        vm = worker.entry.vm
+        if not vm or worker.ended:
+            continue
+        if vm not in found or worker.has_answered >= found[vm].has_answered:
+            found[vm] = worker
+    return found
 
 
 def compute_pool_loads(fleet):
--- a/arbutusrock/platform/workers.py
+++ b/arbutusrock/platform/workers.py
@@ -67,12 +67,12 @@
     address: str
     state: str
     capacity: WireResources
+    # Unix time in ms when the worker started.
+    born: decoders.Count
     zone: str = ''
     labels: tuple[str, ...] = ()
     # Name of the VM.
     machine: str = ''
-    # Unix time in ms when the worker started.
-    born: decoders.Count = 0
     # How much longer it is slow after its start.
     coldRemainingMs: decoders.Figure = 0.0  # noqa: N815
     # Minimum time until a draining worker leaves.
