--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/fleet.py
@@ -305,8 +305,8 @@
     def is_lease_assumed(self, now_s):
         """Return whether the end of its lease is only assumed.
 
-        An earlier owner that has not named it, and that is cut off from the
-        store alone, may extend its lease until another worker refuses that.
+        An earlier owner that has not named it may still extend its lease, if
+        it is cut off from the store alone; the next owner waits anew.
         """
         return (
             not self.has_answered
