Confirm an ownership only beside a heartbeat that is recent

What callers could see: TWICE for up to 1.1 s, when an owner is cut off in the moment in which the next one claims. Not observed.

Cause: the wait of the next owner counts from missed heartbeats, the bound of leases from confirmations. A flush of several transactions wrote a heartbeat with its first one only, and a stall between two readings of the clock made a confirmation newer than its heartbeat.

Change: the clock is read once for each transaction, before the choice, and each transaction writes a heartbeat when one is due.

Evidence: both cases of the new test failed before (bound 0.25 s: 2.1 and 0.4 s), and pass now.

--- a/arbutusrock/engine/state_writer.py
+++ b/arbutusrock/engine/state_writer.py
@@ -169,7 +169,7 @@
             batch.others, queued_rows = room.take(
                 queued_rows, entries_each=1, most=MAX_BATCH_ROWS
             )
-            await self._commit(batch, with_heartbeat=first)
+            await self._commit(batch, first=first)
             first = False
         self.flushes_completed = self.flushes_started
         self._flush_completed.set()
@@ -230,7 +230,15 @@
         """
         return rows.Row(table=rows.TABLE_OWNER, key=key, version=version)
 
-    async def _commit(self, batch, *, with_heartbeat):
+    async def _commit(self, batch, *, first):
+        """Write a batch, with a heartbeat when one is due.
+
+        :param first: whether it is the first batch of its flush.
+        """
+        # Read once, and before the choice: what is written then confirms the
+        # ownership as of this time, however long the process stalls meanwhile.
+        sent_at_s = clocks.now_s()
+        with_heartbeat = self._is_heartbeat_due(batch, first, sent_at_s)
         expected = [
             self.create_claim_condition(),
             *batch.progress,
@@ -241,16 +249,6 @@
             *batch.others,
             *(write.row for write in batch.segments),
         ]
-        # Between heartbeats a flush writes only progress, unless the roster
-        # has changed: new workers get no runs before they are in it. The same
-        # holds for workers that were dark.
-        with_heartbeat = with_heartbeat and (
-            not batch.progress
-            or clocks.now_s() - self._heartbeat_sent_at_s
-            > HEARTBEAT_INTERVAL_S / 2
-            or bool(batch.segments)
-            or (self.term.dark_workers and self.term.fleet.has_withheld())
-        )
         if with_heartbeat:
             owner_rows, names = self._create_owner_rows()
             puts += owner_rows
@@ -260,7 +258,6 @@
                         KEY_HEARTBEAT, self._heartbeat_version
                     )
                 )
-        sent_at_s = clocks.now_s()
         version = await self._write(expected, puts)
         for row in batch.progress:
             self._versions[row.key] = version
@@ -273,6 +270,26 @@
             self._mark_workers()
         self.term.record_confirmation(sent_at_s)
 
+    def _is_heartbeat_due(self, batch, first, now_s):
+        """Return whether a heartbeat is to be written with a batch.
+
+        The ownership must never be confirmed for much longer than the last
+        heartbeat is old: other nodes go by heartbeats, and the bound of the
+        leases by confirmations (:mod:`arbutusrock.scheduling.lease_bounds`).
+        """
+        if now_s - self._heartbeat_sent_at_s > HEARTBEAT_INTERVAL_S / 2:
+            return True
+        if not first:
+            return False
+        # Between heartbeats a flush writes only progress, unless the roster
+        # has changed: new workers get no runs before they are in it. The same
+        # holds for workers that were dark.
+        return (
+            not batch.progress
+            or bool(batch.segments)
+            or (self.term.dark_workers and self.term.fleet.has_withheld())
+        )
+
     def _mark_workers(self):
         """Release the workers that are in the stored roster."""
         for worker_id, worker in self.term.fleet.workers.items():
--- a/arbutusrock/engine/tests/test_state_writer.py
+++ b/arbutusrock/engine/tests/test_state_writer.py
@@ -305,6 +305,66 @@
     assert writer.flushes_completed == writer.flushes_started
 
 
+class SteppingClock:
+    """Clock that moves on with each reading, and with each transaction."""
+
+    def __init__(self):
+        self.now, self.step_s = 100.0, 0.0
+
+    def now_s(self):
+        self.now += self.step_s
+        return self.now
+
+
+@pytest.mark.parametrize(
+    ('jobs', 'reading_s', 'transaction_s'),
+    [
+        # Many transactions, by a slow store.
+        (8 * state_writer.MAX_BATCH_ROWS, 0.0, 0.3),
+        # The process stalls before the transaction is sent.
+        (1, 0.2, 0.0),
+    ],
+)
+async def test_ownership_is_confirmed_long_after_the_last_heartbeat(
+    monkeypatch, jobs, reading_s, transaction_s
+):
+    """Guards against TWICE: leases outlived the wait of the next owner.
+
+    It counts from the heartbeats that it misses, and the bound of the leases
+    counts from what the store has confirmed.
+    """
+    clock = SteppingClock()
+    monkeypatch.setattr(state_writer.clocks, 'now_s', clock.now_s)
+    owner_term, store, writer = create_state_writer()
+    transact, heartbeats_at_s = store.transact, []
+
+    async def transact_slowly(*, expected, puts):
+        if state_writer.KEY_HEARTBEAT in [row.key for row in puts]:
+            heartbeats_at_s.append(clock.now)
+        clock.now += transaction_s
+        return await transact(expected=expected, puts=puts)
+
+    store.transact = transact_slowly
+    await writer.flush()
+    for number in range(jobs):
+        add_dirty_job(owner_term, f'{number:016x}')
+    confirm = owner_term.record_confirmation
+    ages_s = []
+    monkeypatch.setattr(
+        owner_term,
+        'record_confirmation',
+        lambda sent_at_s: (
+            ages_s.append(sent_at_s - heartbeats_at_s[-1]),
+            confirm(sent_at_s),
+        ),
+        raising=False,
+    )
+    clock.step_s = reading_s
+    await writer.flush()
+    assert len(ages_s) == -(-jobs // state_writer.MAX_BATCH_ROWS)
+    assert max(ages_s) <= state_writer.HEARTBEAT_INTERVAL_S / 2
+
+
 def create_segment(key, workers, version):
     return rows.Row(
         table=rows.TABLE_ROSTER,
--- a/arbutusrock/scheduling/tests/test_lease_bounds.py
+++ b/arbutusrock/scheduling/tests/test_lease_bounds.py
@@ -38,6 +38,11 @@
         self.thawed_at_s = self.frozen_at_s + self.draw.choice(
             [0.0, 1.0, 4.0, 9.0]
         )
+        # The store takes this time, and a flush needs several transactions.
+        self.latency_s = self.draw.choice([0.0, 0.0, 0.3, 0.6])
+        self.batches = self.draw.choice([1, 1, 8])
+        self.batches_left = 0
+        self.next_write_at_s = 0.0
         self.confirmed_at_s = self.heartbeat_at_s = 0.0
         # End of the lease on the worker's clock, which starts at 0.
         self.lease_until_s = LEASE_S
@@ -63,11 +68,19 @@
 
     def flush(self, now_s, is_replaced):
         """Write to the store, unless a claim has made that impossible."""
+        if now_s < self.next_write_at_s:
+            return
         cut = now_s >= self.cut_at_s
         if is_replaced or (cut and self.draw.random() > self.answer_share):
             return
+        self.next_write_at_s = now_s + self.latency_s
+        first = not self.batches_left
+        self.batches_left = (self.batches_left or self.batches) - 1
         sent_at_s = now_s - self.draw.uniform(0.0, 0.05)
-        if now_s - self.heartbeat_at_s >= HEARTBEAT_INTERVAL_S / 2:
+        is_due = now_s - self.heartbeat_at_s >= HEARTBEAT_INTERVAL_S / 2
+        if self.planted == 'heartbeat with the first batch only':
+            is_due = is_due and first
+        if is_due:
             self.heartbeat_at_s = now_s
         self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
 
@@ -120,7 +133,12 @@
 
 @pytest.mark.parametrize(
     'planted',
-    ['leases without a bound', 'wait of one lease', 'clock assumed true'],
+    [
+        'leases without a bound',
+        'wait of one lease',
+        'clock assumed true',
+        'heartbeat with the first batch only',
+    ],
 )
 def test_schedules_find_a_planted_fault(planted):
     assert any(
