Send no order without a lease

What callers could see: an ownership that ends with a TypeError, and a takeover, when the store comes back. Not observed.

Cause: an order is created when its worker is chosen and sent by another task. The check before the send looked at the present confirmation and not at the order.

Change: an order without a lease is not sent, and its task waits again.

--- a/arbutusrock/engine/tests/samples.py
+++ b/arbutusrock/engine/tests/samples.py
@@ -4,14 +4,21 @@
 
 from arbutusrock.engine import data_centre_cordons
 from arbutusrock.engine import fleet
+from arbutusrock.engine import job_state
 from arbutusrock.engine import node_settings
 from arbutusrock.engine import plans
 from arbutusrock.engine import run_controller
 from arbutusrock.engine import term as term_module
 from arbutusrock import metrics
+from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
 
-__all__ = ['create_run_controller', 'create_submission', 'create_term']
+__all__ = [
+    'add_run',
+    'create_run_controller',
+    'create_submission',
+    'create_term',
+]
 
 SETTINGS = node_settings.NodeSettings(
     name='n1',
@@ -67,3 +74,32 @@
             flushes_completed=0, get_next_flush_number=lambda: 1
         ),
     )
+
+
+def add_run(term, worker, *, job_id='0' * 16, **fields):
+    """Add a job of one task and its run on a worker, and return the run."""
+    plan = plans.StepPlan(count=1, demand=Resources(cpu=1000), **fields)
+    submission = plans.Submission(
+        queue='q',
+        pool='p',
+        account='a',
+        accepted_ms=0.0,
+        plan=plans.JobPlan(spec='', steps=(plan,)),
+    )
+    job = term.job_registry.add(job_id, submission)
+    term.job_registry.start_due_occurrences(
+        clocks.wall_time_s(), clocks.now_s()
+    )
+    task = job.occurrences[0].steps[0].tasks[0]
+    run = job_state.Run(
+        number=term.create_run_number(),
+        name=task.name,
+        task=task,
+        account='a',
+        worker=worker,
+        demand=plan.demand,
+        now_s=clocks.now_s(),
+    )
+    term.fleet.add_run(run)
+    term.job_registry.mark_active(task)
+    return run
--- a/arbutusrock/engine/tests/test_cordons.py
+++ b/arbutusrock/engine/tests/test_cordons.py
@@ -5,7 +5,6 @@
 
 from arbutusrock.engine import cordon_controller
 from arbutusrock.engine import job_state
-from arbutusrock.engine import plans
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine.tests import samples
 from arbutusrock.engine import vm_registry
@@ -14,7 +13,6 @@
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
 
-JOB = '0' * 16
 CAPACITY = Resources(cpu=8000, memory_mb=8000)
 
 
@@ -45,34 +43,6 @@
     return controller, workers
 
 
-def add_run(term, worker, *, job_id=JOB, **fields):
-    plan = plans.StepPlan(count=1, demand=Resources(cpu=1000), **fields)
-    submission = plans.Submission(
-        queue='q',
-        pool='p',
-        account='a',
-        accepted_ms=0.0,
-        plan=plans.JobPlan(spec='', steps=(plan,)),
-    )
-    job = term.job_registry.add(job_id, submission)
-    term.job_registry.start_due_occurrences(
-        clocks.wall_time_s(), clocks.now_s()
-    )
-    task = job.occurrences[0].steps[0].tasks[0]
-    run = job_state.Run(
-        number=term.create_run_number(),
-        name=task.name,
-        task=task,
-        account='a',
-        worker=worker,
-        demand=plan.demand,
-        now_s=clocks.now_s(),
-    )
-    term.fleet.add_run(run)
-    term.job_registry.mark_active(task)
-    return run
-
-
 def create_registry(term, workers):
     """Return the registry of the VMs of workers, all in pool ``p``."""
     term.configuration.current = types.SimpleNamespace(
@@ -131,7 +101,7 @@
             client=types.SimpleNamespace(start_run=start_run),
             spawn=group.create_task,
         )
-        run = add_run(controller.term, worker)
+        run = samples.add_run(controller.term, worker)
         link.send_start(run, spec='')
         controller.term.cordons.add('z1')
     assert not sent
@@ -148,7 +118,7 @@
         client=None,
         spawn=None,
     )
-    run = add_run(controller.term, worker)
+    run = samples.add_run(controller.term, worker)
     run.state = job_state.RunState.RESERVED
     assert link._may_start_reserved(run)
     controller.term.cordons.add('z1')
@@ -159,7 +129,7 @@
     """The serving task there needs no room elsewhere, as it goes on."""
     controller, (here, there) = create_controller('z1', 'z2')
     term = controller.term
-    add_run(term, here, long_running=True)
+    samples.add_run(term, here, long_running=True)
     registry = create_registry(term, (here, there))
     (view,) = vm_views.create_pool_views(term, registry, clocks.now_s())
     assert [vm.cordoned for vm in view.vms] == [False, False]
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -293,7 +293,7 @@
                 self.term.request_dispatch()
 
     async def _send_start_order(self, run, order):
-        reason = self._find_reason_not_to_send(run)
+        reason = self._find_reason_not_to_send(run, order)
         if reason:
             LOG.info(
                 'a start order was not sent',
@@ -312,7 +312,7 @@
             return
         self.run_controller.handle_start_reply(run, reply)
 
-    def _find_reason_not_to_send(self, run):
+    def _find_reason_not_to_send(self, run, order):
         """Return why an order is not sent; empty when it may be.
 
         The worker may have changed since the run was added to it.
@@ -321,7 +321,9 @@
             return 'the worker does not have the run any more'
         if self.worker.in_evacuated_data_centre:
             return 'its data centre is evacuated'
-        if not self.term.may_grant_leases:
+        # An order without a lease was created before a confirmation that has
+        # come since.
+        if order.lease_until_ms is None or not self.term.may_grant_leases:
             return 'the store has not confirmed the ownership for long'
         return ''
 
