End the receiver of peer messages when it is cancelled

Cause: a call that receives a message swallows a cancellation that comes while the message is there. The receiver then waited for the next message, and the stop of all services, which had no bound, waited for the receiver.

Change: the receiver ends when its task is being cancelled, whatever the call returns.

--- a/arbutusrock/links/peers.py
+++ b/arbutusrock/links/peers.py
@@ -257,7 +257,9 @@
 
     async def run(self):
         """Receive messages and call the handler of their type."""
-        while True:
+        task = asyncio.current_task()
+        # A call that has received a message swallows its cancellation.
+        while not task.cancelling():
             data = await self._socket.arecv()
             self.metrics.count('peer_received_bytes', amount=len(data))
             try:
