Bound and log each step of the shutdown of a daemon

What operators saw: a daemon that does not end, and no line that says what it waits for.

Change: each step is logged with its length and has a bound. One that does not end is named with the lines at which it waits, and abandoned; the process then ends without it. Tests and examples wait at most 75 s for the end of a daemon and keep its log.

--- a/arbutusrock/daemon.py
+++ b/arbutusrock/daemon.py
@@ -1,6 +1,7 @@
 """The daemon of one node, started by ``arbutusrockd --settings FILE``."""
 
 import asyncio
+import os
 import pathlib
 import resource
 import signal
@@ -31,6 +32,7 @@
 from arbutusrock.machines import members as members_module
 from arbutusrock import metrics as metrics_module
 from arbutusrock import settings as settings_module
+from arbutusrock.utils import bounded_steps
 from arbutusrock.utils import clocks
 
 __all__ = ['Daemon', 'main']
@@ -41,6 +43,14 @@
 LISTEN_BACKLOG = 1024
 DIVISION_DELAY_S = 0.05
 MAX_OPERATOR_HEAD_BYTES = 16384
+# A step of a shutdown that calls the platform makes at most this many calls
+# one after the other, which give up while the platform is away.
+PLATFORM_STEP_CALLS = 2
+# Bound of the stop of all services and connections, and of each connection.
+STOP_STEP_S = 10.0
+CLOSE_STEP_S = 2.0
+# Bound of what is left when everything has been stopped.
+CANCEL_STEP_S = 1.0
 LOG = logs.get_log('daemon')
 
 
@@ -61,6 +71,7 @@
         self.caller_port = 0
         self.operator_port = 0
         self._app_runners = []
+        self.shutdown_steps = bounded_steps.BoundedSteps()
         self._division_due = asyncio.Event()
         self._connect_callbacks()
 
@@ -228,6 +239,7 @@
             max_line_size=head_bytes,
             max_field_size=head_bytes,
             keepalive_timeout=75,
+            shutdown_timeout=CLOSE_STEP_S / 2,
         )
         await runner.setup()
         site = web.TCPSite(
@@ -287,16 +299,41 @@
         self.members.stopping = True
         LOG.info('graceful shutdown begins')
         await asyncio.sleep(shutdown.notice_s)
-        await self._hand_over_jobs()
-        idle = await self.runner.wait_idle(deadline_s)
-        await self.audit_trail.flush()
-        if idle:
-            await self.permits.return_idle_permits()
-            await self.members.deregister()
-        else:
+        run = self.shutdown_steps.run
+        access = self.settings.platform
+        platform_step_s = PLATFORM_STEP_CALLS * (
+            access.retry_budget_s + access.timeout_s
+        )
+        await run(
+            'hand over jobs',
+            self._hand_over_jobs(),
+            bound_s=min(platform_step_s, shutdown.deadline_s),
+        )
+        idle = await run(
+            'finish running tasks',
+            self.runner.wait_idle(deadline_s),
+            bound_s=shutdown.deadline_s + CLOSE_STEP_S,
+        )
+        await run(
+            'write the audit trail',
+            self.audit_trail.flush(),
+            bound_s=platform_step_s,
+        )
+        if not idle:
             LOG.warning(
                 'the shutdown deadline passed while tasks were running'
             )
+            return
+        await run(
+            'return permits',
+            self.permits.return_idle_permits(),
+            bound_s=platform_step_s,
+        )
+        await run(
+            'deregister',
+            self.members.deregister(),
+            bound_s=platform_step_s,
+        )
 
     async def _hand_over_jobs(self):
         try:
@@ -306,11 +343,19 @@
 
     async def on_shutdown(self):
         """Close listeners and connections after all services stopped."""
-        for runner in self._app_runners:
-            await runner.cleanup()
+        run = self.shutdown_steps.run
+        for name, closing in (
+            ('listeners', self._close_listeners()),
+            ('connections to upstreams', self.upstreams.stop()),
+            ('connections to the platform', self.platform.stop()),
+        ):
+            await run(f'close {name}', closing, bound_s=CLOSE_STEP_S)
         self.peers.stop()
-        await self.upstreams.stop()
-        await self.platform.stop()
+
+    async def _close_listeners(self):
+        await asyncio.gather(
+            *(runner.cleanup() for runner in self._app_runners)
+        )
 
     def collect_metrics(self):
         """Set the gauges to the present values."""
@@ -336,7 +381,10 @@
 async def run_daemon(settings):
     """Run until SIGTERM, SIGINT or a crash; a signal shuts down gracefully.
 
-    :returns: exit status of the process.
+    A second signal changes nothing: each step of the shutdown has a bound.
+
+    :returns: ``(exit status, unfinished)``, where unfinished names what has
+        not ended in time.
     """
     daemon = Daemon(settings=settings)
     stop = asyncio.Event()
@@ -361,10 +409,16 @@
     crashed = daemon.crashed
     if not crashed:
         await daemon.shut_down()
-    await daemon.stop()
+    await daemon.shutdown_steps.run(
+        'stop services', daemon.stop(), bound_s=STOP_STEP_S
+    )
+    unfinished = daemon.shutdown_steps.abandoned
+    unfinished += await bounded_steps.cancel_other_tasks(CANCEL_STEP_S)
+    LOG.info('the daemon ends', unfinished=unfinished)
     if daemon.members.expelled:
-        return EXIT_EXPELLED
-    return errors.ArbutusrockError.code.exit_status if crashed else 0
+        return EXIT_EXPELLED, unfinished
+    status = errors.ArbutusrockError.code.exit_status if crashed else 0
+    return status, unfinished
 
 
 def serve(
@@ -396,7 +450,12 @@
         print(f'{settings}: the settings are valid')
         return 0
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(run_daemon(loaded))
+        status, unfinished = runner.run(run_daemon(loaded))
+        if unfinished:
+            # The runner would wait for it without a bound.
+            sys.stderr.flush()
+            os._exit(status)
+    return status
 
 
 def main():
--- a/examples/standins/fleet.py
+++ b/examples/standins/fleet.py
@@ -8,8 +8,10 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import sys
+import tempfile
 
 import aiohttp
 import msgspec
@@ -24,6 +26,9 @@
 OPERATOR_TOKEN = 'operator-token-of-the-examples'
 START_TIMEOUT_S = 60
 WAIT_TIMEOUT_S = 60
+# Longest time of a graceful shutdown with the settings below: notice, deadline
+# of the tasks, and the bounds of all other steps.
+STOP_TIMEOUT_S = 75
 
 
 class Reply(msgspec.Struct, kw_only=True):
@@ -96,17 +101,36 @@
     async def terminate(self):
         """Stop the daemon with SIGTERM and return its exit status."""
         self.kill(signal.SIGTERM)
-        return await self.process.wait()
+        return await self.wait_ended()
+
+    async def wait_ended(self, timeout_s=STOP_TIMEOUT_S):
+        """Wait until the process has ended; return its exit status.
+
+        :raises RuntimeError: it has not; its log is kept.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.process.wait()
+        except TimeoutError:
+            kept = pathlib.Path(tempfile.mkdtemp(prefix='daemon-log-'))
+            shutil.copy(self.log, kept)
+            raise RuntimeError(
+                f'{self.name} has not ended within {timeout_s} s after'
+                f' SIGTERM; its log is in {kept}:'
+                f' {self.log.read_text()[-3000:]}'
+            ) from None
 
 
 class Fleet:
     """A whole deployment on loopback; an async context manager.
 
     :param folder: folder for the settings and logs of the daemons.
+    :param root: folder of the code that the daemons run.
     """
 
-    def __init__(self, *, folder):
+    def __init__(self, *, folder, root=ROOT):
         self.folder = pathlib.Path(folder)
+        self.root = pathlib.Path(root)
         self.daemons = {}
         self.workers = {}
         self.proxies = {}
@@ -136,8 +160,9 @@
         for process in self._processes:
             if process.returncode is None:
                 process.kill()
-        for process in self._processes:
-            await process.wait()
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            for process in self._processes:
+                await process.wait()
         for fault_proxy in self.proxies.values():
             await fault_proxy.stop()
         await self._session.close()
@@ -236,7 +261,8 @@
                 str(path),
                 '--log-format',
                 'json',
-                cwd=ROOT,
+                cwd=self.root,
+                env={**os.environ, 'PYTHONPATH': str(self.root)},
                 stderr=stream,
             )
         self._processes.append(process)
--- a/tests/test_daemon_lifecycle.py
+++ b/tests/test_daemon_lifecycle.py
@@ -207,3 +207,25 @@
     await invariants.assert_invariants(
         fleet, load.replies, limits={'pesajes/auction': 8}
     )
+
+
+@pytest.mark.parametrize('store', ['up', 'down'])
+@pytest.mark.asyncio
+async def test_daemons_that_get_sigterm_at_once_do_not_end(fleet, store):
+    """Each one waits for what the others have stopped to send.
+
+    A second signal changes nothing, and a store that is away only takes time.
+    """
+    daemons = await harness.start_fleet(fleet)
+    load = harness.LoadGenerator(fleet=fleet)
+    await asyncio.gather(*(load.send(item) for item in daemons * 10))
+    if store == 'down':
+        await fleet.set_platform_faults(down=True)
+    stops = [asyncio.create_task(item.terminate()) for item in daemons]
+    await asyncio.sleep(0.2)
+    daemons[0].kill(signal.SIGTERM)
+    assert await asyncio.gather(*stops) == [0, 0, 0]
+    for daemon in daemons:
+        log = daemon.log.read_text()
+        assert '"step": "hand over jobs"' in log
+        assert '"unfinished": []' in log
