Play data centres that are cut off with their owner in the soak

The faults just mended were not played: no node had links of its own, and no task lasted longer than a takeover.

Change: in runs that draw the new kind each node reaches the store, the VM service, the workers and the other nodes through proxies of its own. Sets of kinds of earlier seeds are unchanged.

--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -80,6 +80,8 @@
         # the end is None until it is taken back.
         self.evacuations = []
         self.data_centre_by_worker = {}
+        # Data centres whose workers do not reach the store.
+        self.cut_data_centres = set()
         # Run record of each run that has crashed its worker.
         self.crashes = []
         self.crash_recovery_s = CRASH_RECOVERY_S
@@ -285,8 +287,12 @@
     async def register_worker(self, vm, pool, worker, address, **fields):
         """Write the registration of a worker to the store.
 
+        Nothing is written while its data centre is cut off.
+
         :param fields: fields that replace those of the entry.
         """
+        if self.vm_service.vms[vm]['zone'] in self.cut_data_centres:
+            return
         entry = {
             'service': pool,
             'address': address,
@@ -305,6 +311,12 @@
         }
         await self._put_document('servers', worker.worker_id, entry)
 
+    async def remove_entries(self, data_centre):
+        """Remove the entries of the workers of a data centre."""
+        for vm, worker in list(self.workers.items()):
+            if self.vm_service.vms[vm]['zone'] == data_centre:
+                await self.store.put('servers', worker.worker_id, None)
+
     async def _stop_worker(self, vm):
         if vm not in self._worker_tasks:
             return
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -32,7 +32,7 @@
     :param seconds: duration of the load for each seed.
     :param nodes: number of node processes.
     :param kind_set: set of kinds of faults to draw from: ``all``,
-        ``sixth`` and so on down to ``first``.
+        ``seventh`` and so on down to ``first``.
     :param keep: folder for faults, violations and logs of failed seeds; empty
         to keep nothing.
     :returns: 1 when a guarantee was violated, else 0.
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,7 +15,7 @@
 # (``evacuateMs``).
 MAX_EVACUATION_DELAY_S = 5.0
 # Kinds of faults that keep an owner from reading what operators ask for.
-DELAYING_KINDS = ('store', 'pause')
+DELAYING_KINDS = ('store', 'pause', 'data centre cut off')
 # Kind of fault during which a worker may start a task this late.
 LATE_START_KIND = 'worker carries out late'
 LATE_START_S = 2.5
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -7,6 +7,7 @@
 from examples.standins.site import odd_entries
 from examples.standins.site import Site
 from soak import daemons
+from soak import network
 from soak import schedule
 
 __all__ = ['SoakCluster']
@@ -31,6 +32,10 @@
 REPORT_DELAY_S = 0.5
 WAVE_DURATION_S = 15
 DATA_CENTRES = ('z1', 'z2')
+# A data centre is cut off for this much longer than other faults last, so that
+# the next owner acts on the workers there. Their entries lapse meanwhile.
+LONGER_CUT_S = 6.0
+ENTRY_LAPSE_S = 1.0
 # An evacuation lasts this much longer than other faults, so that starts after
 # the time within which it has to be in force are seen.
 LONGER_EVACUATION_S = 4.0
@@ -41,9 +46,11 @@
 
     :param nodes: number of node processes.
     :param folder: folder for the settings files of the nodes.
+    :param has_partitions: whether data centres can be cut off. Each node then
+        has links of its own to all that it calls.
     """
 
-    def __init__(self, *, nodes, folder):
+    def __init__(self, *, nodes, folder, has_partitions=False):
         self.site = Site(
             pools=POOL_SIZES,
             cores=CORES_PER_VM,
@@ -59,9 +66,24 @@
             for pool, count in POOL_SIZES.items()
             for number in range(0, count, 2)
         }
+        names = [f'n{number}' for number in range(1, nodes + 1)]
+        self.network = None
+        if has_partitions:
+            self.network = network.Network(
+                site=self.site,
+                places={
+                    name: DATA_CENTRES[number % len(DATA_CENTRES)]
+                    for number, name in enumerate(names)
+                },
+            )
         self.nodes = [
-            daemons.Daemon(name=f'n{number}', site=self.site, folder=folder)
-            for number in range(1, nodes + 1)
+            daemons.Daemon(
+                name=name,
+                site=self.site,
+                folder=folder,
+                network=self.network,
+            )
+            for name in names
         ]
         self.worker_links = {}
         # Number of faults by which new jobs have a task that crashes workers.
@@ -88,6 +110,8 @@
         await self.site.stop()
         for link in self.worker_links.values():
             await link.stop()
+        if self.network is not None:
+            await self.network.close()
 
     async def _start_worker_link(self, vm, address):
         """Start a proxy in front of a worker and return its address."""
@@ -153,6 +177,8 @@
                 )
             case 'evacuation':
                 await self._evacuate(fault)
+            case schedule.PARTITION_KIND:
+                await self._cut_off(fault)
             case 'odd entries':
                 await odd_entries.write_odd_entries(
                     self.site, over_sound_entries=fault.target_selector < 0.5
@@ -193,6 +219,19 @@
         await asyncio.sleep(fault.duration_s + LONGER_EVACUATION_S)
         await self.site.take_back(name)
 
+    async def _cut_off(self, fault):
+        """Cut off the data centre of the owner, with its workers."""
+        place = self.network.places[self._pick_node(fault).name]
+        if self.network.cut_places:
+            return
+        self.network.cut(place)
+        self.site.cut_data_centres.add(place)
+        await asyncio.sleep(ENTRY_LAPSE_S)
+        await self.site.remove_entries(place)
+        await asyncio.sleep(fault.duration_s + LONGER_CUT_S)
+        self.site.cut_data_centres.discard(place)
+        self.network.heal(place)
+
     def _pick_node(self, fault):
         """Return the owner for kinds that hit it, else the selected node.
 
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -28,14 +28,22 @@
     :param name: name of the node.
     :param site: :class:`examples.standins.site.Site`.
     :param folder: folder for the settings file.
+    :param network: :class:`soak.network.Network`, or None when it calls all
+        services directly.
+    :param root: folder of the code that the process runs; None for the
+        installed code.
     :ivar store_link: proxy between the node and the store.
     """
 
-    def __init__(self, *, name, site, folder):
+    def __init__(self, *, name, site, folder, network=None, root=None):
         self.name = name
         self.site = site
         self.path = folder / f'{name}.conf'
+        self.network = network
+        self.root = root
         self.store_link = None
+        # Addresses of the other services, where they are not the site's.
+        self._addresses = {}
         self.process = None
         # Address of the client API.
         self.address = ''
@@ -53,12 +61,18 @@
     async def start(self):
         """Start the process and wait until it serves calls."""
         if self.store_link is None:
-            _, _, port = self.site.get_address('store').rpartition(':')
+            address = self.site.get_address('store')
+            if self.network is not None:
+                self._addresses = await self.network.open(self.name)
+                address = self._addresses.pop('store')
+            _, _, port = address.rpartition(':')
             self.store_link = proxy.FaultProxy(target_port=int(port))
             await self.store_link.start()
         self.path.write_text(
             self.site.create_settings_text(
-                self.name, store=f'127.0.0.1:{self.store_link.port}'
+                self.name,
+                store=f'127.0.0.1:{self.store_link.port}',
+                **self._addresses,
             )
         )
         self._serving.clear()
@@ -67,7 +81,12 @@
             sys.executable,
             '-m',
             'arbutusrock.platform',
-            env={**os.environ, listeners.PATH_VARIABLE: str(self.path)},
+            cwd=self.root,
+            env={
+                **os.environ,
+                **({'PYTHONPATH': str(self.root)} if self.root else {}),
+                listeners.PATH_VARIABLE: str(self.path),
+            },
             stdout=asyncio.subprocess.PIPE,
         )
         self._log_reader = asyncio.ensure_future(self._read_log(self.process))
--- a/soak/load_generator.py
+++ b/soak/load_generator.py
@@ -81,12 +81,17 @@
     :param pools: names of the pools that jobs are submitted to.
     :param draws_deadly_jobs: returns whether some of the jobs have a task now
         that crashes its workers.
+    :param lasting_tasks: number of tasks of each pool that run from the start
+        until no new jobs are submitted.
     """
 
-    def __init__(self, *, nodes, seed, pools, draws_deadly_jobs):
+    def __init__(
+        self, *, nodes, seed, pools, draws_deadly_jobs, lasting_tasks=0
+    ):
         self.nodes = nodes
         self.pools = pools
         self.draws_deadly_jobs = draws_deadly_jobs
+        self.lasting_tasks = lasting_tasks
         self.rng = random.Random(seed)  # noqa: S311
         self.jobs = []
         self.calls = []
@@ -98,6 +103,8 @@
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as self.session:
             async with asyncio.TaskGroup() as group:
+                for pool in self.pools if self.lasting_tasks else ():
+                    group.create_task(self._run_lasting_job(pool))
                 for _ in range(SUBMITTER_COUNT):
                     group.create_task(self._run_submitter(group))
 
@@ -105,6 +112,23 @@
         """Submit no new jobs."""
         self._stop.set()
 
+    async def _run_lasting_job(self, pool):
+        step = create_step(self.lasting_tasks, cpu=500, longRunning=True)
+        job = JobRecord(
+            job_id=f'{self.rng.getrandbits(64):016x}', pool=pool, steps=[step]
+        )
+        self.jobs.append(job)
+        body = {'spec': json.dumps({'lasts': 1}), 'steps': job.steps}
+        while job.accepted_at_s is None:
+            status = await self._call(job, 'POST', body)
+            job.submit_statuses.append(status)
+            if status is not None and 200 <= status < 300:
+                job.accepted_at_s = time.monotonic()
+            else:
+                await asyncio.sleep(RETRY_DELAY_S)
+        await self._stop.wait()
+        await self._cancel(job)
+
     async def _run_submitter(self, group):
         while not self._stop.is_set():
             job = self._create_job()
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -16,6 +16,8 @@
 # ended, and each wave within this time after its deadline (``finish_s``).
 COMPLETION_TIMEOUT_S = 14.0
 WAVE_POLL_INTERVAL_S = 0.2
+# Tasks of each pool that last, in a run with partitions.
+LASTING_TASKS = 4
 
 
 class Result:
@@ -46,9 +48,14 @@
     :returns: :class:`Result`.
     """
     faults = schedule.draw_faults(seed, seconds, kind_set)
+    has_partitions = any(
+        fault.kind == schedule.PARTITION_KIND for fault in faults
+    )
     with tempfile.TemporaryDirectory(prefix='soak-') as folder:
         soak_cluster = cluster.SoakCluster(
-            nodes=nodes, folder=pathlib.Path(folder)
+            nodes=nodes,
+            folder=pathlib.Path(folder),
+            has_partitions=has_partitions,
         )
         try:
             await soak_cluster.start()
@@ -57,6 +64,7 @@
                 seed=seed,
                 pools=['alpha', 'beta'],
                 draws_deadly_jobs=lambda: soak_cluster.deadly_count > 0,
+                lasting_tasks=LASTING_TASKS if has_partitions else 0,
             )
             await _run_load_and_faults(
                 soak_cluster, generator, faults, seconds
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -2,7 +2,13 @@
 
 import random
 
-__all__ = ['Fault', 'KIND_SETS', 'TARGET_BY_KIND', 'draw_faults']
+__all__ = [
+    'Fault',
+    'KIND_SETS',
+    'PARTITION_KIND',
+    'TARGET_BY_KIND',
+    'draw_faults',
+]
 
 # Time before the first fault, in which the system may start.
 WARM_UP_S = 2.0
@@ -52,7 +58,11 @@
     'wave': 'operator',
     'evacuation': 'operator',
     'odd entries': 'operator',
+    'data centre cut off': 'owner',
 }
+# Kind of fault for which each node needs links of its own, and the load tasks
+# that last.
+PARTITION_KIND = 'data centre cut off'
 
 # Kinds of faults that a seed draws from, by the name of the set. Seeds that
 # failed keep the set of their time, as it decides on their faults.
@@ -64,13 +74,16 @@
     'slow the owner',
     'worker reboots',
     'odd entries',
+    PARTITION_KIND,
 }
 _SECOND_KINDS = _FIRST_KINDS | {'worker shrinks', 'deadly tasks'}
 _THIRD_KINDS = _SECOND_KINDS | {'evacuation'}
 _FIFTH_KINDS = _THIRD_KINDS | {'worker silent', 'slow the owner'}
+_SIXTH_KINDS = _FIFTH_KINDS | {'worker reboots', 'odd entries'}
 KIND_SETS = {
     'all': sorted(TARGET_BY_KIND),
-    'sixth': sorted(_FIFTH_KINDS | {'worker reboots', 'odd entries'}),
+    'seventh': sorted(_SIXTH_KINDS | {PARTITION_KIND}),
+    'sixth': sorted(_SIXTH_KINDS),
     'fifth': sorted(_FIFTH_KINDS),
     'fourth': sorted(_THIRD_KINDS | {'worker silent'}),
     'third': sorted(_THIRD_KINDS),
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -15,6 +15,8 @@
 SILENCE_RUN = (8238, 14.0, 4, 'fourth')
 # Draws workers that reboot, odd entries and kills of the owner.
 REBOOT_RUN = (9337, 14.0, 4, 'sixth')
+# Draws data centres that are cut off with the owner and part of the workers.
+PARTITION_RUN = (9632, 14.0, 4, 'seventh')
 SEEDS_PATH = pathlib.Path(__file__).with_name('seeds.txt')
 
 
@@ -36,6 +38,7 @@
         EVACUATION_RUN,
         SILENCE_RUN,
         REBOOT_RUN,
+        PARTITION_RUN,
         *load_regression_runs(),
     ],
 )
