Keep the VMs of the takeover benchmark in their pool

Idle VMs were moved away before the takeover, and the next owner waited for their workers; half of 2,400 tasks had not started after 60 s.

--- a/benchmarks/bench_takeover.py
+++ b/benchmarks/bench_takeover.py
@@ -119,6 +119,8 @@
         ]
         try:
             await site.start()
+            # Without the VM service no VM is moved from the idle pool.
+            site.vm_service.faults.busy = True
             owner, other = nodes
             await owner.start()
             await _wait_until(lambda: owner.is_owner)
