--- a/arbutusrock/engine/tests/test_run_speeds.py
+++ b/arbutusrock/engine/tests/test_run_speeds.py
@@ -10,6 +10,7 @@
 from arbutusrock.engine import placement_requests
 from arbutusrock.engine import run_speeds
 from arbutusrock.engine import straggler_controller
+from arbutusrock.engine.tests import samples
 from arbutusrock.engine.tests import test_cordons
 from arbutusrock.scheduling import placement
 from arbutusrock.utils import clocks
@@ -18,7 +19,7 @@
 def create_pool():
     """Return a controller with two workers, of which the first has a run."""
     controller, workers = test_cordons.create_controller('z1', 'z1')
-    run = test_cordons.add_run(controller.term, workers[0], estimate_ms=1000.0)
+    run = samples.add_run(controller.term, workers[0], estimate_ms=1000.0)
     run.state = job_state.RunState.RUNNING
     return controller, workers, run
 
@@ -67,9 +68,7 @@
 def test_reports_of_runs_of_two_jobs_mark_their_vm():
     controller, (worker, _), run = create_pool()
     term = controller.term
-    other = test_cordons.add_run(
-        term, worker, job_id='1' * 16, estimate_ms=1000.0
-    )
+    other = samples.add_run(term, worker, job_id='1' * 16, estimate_ms=1000.0)
     other.state = job_state.RunState.RUNNING
     begin_s = clocks.now_s()
     for item in (run, other):
@@ -122,7 +121,7 @@
     term = controller.term
     runs = [run]
     for number in range(1, 4):
-        run = test_cordons.add_run(
+        run = samples.add_run(
             term, worker, job_id=f'{number:016}', estimate_ms=1000.0
         )
         run.state = job_state.RunState.RUNNING
--- a/arbutusrock/engine/tests/test_vm_views.py
+++ b/arbutusrock/engine/tests/test_vm_views.py
@@ -12,6 +12,7 @@
 
 from arbutusrock.engine import job_state
 from arbutusrock.engine import plans
+from arbutusrock.engine.tests import samples
 from arbutusrock.engine.tests import test_cordons
 from arbutusrock.engine import vm_views
 from arbutusrock.scheduling import pool_sizing
@@ -34,7 +35,7 @@
     workers = workers[:2]
     silent_count = 2 if others else silent_count
     now_s = clocks.now_s()
-    test_cordons.add_run(controller.term, workers[0], long_running=True)
+    samples.add_run(controller.term, workers[0], long_running=True)
     for worker in workers[:silent_count]:
         worker.unresponsive = unresponsive
         worker.last_reply_at_s = now_s - silent_s
@@ -54,7 +55,7 @@
     controller, workers = test_cordons.create_controller('z1', 'z1')
     term = controller.term
     registry = test_cordons.create_registry(term, workers)
-    test_cordons.add_run(term, workers[0], long_running=True)
+    samples.add_run(term, workers[0], long_running=True)
     for worker in workers:
         registry.vms[worker.vm].cordoned_wave = 1
         worker.cordon_reason = 'wave'
