--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -285,9 +285,7 @@
             await self.register_worker(vm, pool, worker, address)
 
     async def register_worker(self, vm, pool, worker, address, **fields):
-        """Write the registration of a worker to the store.
-
-        Nothing is written while its data centre is cut off.
+        """Write the entry of a worker, unless its data centre is cut off.
 
         :param fields: fields that replace those of the entry.
         """
