Share the link fixture of two test files, and one description of tasks

The fixture of a proxy before the store stood in test_site_partition and in test_site_relay; it is in conftest now. bounded_steps described the other tasks of the loop in two places.

--- a/arbutusrock/utils/bounded_steps.py
+++ b/arbutusrock/utils/bounded_steps.py
@@ -51,7 +51,7 @@
                 step=step,
                 took_s=took_s,
                 waits_at=_describe(task),
-                tasks=list_tasks(),
+                tasks=_describe_all(_find_other_tasks()),
             )
             return None
         if task.cancelled() or task.exception() is not None:
@@ -75,10 +75,13 @@
     return f'{task.get_name()} at {frames}'
 
 
-def list_tasks():
-    """Return a text for each other task of the loop, bounded."""
-    others = asyncio.all_tasks() - {asyncio.current_task()}
-    return sorted(_describe(task) for task in others)[:MAX_NAMED_TASKS]
+def _describe_all(tasks):
+    """Return a text for each task, bounded."""
+    return sorted(_describe(task) for task in tasks)[:MAX_NAMED_TASKS]
+
+
+def _find_other_tasks():
+    return asyncio.all_tasks() - {asyncio.current_task()}
 
 
 async def cancel_other_tasks(bound_s):
@@ -86,9 +89,9 @@
 
     :returns: a text for each one that has not ended within the bound.
     """
-    others = asyncio.all_tasks() - {asyncio.current_task()}
+    others = _find_other_tasks()
     for task in others:
         task.cancel()
     if others:
         _, others = await asyncio.wait(others, timeout=bound_s)
-    return sorted(_describe(task) for task in others)[:MAX_NAMED_TASKS]
+    return _describe_all(others)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import pytest_asyncio
 
 from examples.standins import fleet as fleet_module
+from examples.standins import proxy
 
 
 @pytest_asyncio.fixture
@@ -20,3 +21,16 @@
             for secret in started.keys.values():
                 assert secret not in text
             assert fleet_module.OPERATOR_TOKEN not in text
+
+
+@pytest_asyncio.fixture
+async def link(site):
+    """A proxy on the path of one node to the store.
+
+    The test file has the fixture of the site.
+    """
+    port = int(site.get_address('store').rpartition(':')[2])
+    fault_proxy = proxy.FaultProxy(target_port=port)
+    await fault_proxy.start()
+    yield fault_proxy
+    await fault_proxy.stop()
--- a/tests/test_site_partition.py
+++ b/tests/test_site_partition.py
@@ -8,7 +8,6 @@
 from arbutusrock.engine import platform_messages
 from arbutusrock.engine import term as term_module
 from arbutusrock.scheduling import lease_bounds
-from examples.standins import proxy
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
@@ -26,16 +25,6 @@
         yield stand_in
 
 
-@pytest.fixture
-async def link(site):
-    """A proxy on the path of one node to the store."""
-    port = int(site.get_address('store').rpartition(':')[2])
-    fault_proxy = proxy.FaultProxy(target_port=port)
-    await fault_proxy.start()
-    yield fault_proxy
-    await fault_proxy.stop()
-
-
 class UnreachableWorker:
     """Client of a worker that no call reaches."""
 
--- a/tests/test_site_relay.py
+++ b/tests/test_site_relay.py
@@ -18,16 +18,6 @@
         yield stand_in
 
 
-@pytest.fixture
-async def link(site):
-    """A proxy on the path of one node to the store."""
-    port = int(site.get_address('store').rpartition(':')[2])
-    fault_proxy = proxy.FaultProxy(target_port=port)
-    await fault_proxy.start()
-    yield fault_proxy
-    await fault_proxy.stop()
-
-
 async def start_node_behind(site, link):
     """Start an owner, and a node that reaches the store through the link.
 
