--- /dev/null
+++ b/review/lab2/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the scripted cases 6 to 10."""
