--- a/review/lab2/workers.py
+++ b/review/lab2/workers.py
@@ -11,7 +11,10 @@
 
 from examples.standins.site import workers
 
-__all__ = ['install']
+__all__ = ['install', 'rejected']
+
+# (worker, task, ticket) of each start that was rejected for its ticket.
+rejected = []
 
 
 class ProgressWorker(workers.StandInWorker):
@@ -35,6 +38,18 @@
         return min(99, int(100 * age_s / _get_duration_s(run_record)))
 
 
+class TicketWorker(ProgressWorker):
+    """Worker that starts nothing without the ticket of the policy."""
+
+    async def start(self, request):
+        body = request[workers.BODY_KEY]
+        ticket = body.get('ticket', '')
+        if ticket != f'ticket-{self.worker_id}':
+            rejected.append((self.worker_id, body['task'], ticket))
+            return self._create_response(status=409, reason='ticket')
+        return await super().start(request)
+
+
 def _decode_spec(spec):
     return json.loads(spec) if spec else {}
 
@@ -48,6 +63,9 @@
     return max(ms, 1) / 1000
 
 
-def install():
-    """Have the stand-ins of the platform start these workers."""
-    workers.StandInWorker = ProgressWorker
+def install(*, needs_ticket=False):
+    """Have the stand-ins of the platform start these workers.
+
+    :param needs_ticket: whether they start nothing without a ticket.
+    """
+    workers.StandInWorker = TicketWorker if needs_ticket else ProgressWorker
