Divide the progress of a job over rows, and set refused rows aside

Cause: the progress of a job was one row, of which only checkpoints and failed runs were left out when it was too long. The map of done tasks outgrew the limit of the store, which answers 400 then. The owner took that for a store that is busy or away: it repeated the transaction for ever, and the heartbeat, all other progress and all acknowledgements waited behind it; the relay took the path to the store for down and offered the call to peers.

Evidence: `cannot write to the store; retrying`, `status 400`, once for each owner; with two occurrences the row stays short and the case holds.

Nothing that decides whether a task may start is left out. A transaction that the store rejects (400, 413) is halved until the row is found; it is set aside and tried again with a growing delay, all others are written in the same flush, the heartbeat before them. Its job is suspended, which is stored with its head; until then ends of its runs stay unacknowledged. The limit of a row is taken as that of its text in base64, in one place. Heartbeats leave out counts of queues when they are too long. Rows of progress that belong to no job are removed by the next owner.

Why it works: parts go before the head and removals after it, so an owner that is lost between two transactions leaves no less than what workers were told to forget.

--- a/arbutusrock/commands/node.py
+++ b/arbutusrock/commands/node.py
@@ -30,9 +30,13 @@
         output.print_answer(view, json=True)
         return
     pools, accounts = view.pop('pools'), view.pop('accounts')
+    refused_rows = view.pop('refused_rows', [])
     output.print_answer(view, json=False)
     if view['epoch']:
         print()
         output.print_table(pools, POOL_COLUMNS)
         print()
         output.print_table(accounts)
+    if refused_rows:
+        print()
+        output.print_table(refused_rows)
--- a/arbutusrock/engine/crash_tracker.py
+++ b/arbutusrock/engine/crash_tracker.py
@@ -94,8 +94,7 @@
         self._request_flush(task)
 
     def _request_flush(self, task):
-        job = task.step.job
-        self.term.job_registry.dirty_jobs[job.job_id] = job
+        self.term.job_registry.mark_changed(task)
         self.term.request_flush()
 
     def drop_run(self, run):
@@ -162,7 +161,7 @@
                 survived_s=round(run.survived_s, 3),
             )
             del task.step.job.progress.crashes[task.unit.progress_key]
-            self._request_flush(task)
+            self._request_flush(task.unit)
 
     def record_end(self, worker, cause):
         """Record the end of an incarnation, before its runs are removed.
--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatcher.py
@@ -480,9 +480,10 @@
     def start_extra_run(self, task):
         """Start an extra run of a task; return whether one was started.
 
-        A task that may crash its worker gets no extra runs.
+        A task that may crash its worker gets no extra runs, and a job that is
+        suspended none at all.
         """
-        if guarded_starts.is_suspect(task):
+        if guarded_starts.is_suspect(task) or task.step.job.progress.suspended:
             return False
         worker = self._find_worker(task)
         if worker is None or not self._fits_account_limit(task.step, 1):
--- a/arbutusrock/engine/job_registry.py
+++ b/arbutusrock/engine/job_registry.py
@@ -40,6 +40,7 @@
         submission,
         *,
         progress=None,
+        layout=None,
         inherited=False,
         read_at_s=0.0,
         stored_version=0,
@@ -52,6 +53,7 @@
             job_id=job_id,
             submission=submission,
             progress=progress or plans.JobProgress(),
+            layout=layout,
             inherited=inherited,
             read_at_s=read_at_s,
             stored_version=stored_version,
@@ -113,6 +115,9 @@
         for step in occurrence.steps:
             self._restore_step(step)
         self._unblock_steps(occurrence, now_s)
+        if occurrence.done:
+            # An earlier owner has stored the ends of its tasks only.
+            self._finish_occurrence(occurrence, clocks.wall_time_s())
 
     @staticmethod
     def _restore_step(step):
@@ -145,15 +150,61 @@
         task.status = job_state.TaskStatus.WAITING
         task.queued_at_s = now_s
         step.waiting[task.index] = task
-        pool = step.job.submission.pool
-        self.waiting_steps.setdefault(pool, {})[id(step)] = step
+        self._list_waiting(step)
+
+    def _list_waiting(self, step):
+        if step.waiting and not step.job.progress.suspended:
+            pool = step.job.submission.pool
+            self.waiting_steps.setdefault(pool, {})[id(step)] = step
 
     def _remove_waiting(self, task):
         step = task.step
         step.waiting.pop(task.index, None)
         if not step.waiting:
-            pool = step.job.submission.pool
-            self.waiting_steps.get(pool, {}).pop(id(step), None)
+            self._unlist_waiting(step)
+
+    def _unlist_waiting(self, step):
+        pool = step.job.submission.pool
+        self.waiting_steps.get(pool, {}).pop(id(step), None)
+
+    def suspend(self, job):
+        """Start nothing more of a job; its runs go on."""
+        job.progress.suspended = True
+        self._mark_job(job)
+        for occurrence in job.occurrences.values():
+            for step in occurrence.steps:
+                self._unlist_waiting(step)
+
+    def resume(self, job):
+        """Start tasks of a suspended job again."""
+        job.progress.suspended = False
+        self._mark_job(job)
+        for occurrence in job.occurrences.values():
+            for step in occurrence.steps:
+                self._list_waiting(step)
+
+    def find_suspended(self):
+        """Return the ids of the open jobs that are suspended."""
+        return [
+            job_id
+            for job_id, job in self.open_jobs.items()
+            if job.progress.suspended
+        ]
+
+    def mark_changed(self, task):
+        """Record that the state of a task in its job's rows has changed."""
+        step, job = task.step, task.step.job
+        self.dirty_jobs[job.job_id] = job
+        if job.layout is not None:
+            job.layout.mark_task(
+                step.occurrence.number, step.number, task.index
+            )
+
+    def _mark_job(self, job):
+        """Record that the state of a job itself has changed."""
+        self.dirty_jobs[job.job_id] = job
+        if job.layout is not None:
+            job.layout.head_changed = True
 
     def mark_active(self, task):
         """Record that a run of the task was ordered, or found on a worker."""
@@ -192,7 +243,7 @@
             job.progress.unresolved,
         ):
             entries.pop(task.progress_key, None)
-        self.dirty_jobs[job.job_id] = job
+        self.mark_changed(task)
         if not step.done:
             return False
         if step.occurrence.done:
@@ -204,7 +255,10 @@
         job = occurrence.job
         prefix = f'{occurrence.number}.'
         progress = job.progress
-        progress.finished.append(occurrence.number)
+        progress.finished.add(occurrence.number)
+        self.dirty_jobs[job.job_id] = job
+        if job.layout is not None:
+            job.layout.mark_finished(occurrence.number, progress.finished)
         for entries in (
             progress.done,
             progress.failed_runs,
@@ -232,7 +286,7 @@
         runs = job.progress.failed_runs.setdefault(task.progress_key, [])
         if run not in runs:
             runs.append(run)
-            self.dirty_jobs[job.job_id] = job
+            self.mark_changed(task)
         if len(task.failed_runs) < max_attempts or job.ended:
             return False
         self.fail(job, wall_s)
@@ -251,9 +305,8 @@
         if task.step.plan.gang:
             for other in task.step.tasks:
                 other.checkpoint = checkpoint
-        job = task.step.job
-        job.progress.checkpoints[task.progress_key] = checkpoint
-        self.dirty_jobs[job.job_id] = job
+        task.step.job.progress.checkpoints[task.progress_key] = checkpoint
+        self.mark_changed(task)
 
     def cancel(self, job, wall_s):
         """Record that a job is cancelled; an ended job stays unchanged."""
@@ -263,7 +316,7 @@
     def _end_job(self, job, status, wall_s):
         job.progress.status = status
         job.progress.ended_ms = wall_s * 1000
-        self.dirty_jobs[job.job_id] = job
+        self._mark_job(job)
         self._scheduled.pop(job.job_id, None)
         self.open_jobs.pop(job.job_id, None)
         self._count_tasks(job, -len(job.occurrences))
@@ -278,7 +331,10 @@
             self.add(
                 job_id,
                 plans.decode_submission(submission),
-                progress=plans.decode_progress(progress),
+                progress=plans.JobProgress(
+                    status=plans.decode_status(progress),
+                    ended_ms=plans.get_ended_ms(progress),
+                ),
                 inherited=True,
             )
         return self.jobs.get(job_id)
--- a/arbutusrock/engine/job_state.py
+++ b/arbutusrock/engine/job_state.py
@@ -281,6 +281,8 @@
 
     :param submission: :class:`plans.Submission`.
     :param progress: :class:`plans.JobProgress`.
+    :param layout: :class:`arbutusrock.engine.progress_layout.Layout` of its
+        rows; None while its progress is one row.
     :param inherited: whether it was accepted before this node became the
         owner.
     :param read_at_s: when this owner read it; 0 for an inherited job.
@@ -291,7 +293,7 @@
         'job_id',
         'submission',
         'progress',
-        'progress_version',
+        'layout',
         'inherited',
         'read_at_s',
         'stored_version',
@@ -310,13 +312,14 @@
         submission,
         progress,
         inherited,
+        layout=None,
         read_at_s=0.0,
         stored_version=0,
     ):
         self.job_id = job_id
         self.submission = submission
         self.progress = progress
-        self.progress_version = 0
+        self.layout = layout
         self.inherited = inherited
         self.read_at_s = read_at_s
         self.stored_version = stored_version
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/leader.py
@@ -17,6 +17,7 @@
 from arbutusrock.engine import owner_knowledge
 from arbutusrock.engine import pace_controller
 from arbutusrock.engine import plans
+from arbutusrock.engine import progress_layout
 from arbutusrock.engine import registration_controller
 from arbutusrock.engine import retention
 from arbutusrock.engine import rows
@@ -255,14 +256,14 @@
         """
         registry = self.term.job_registry
         job_rows, self._jobs_version = jobs
-        progress_rows = {row.key: row for row in progress[0]}
+        stored = progress_layout.group_rows(progress[0])
         slice_began_at_s = clocks.now_s()
         outlines = {
             row.key: plans.read_outline(row.value)
             for row in job_rows
             if row.value and not row.key.endswith(CANCEL_SUFFIX)
         }
-        self._count_waiting(outlines, progress_rows)
+        self._count_waiting(outlines, stored)
         # Cancellations come last, as they name jobs.
         job_rows.sort(
             key=lambda row: (
@@ -270,7 +271,7 @@
             )
         )
         for row in job_rows:
-            self._apply_job_row(row, progress_rows, inherited=True)
+            self._apply_job_row(row, stored, inherited=True)
             # Creating the tasks takes most of the time.
             registry.start_job(row.key, clocks.wall_time_s(), clocks.now_s())
             slice_s = clocks.now_s() - slice_began_at_s
@@ -278,22 +279,25 @@
                 await asyncio.sleep(slice_s)
                 slice_began_at_s = clocks.now_s()
         await self._catch_up()
+        self.state_writer.progress_rows.remove_orphans(
+            stored, {row.key for row in job_rows}
+        )
         self.run_controller.crash_tracker.restore()
         self.term.jobs_loaded.set()
         self.term.phases.mark('rows_read')
         return self._jobs_version
 
-    def _count_waiting(self, outlines, progress_rows):
+    def _count_waiting(self, outlines, stored):
         """Count the jobs that wait, for callers that ask during the load.
 
         :param outlines: :class:`plans.Outline` or None, by job.
-        :param progress_rows: rows of progress, by job.
+        :param stored: :class:`progress_layout.StoredProgress` by job.
         """
         waiting = collections.Counter(
             outline.queue
             for job_id, outline in outlines.items()
             if outline and not outline.plan.times
-            if job_id not in progress_rows
+            if job_id not in stored
         )
         self.term.inherited_waiting = dict(waiting)
 
@@ -320,10 +324,10 @@
             self._apply_job_rows(found, whole, version)
             return
 
-    def _apply_job_row(self, row, progress_rows, *, inherited=False):
+    def _apply_job_row(self, row, stored, *, inherited=False):
         """Apply the row of a job or of a cancellation.
 
-        :param progress_rows: rows of progress, by job.
+        :param stored: :class:`progress_layout.StoredProgress` by job.
         :param inherited: whether it was accepted under an earlier owner.
         """
         if row.value is None:
@@ -337,7 +341,7 @@
         ):
             return
         try:
-            self._add_job(row, progress_rows.get(row.key), inherited)
+            self._add_job(row, stored.get(row.key), inherited)
         except msgspec.DecodeError as exc:
             # One such row must not end the ownership of each node in turn.
             LOG.error(
@@ -347,30 +351,34 @@
                 error=str(exc),
             )
 
-    def _add_job(self, row, state, inherited):
+    def _add_job(self, row, stored, inherited):
         """Add the job of a row.
 
-        :param state: its row of progress, or None.
+        :param stored: :class:`progress_layout.StoredProgress`, or None.
         :raises msgspec.DecodeError: when one of the rows is not valid.
         """
-        if state is not None:
-            self.state_writer.set_version(row.key, state.version)
-            if plans.has_ended(state.value):
-                self.term.job_registry.archived_rows[row.key] = (
-                    row.value,
-                    state.value,
-                )
-                return
+        progress, layout, head = None, None, stored and stored.head
+        if stored is not None:
+            self.state_writer.progress_rows.record_read(row.key, stored)
+        if head is not None and plans.has_ended(head.value):
+            self.term.job_registry.archived_rows[row.key] = (
+                row.value,
+                head.value,
+            )
+            return
         submission = plans.decode_submission(row.value)
+        if stored is not None:
+            progress, layout = stored.decode(submission.plan)
         job = self.term.job_registry.add(
             row.key,
             submission,
-            progress=plans.decode_progress(state.value) if state else None,
+            progress=progress,
+            layout=layout,
             inherited=inherited,
             read_at_s=0.0 if inherited else clocks.now_s(),
             stored_version=row.version,
         )
-        job.started = state is not None
+        job.started = head is not None
         job.excess = self._is_excess(submission)
         self._record_arrival(job)
 
--- a/arbutusrock/engine/node_settings.py
+++ b/arbutusrock/engine/node_settings.py
@@ -14,7 +14,8 @@
         balancer.
     :param metrics: ``host:port`` of metrics, status and calls between nodes.
     :param store: ``host:port`` of the store.
-    :param store_row_bytes: size of the largest row that the store takes.
+    :param store_row_bytes: size of the largest value that a row of the store
+        takes, before it is encoded as text.
     :param vm_service: ``host:port`` of the VM service, or empty where there is
         none.
     :param advice_service: ``host:port`` of the advice service, or empty where
@@ -36,7 +37,7 @@
     metrics: str
     cores: float = 1.0
     store: str
-    store_row_bytes: int = 65536
+    store_row_bytes: int = 49152
     vm_service: str = ''
     advice_service: str = ''
     grace_s: float = 6.0
--- a/arbutusrock/engine/plans.py
+++ b/arbutusrock/engine/plans.py
@@ -1,5 +1,7 @@
 """Stored rows of jobs: what a caller submitted, and its progress."""
 
+import zlib
+
 import msgspec
 
 from arbutusrock.scheduling import crash_attribution
@@ -7,21 +9,30 @@
 from arbutusrock.utils import decoders
 
 __all__ = [
+    'MAX_SUBMISSION_BYTES',
     'JobPlan',
     'JobProgress',
     'JobStatus',
     'StepPlan',
     'Submission',
-    'encode_progress',
     'decode_progress',
+    'decode_status',
     'decode_submission',
     'encode_row',
+    'encode_submission',
     'get_ended_ms',
     'has_ended',
     'read_outline',
 ]
 
 
+# Longest submission, before it is compressed. It bounds what an owner has to
+# go through for one job.
+MAX_SUBMISSION_BYTES = 65_536
+# First byte of a compressed row; no other row begins with it: they are maps.
+COMPRESSED = b'Z'
+
+
 class JobStatus:
     """States of a job."""
 
@@ -113,7 +124,10 @@
 
 
 class JobProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
-    """Row with the progress of a job.
+    """Progress of a job, and its row unless that is divided.
+
+    How it is divided is described at
+    :mod:`arbutusrock.engine.progress_layout`.
 
     :param done: bitmap of the done tasks by "occurrence.step".
     :param failed_runs: numbers of the failed runs by "occurrence.step.index".
@@ -124,6 +138,8 @@
         crashed.
     :param finished: numbers of the occurrences whose tasks are all done.
     :param ended_ms: Unix time at which the job ended; 0 before.
+    :param suspended: whether a part of its progress could not be stored.
+        Nothing of the job may be started then.
     """
 
     status: str = JobStatus.RUNNING
@@ -132,8 +148,9 @@
     checkpoints: dict[str, str] = {}
     crashes: dict[str, list[crash_attribution.CrashRecord]] = {}
     unresolved: dict[str, list[crash_attribution.UnresolvedRun]] = {}
-    finished: list[int] = []
+    finished: set[int] = set()
     ended_ms: float = 0.0
+    suspended: bool = False
 
 
 class _Status(msgspec.Struct):
@@ -172,6 +189,11 @@
 _decode_status = decoders.create_msgpack_decoder(_Status)
 
 
+def decode_status(data):
+    """Return the status of a job from an encoded progress row."""
+    return _decode_status(data).status
+
+
 def has_ended(data):
     """Return whether the job of an encoded progress row has ended."""
     return _decode_status(data).status in JobStatus.ENDED
@@ -185,35 +207,40 @@
 def read_outline(data):
     """Return the :class:`Outline` of an encoded row; None if it has none."""
     try:
-        return _decode_outline(data)
+        return _decode_outline(_decompress(data))
     except msgspec.DecodeError:
         return None
 
 
-def encode_progress(progress, max_bytes):
-    """Encode a :class:`JobProgress` in at most ``max_bytes``.
+def encode_submission(submission, max_bytes):
+    """Encode a :class:`Submission`; a long one is compressed.
 
-    A row that the store does not take would hold up all later writes. What a
-    later owner can do without is left out: checkpoints first, then the failed
-    runs of the tasks that have fewest.
+    :param max_bytes: size of the largest value that a row takes.
+    :returns: bytes; more than ``max_bytes`` when it fits into no row.
     """
-    data = encode_row(progress)
-    if len(data) <= max_bytes:
-        return data
-    progress = msgspec.structs.replace(progress, checkpoints={})
-    data = encode_row(progress)
-    failed_runs = sorted(
-        progress.failed_runs.items(), key=lambda item: -len(item[1])
-    )
-    while len(data) > max_bytes and failed_runs:
-        failed_runs = failed_runs[: len(failed_runs) // 2]
-        progress = msgspec.structs.replace(
-            progress, failed_runs=dict(failed_runs)
-        )
-        data = encode_row(progress)
+    data = encode_row(submission)
+    if max_bytes < len(data) <= MAX_SUBMISSION_BYTES:
+        return COMPRESSED + zlib.compress(data)
     return data
 
 
+def decode_submission(data):
+    """Decode the row of a :class:`Submission`.
+
+    :raises msgspec.DecodeError: it is malformed.
+    """
+    return _decode_submission(_decompress(data))
+
+
+def _decompress(data):
+    if data[:1] != COMPRESSED:
+        return data
+    try:
+        return zlib.decompressobj().decompress(data[1:], MAX_SUBMISSION_BYTES)
+    except zlib.error as exc:
+        raise msgspec.DecodeError(str(exc)) from exc
+
+
 encode_row = msgspec.msgpack.Encoder().encode
-decode_submission = decoders.create_msgpack_decoder(Submission)
+_decode_submission = decoders.create_msgpack_decoder(Submission)
 decode_progress = decoders.create_msgpack_decoder(JobProgress)
--- a/arbutusrock/engine/relay.py
+++ b/arbutusrock/engine/relay.py
@@ -195,7 +195,7 @@
                 result = await self._wait_until_restored(direct())
             if result is None:
                 result = await direct()
-        except (rows.Conflicted, rows.HistoryLost):
+        except (rows.Conflicted, rows.HistoryLost, rows.WriteRejected):
             self._record_success()
             raise
         except (rows.StoreRefused, rows.StoreSilent) as exc:
@@ -407,6 +407,7 @@
         rows.StoreBusy,
         rows.StoreRefused,
         rows.StoreSilent,
+        rows.WriteRejected,
     ) as exc:
         return Answer(outcome=type(exc).__name__, text=str(exc))
     return Answer(
@@ -425,6 +426,8 @@
             raise rows.HistoryLost(answer.text)
         case 'StoreBusy':
             raise rows.StoreBusy(answer.text)
+        case 'WriteRejected':
+            raise rows.WriteRejected(answer.text)
         case 'StoreSilent':
             raise rows.StoreSilent(answer.text)
         case _:
--- a/arbutusrock/engine/retention.py
+++ b/arbutusrock/engine/retention.py
@@ -100,10 +100,10 @@
             await self.store.transact(removes=removes)
 
     async def _remove_progress(self, job_ids):
-        await self.store.transact(
-            expected=[self.state_writer.create_claim_condition()],
-            removes=[
-                rows.Row(table=rows.TABLE_PROGRESS, key=job_id)
+        await self.state_writer.remove_progress(
+            [
+                key
                 for job_id in job_ids
-            ],
+                for key in self.state_writer.progress_rows.get_keys(job_id)
+            ]
         )
--- a/arbutusrock/engine/roster.py
+++ b/arbutusrock/engine/roster.py
@@ -22,9 +22,6 @@
 MAX_NAME_BYTES = 200
 # Encoded size of a worker: three names and the bytes that frame them.
 MAX_ENTRY_BYTES = 3 * (MAX_NAME_BYTES + 3) + 1
-# Part of a row that a segment may fill, as the limit may be that of its text
-# in base64.
-ROW_FRACTION = 0.74
 LOG = logs.get_log('journal')
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -74,16 +71,14 @@
 class Roster:
     """Segments of the roster, as far as this owner knows.
 
-    :param row_bytes: size of the largest row that the store takes.
+    :param row_bytes: size of the largest value that a row takes.
     """
 
     __slots__ = ('max_workers', '_segments', '_numbers', '_wanted', '_changed')
 
     def __init__(self, *, row_bytes):
         # Number of workers that a segment has room for.
-        self.max_workers = max(
-            1, int(row_bytes * ROW_FRACTION) // MAX_ENTRY_BYTES
-        )
+        self.max_workers = max(1, row_bytes // MAX_ENTRY_BYTES)
         self._segments = []
         # Segment by worker.
         self._numbers = {}
--- a/arbutusrock/engine/rows.py
+++ b/arbutusrock/engine/rows.py
@@ -29,6 +29,7 @@
     'TABLE_ROSTER',
     'TABLE_WAVES',
     'TABLE_WORKERS',
+    'WriteRejected',
     'get_job_part',
 ]
 
@@ -80,22 +81,25 @@
         self._empty = True
 
     def take(self, found, *, entries_each, most):
-        """Take the first rows that fit; the very first one always fits.
+        """Take the first writes that fit; the very first one always fits.
 
-        :param found: rows or others with a ``value``.
-        :param entries_each: entries that each of them takes.
-        :param most: maximum number of rows.
+        :param found: rows, or others with a ``value``, or writes whose
+            ``rows`` have to be in one transaction.
+        :param entries_each: entries that each row takes.
+        :param most: maximum number of writes.
         :returns: ``(taken, others)``.
         """
         count = 0
-        for row in found[:most]:
-            size = len(row.value)
-            if self.entries < entries_each or (
-                not self._empty and size > self.bytes
+        for item in found[:most]:
+            together = getattr(item, 'rows', (item,))
+            size = sum(len(row.value) for row in together)
+            entries = entries_each * len(together)
+            if not self._empty and (
+                entries > self.entries or size > self.bytes
             ):
                 break
             self._empty = False
-            self.entries -= entries_each
+            self.entries -= entries
             self.bytes -= size
             count += 1
         return found[:count], found[count:]
@@ -133,6 +137,10 @@
     """The store did not carry out the call: nothing was written."""
 
 
+class WriteRejected(StoreRefused):
+    """The store never takes a transaction with these rows."""
+
+
 class StoreBusy(StoreRefused):
     """The store refused the call as all nodes together send too many."""
 
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/run_controller.py
@@ -302,7 +302,9 @@
         if job is not None and job.job_id in self.term.job_registry.dirty_jobs:
             flush_number = self.state_writer.get_next_flush_number()
             self.term.request_flush()
-        worker.pending_acks.append((completion.number, flush_number))
+        worker.pending_acks.append(
+            (completion.number, flush_number, job.job_id if job else '')
+        )
         if (
             flush_number == self.state_writer.flushes_completed
             and len(worker.pending_acks) == 1
--- a/arbutusrock/engine/state_writer.py
+++ b/arbutusrock/engine/state_writer.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from arbutusrock.engine import owner_knowledge
-from arbutusrock.engine import plans
+from arbutusrock.engine import progress_rows as progress_rows_module
+from arbutusrock.engine import refused_rows
 from arbutusrock.engine import roster as roster_module
 from arbutusrock.engine import rows
 from arbutusrock.engine import term as term_module
@@ -31,8 +32,14 @@
 # Entries of the owner's own rows in a transaction: the claim, the heartbeat,
 # which may be expected and written, and the knowledge.
 OWNER_ENTRIES = 4
+# Entries of the call that removes rows: the claim and the rows.
+MAX_REMOVED_ROWS = 90
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 0.5
+# How long heartbeats stay reduced after the store has rejected one.
+REDUCED_S = 60.0
+# Delay after a call that removes rows has failed.
+REMOVE_RETRY_S = 2.0
 LOG = logs.get_log('journal')
 
 
@@ -45,6 +52,7 @@
         before.
     :param dark: names of silent workers for the next owner, as of
         :meth:`arbutusrock.scheduling.dark_workers.DarkWorkers.name`.
+    :param waiting_known: whether ``waiting`` is complete.
     """
 
     node: str
@@ -53,18 +61,73 @@
     bursts: dict[str, tuple[float, float]] = {}
     loaded_epoch: int = 0
     dark: object = None
+    waiting_known: bool = True
 
 
 class _Batch:
-    """Rows of one transaction.
+    """Writes of one transaction.
 
-    :ivar segments: :class:`roster_module.SegmentWrite` of each changed one.
-    :ivar progress: rows of jobs.
-    :ivar others: rows that other components have queued.
+    :param segments: :class:`roster_module.SegmentWrite` of each changed one.
+    :param progress: :class:`progress_rows_module.ProgressWrite` of jobs.
+    :param others: rows that other components have queued.
     """
 
     __slots__ = ('segments', 'progress', 'others')
 
+    def __init__(self, *, segments=(), progress=(), others=()):
+        self.segments = segments
+        self.progress = progress
+        self.others = others
+
+    def __len__(self):
+        return len(self.segments) + len(self.progress) + len(self.others)
+
+    @property
+    def progress_rows(self):
+        """Rows of jobs."""
+        return [row for write in self.progress for row in write.rows]
+
+    @property
+    def rows(self):
+        """All rows."""
+        return [
+            *self.progress_rows,
+            *self.others,
+            *(write.row for write in self.segments),
+        ]
+
+    def split(self):
+        """Return batches of each kind, or two halves of a single kind."""
+        kinds = [name for name in self.__slots__ if getattr(self, name)]
+        if len(kinds) > 1:
+            return [_Batch(**{name: getattr(self, name)}) for name in kinds]
+        found = getattr(self, kinds[0])
+        middle = len(found) // 2
+        return [
+            _Batch(**{kinds[0]: half})
+            for half in (found[:middle], found[middle:])
+        ]
+
+    def take_refused(self, refused):
+        """Take out the writes with a row that the store has refused before.
+
+        :param refused: :class:`refused_rows.RefusedRows`.
+        :returns: a batch for each of them.
+        """
+        taken = []
+        if not len(refused):
+            return taken
+        for name in self.__slots__:
+            kept = []
+            for write in getattr(self, name):
+                batch = _Batch(**{name: [write]})
+                if any(row in refused for row in batch.rows):
+                    taken.append(batch)
+                else:
+                    kept.append(write)
+            setattr(self, name, kept)
+        return taken
+
 
 class StateWriter:
     """Writes the owner's rows in one task.
@@ -93,18 +156,23 @@
         self._heartbeat_version = term.heartbeat_version
         self._heartbeat_count = 0
         self._heartbeat_sent_at_s = 0.0
-        self._versions = {}
+        # Rows that the store refuses for what they hold.
+        self.refused = refused_rows.RefusedRows(metrics=term.metrics)
+        self.progress_rows = progress_rows_module.ProgressRows(
+            job_registry=term.job_registry,
+            refused=self.refused,
+            max_row_bytes=term.settings.store_row_bytes,
+        )
+        self._remove_after_s = 0.0
+        # Until when heartbeats hold only what no later owner can do without.
+        self._reduced_until_s = 0.0
         # Rows that other components have queued for the next flush.
         self._queued_rows = {}
         self._flush_completed = asyncio.Event()
 
-    def set_version(self, job_id, version):
-        """Record the version of a progress row that was read."""
-        self._versions[job_id] = version
-
     def remove_job(self, job_id):
-        """Forget the version of a progress row that was removed."""
-        self._versions.pop(job_id, None)
+        """Forget a job whose rows of progress were removed."""
+        self.progress_rows.forget(job_id)
 
     def enqueue_row(self, row):
         """Queue a row for the next flush."""
@@ -145,14 +213,10 @@
         """Write all changed rows, and the heartbeat when it is due."""
         self.term.flush_due.clear()
         self.flushes_started += 1
-        jobs = list(self.term.job_registry.dirty_jobs.values())
-        self.term.job_registry.dirty_jobs.clear()
-        progress = [self._create_progress(job) for job in jobs]
-        queued_rows = list(self._queued_rows.values())
-        self._queued_rows.clear()
-        # Workers that are new get no runs before they are in the roster.
-        self.roster.update(self.term.fleet)
-        segments = self.roster.create_due_writes()
+        due = self._collect_due_writes()
+        retried = due.take_refused(self.refused)
+        segments, progress = due.segments, due.progress
+        queued_rows = due.others
         first = True
         while first or segments or progress or queued_rows:
             room = rows.BatchRoom(
@@ -171,20 +235,67 @@
             )
             await self._commit(batch, first=first)
             first = False
+        for batch in retried:
+            await self._commit_isolated(batch)
         self.flushes_completed = self.flushes_started
         self._flush_completed.set()
         self._acknowledge_completions()
+        await self._remove_rows()
 
-    def _create_progress(self, job):
-        return rows.Row(
-            table=rows.TABLE_PROGRESS,
-            key=job.job_id,
-            value=plans.encode_progress(
-                job.progress, self.term.settings.store_row_bytes
-            ),
-            version=self._versions.get(job.job_id, 0),
+    def _collect_due_writes(self):
+        """Return all that is to be written now, as one large batch."""
+        now_s = clocks.now_s()
+        # Workers that are new get no runs before they are in the roster.
+        self.roster.update(self.term.fleet)
+        held = {
+            key: row
+            for key, row in self._queued_rows.items()
+            if self.refused.is_held(*key, now_s)
+        }
+        queued, self._queued_rows = self._queued_rows, held
+        return _Batch(
+            segments=[
+                write
+                for write in self.roster.create_due_writes()
+                if not self.refused.is_held(
+                    write.row.table, write.row.key, now_s
+                )
+            ],
+            progress=self.progress_rows.create_due_writes(now_s),
+            others=[row for key, row in queued.items() if key not in held],
         )
 
+    async def _remove_rows(self):
+        """Remove rows of progress that are not needed any more.
+
+        That is tried again later when the store does not do it now.
+        """
+        removable = self.progress_rows.get_removable()
+        if not removable or clocks.now_s() < self._remove_after_s:
+            return
+        removed = removable[:MAX_REMOVED_ROWS]
+        try:
+            await self.remove_progress([key for _, key in removed])
+        except (rows.StoreRefused, rows.StoreSilent, rows.Conflicted) as exc:
+            LOG.info('rows are not removed yet', error=str(exc))
+            self._remove_after_s = clocks.now_s() + REMOVE_RETRY_S
+            return
+        self.progress_rows.record_removed(removed)
+
+    async def remove_progress(self, keys):
+        """Remove rows of progress, on the condition of the claim.
+
+        :raises rows.Conflicted: the claim has changed.
+        """
+        for first in range(0, len(keys), MAX_REMOVED_ROWS):
+            await self.store.transact(
+                expected=[self.create_claim_condition()],
+                removes=[
+                    rows.Row(table=rows.TABLE_PROGRESS, key=key)
+                    for key in keys[first : first + MAX_REMOVED_ROWS]
+                ],
+            )
+
     def _create_owner_rows(self):
         self._heartbeat_count += 1
         now_s = clocks.now_s()
@@ -199,17 +310,24 @@
             ),
             dark=names or None,
         )
+        reduced = clocks.now_s() < self._reduced_until_s
         value = msgspec.msgpack.encode(heartbeat)
-        if len(value) > self.term.settings.store_row_bytes:
-            # They grow with the pools, and can be learned again.
-            LOG.warning('a heartbeat is too long', bytes=len(value))
-            heartbeat = msgspec.structs.replace(heartbeat, bursts={})
-            value = msgspec.msgpack.encode(heartbeat)
+        max_bytes = self.term.settings.store_row_bytes
+        # What grows with pools and queues can be learned or counted again.
+        for left_out in (
+            {'bursts': {}},
+            {'waiting': {}, 'waiting_known': False},
+        ):
+            if len(value) > max_bytes or reduced:
+                LOG.warning('a heartbeat is reduced', bytes=len(value))
+                heartbeat = msgspec.structs.replace(heartbeat, **left_out)
+                value = msgspec.msgpack.encode(heartbeat)
         self.on_heartbeat(heartbeat)
         puts = [
-            rows.Row(table=rows.TABLE_OWNER, key=KEY_HEARTBEAT, value=value),
-            *self.knowledge.create_due_rows(),
+            rows.Row(table=rows.TABLE_OWNER, key=KEY_HEARTBEAT, value=value)
         ]
+        if not reduced:
+            puts += self.knowledge.create_due_rows()
         return puts, bool(names)
 
     def create_claim_condition(self):
@@ -231,24 +349,94 @@
         return rows.Row(table=rows.TABLE_OWNER, key=key, version=version)
 
     async def _commit(self, batch, *, first):
+        """Write a batch, but for the rows that the store refuses.
+
+        :param first: whether it is the first batch of its flush.
+        """
+        try:
+            await self._commit_whole(batch, first=first)
+        except rows.WriteRejected as exc:
+            LOG.warning(
+                'the store rejects a transaction',
+                writes=len(batch),
+                error=str(exc),
+            )
+            # The ownership must not depend on what the batch holds.
+            await self._commit_heartbeat()
+            if len(batch):
+                await self._commit_isolated(batch)
+
+    async def _commit_heartbeat(self):
+        """Write the heartbeat on its own.
+
+        It is reduced for a while when the store rejects it.
+
+        :raises term_module.OwnershipLost: the store rejects that, too.
+        """
+        try:
+            await self._commit_whole(_Batch(), first=True)
+        except rows.WriteRejected as exc:
+            LOG.error('the store rejects the heartbeat', error=str(exc))
+            if clocks.now_s() < self._reduced_until_s:
+                raise term_module.OwnershipLost(
+                    'the heartbeat cannot be stored'
+                ) from exc
+            self._reduced_until_s = clocks.now_s() + REDUCED_S
+            await self._commit_heartbeat()
+
+    async def _isolate(self, batch, cause):
+        """Write a batch that was rejected in halves, without a heartbeat.
+
+        A heartbeat that comes due meanwhile is written on its own. A write
+        that is rejected on its own is set aside.
+        """
+        if len(batch) == 1:
+            self._set_aside(batch, cause)
+            return
+        for half in batch.split():
+            await self._commit_isolated(half)
+
+    async def _commit_isolated(self, batch):
+        if self._is_heartbeat_due(batch, False, clocks.now_s()):
+            await self._commit_heartbeat()
+        try:
+            await self._commit_whole(batch, first=False, isolated=True)
+        except rows.WriteRejected as exc:
+            await self._isolate(batch, str(exc))
+
+    def _set_aside(self, batch, cause):
+        now_s = clocks.now_s()
+        if batch.progress:
+            self.progress_rows.record_refused(batch.progress[0], cause, now_s)
+        else:
+            self.refused.record(batch.rows[0], cause, now_s)
+        self.term.request_flush()
+        for row in batch.others:
+            # One that was queued meanwhile is newer.
+            self._queued_rows.setdefault((row.table, row.key), row)
+
+    async def _commit_whole(self, batch, *, first, isolated=False):
         """Write a batch, with a heartbeat when one is due.
 
         :param first: whether it is the first batch of its flush.
+        :param isolated: whether the batch is written without a heartbeat.
+        :raises rows.WriteRejected: the store never takes one of the rows.
         """
         # Read once, and before the choice: what is written then confirms the
         # ownership as of this time, however long the process stalls meanwhile.
         sent_at_s = clocks.now_s()
-        with_heartbeat = self._is_heartbeat_due(batch, first, sent_at_s)
+        with_heartbeat = not isolated and self._is_heartbeat_due(
+            batch, first, sent_at_s
+        )
+        batch.progress = self.progress_rows.leave_out_outdated(batch.progress)
         expected = [
             self.create_claim_condition(),
-            *batch.progress,
+            *batch.progress_rows,
             *(write.condition for write in batch.segments),
         ]
-        puts = [
-            *batch.progress,
-            *batch.others,
-            *(write.row for write in batch.segments),
-        ]
+        puts = batch.rows
+        if not (puts or with_heartbeat):
+            return
         if with_heartbeat:
             owner_rows, names = self._create_owner_rows()
             puts += owner_rows
@@ -259,8 +447,10 @@
                     )
                 )
         version = await self._write(expected, puts)
-        for row in batch.progress:
-            self._versions[row.key] = version
+        for write in batch.progress:
+            self.progress_rows.record_written(write, version)
+        for row in batch.rows:
+            self.refused.clear(row)
         self.roster.record_durable(batch.segments, version)
         if with_heartbeat:
             self._heartbeat_sent_at_s = sent_at_s
@@ -268,7 +458,8 @@
             self.term.dark_workers.record_durable(version)
         if with_heartbeat or batch.segments:
             self._mark_workers()
-        self.term.record_confirmation(sent_at_s)
+        if not isolated:
+            self.term.record_confirmation(sent_at_s)
 
     def _is_heartbeat_due(self, batch, first, now_s):
         """Return whether a heartbeat is to be written with a batch.
@@ -313,6 +504,8 @@
                 version = self._resolve_conflict(expected, puts, exc.rows)
                 if version:
                     return version
+            except rows.WriteRejected:
+                raise
             except (rows.StoreRefused, rows.StoreSilent) as exc:
                 if not failing:
                     LOG.warning(
@@ -357,7 +550,11 @@
         """Advance the workers' cursors past completions that are durable."""
         for worker in self.term.fleet.workers.values():
             pending = worker.pending_acks
-            while pending and pending[0][1] <= self.flushes_completed:
+            while (
+                pending
+                and pending[0][1] <= self.flushes_completed
+                and pending[0][2] not in self.progress_rows.unrecorded
+            ):
                 worker.ack_cursor = pending.pop(0)[0]
             worker.flush_done.set()
 
--- a/arbutusrock/engine/status.py
+++ b/arbutusrock/engine/status.py
@@ -9,6 +9,7 @@
     'AccountStatus',
     'NodeStatus',
     'PoolStatus',
+    'RefusedRowStatus',
     'collect_gauges',
     'describe_node',
 ]
@@ -48,6 +49,23 @@
     share_attained: float = 1.0
 
 
+class RefusedRowStatus(msgspec.Struct, kw_only=True):
+    """A row that the store refuses, and that the owner has set aside.
+
+    :param row_bytes: size of its value.
+    :param cause: what the store has answered.
+    :param attempts: how often it was refused.
+    :param retry_in_s: time until it is tried again.
+    """
+
+    table: str
+    key: str
+    row_bytes: int
+    cause: str
+    attempts: int
+    retry_in_s: float
+
+
 class NodeStatus(msgspec.Struct, kw_only=True):
     """One node, with the unit if the node owns it.
 
@@ -59,6 +77,8 @@
     :param epoch: epoch of this node as the owner; 0 when it is not the owner.
     :param open_jobs: number of jobs that have not ended; only the owner
         knows it.
+    :param suspended_jobs: ids of the jobs of which nothing is started, as a
+        part of their progress could not be stored.
     """
 
     node: str
@@ -73,6 +93,8 @@
     open_jobs: int = 0
     pools: list[PoolStatus] = []
     accounts: list[AccountStatus] = []
+    refused_rows: list[RefusedRowStatus] = []
+    suspended_jobs: list[str] = []
 
 
 def describe_node(node, *, ready):
@@ -95,6 +117,19 @@
     if node.leader is None or current is None:
         return status
     term = node.leader.term
+    now_s = clocks.now_s()
+    status.refused_rows = [
+        RefusedRowStatus(
+            table=row.table,
+            key=row.key,
+            row_bytes=row.row_bytes,
+            cause=row.cause,
+            attempts=row.attempts,
+            retry_in_s=round(max(0.0, row.retry_at_s - now_s), 1),
+        )
+        for row in node.leader.state_writer.refused
+    ]
+    status.suspended_jobs = term.job_registry.find_suspended()
     status.epoch = term.epoch
     status.open_jobs = len(term.job_registry.open_jobs)
     status.pools = [
@@ -147,6 +182,10 @@
         return
     term = node.leader.term
     metrics.set_gauge('open_jobs', len(term.job_registry.open_jobs))
+    metrics.set_gauge(
+        'jobs_suspended', len(term.job_registry.find_suspended())
+    )
+    metrics.set_gauge('rows_set_aside', len(node.leader.state_writer.refused))
     for pool, load in vm_views.compute_pool_loads(term.fleet).items():
         metrics.set_gauge('pool_load', load, (('pool', pool),))
     for worker in term.fleet.workers.values():
--- a/arbutusrock/engine/tests/test_relay.py
+++ b/arbutusrock/engine/tests/test_relay.py
@@ -108,6 +108,22 @@
     assert not store.direct_path_down
 
 
+async def test_rejected_write_counts_as_a_failure_of_the_path(stores):
+    """Guards against LOST: an owner with such a row used peers for all."""
+    direct, store, other = stores
+    direct.failure = rows.WriteRejected('400')
+    with pytest.raises(rows.WriteRejected):
+        await store.transact()
+    assert store.peers.calls == 0
+    assert not store.direct_path_down
+    # The same through a peer.
+    direct.failure = rows.StoreRefused('503')
+    other.direct.failure = rows.WriteRejected('400')
+    with pytest.raises(rows.WriteRejected):
+        await store.transact()
+    assert not other.direct_path_down
+
+
 async def test_failover_store_relays_after_only_429(stores, monkeypatch):
     """Guards against a node that stays with a store that only answers 429.
 
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/worker_link.py
@@ -263,6 +263,7 @@
         return (
             self._has_run(run)
             and run.state is job_state.RunState.RESERVED
+            and not run.task.step.job.progress.suspended
             and self.worker.in_service
             and not self.worker.in_evacuated_data_centre
             # The capacity may have shrunk since.
--- a/arbutusrock/platform/settings_file.py
+++ b/arbutusrock/platform/settings_file.py
@@ -64,6 +64,17 @@
         return text
 
 
+def _get_value_bytes(row_bytes):
+    """Return the size of the largest value of a row, in bytes.
+
+    The limit of the store is taken as that of the value's text in base64, the
+    stricter of its two readings: a row that is too long is never written.
+
+    :param row_bytes: limit of the store.
+    """
+    return int(row_bytes) // 4 * 3
+
+
 def load_node_settings(path=None):
     """Read the settings of this process.
 
@@ -91,7 +102,9 @@
         cores=get_number('limits.cpuShare', 1.0)
         * get_number('limits.cores', 1),
         store=fields.get_address('platform.address'),
-        store_row_bytes=int(get_number('platform.rowBytes', 65536, 1024)),
+        store_row_bytes=_get_value_bytes(
+            get_number('platform.rowBytes', 65536, 1024)
+        ),
         vm_service=fields.values.get('cloudApi.address', ''),
         advice_service=fields.values.get('advice', ''),
         grace_s=get_number('bounds.graceS', 6),
--- a/arbutusrock/platform/store.py
+++ b/arbutusrock/platform/store.py
@@ -95,6 +95,7 @@
         :returns: version of the written rows.
         :raises rows.Conflicted: a condition did not hold; nothing was
             written.
+        :raises rows.WriteRejected: nothing was written, and never is.
         :raises rows.StoreRefused: nothing was written.
         :raises rows.StoreSilent: the outcome is unknown: the rows may have
             been written, or may still be written later.
@@ -188,9 +189,13 @@
         self.metrics.count('store_bytes', amount=len(answer.body))
         if answer.status in {200, 410, 412}:
             return answer.status, answer.body
-        error_class = (
-            rows.StoreBusy if answer.status == 429 else rows.StoreRefused
-        )
+        match answer.status:
+            case 429:
+                error_class = rows.StoreBusy
+            case 400 | 413 if path == TX_PATH:
+                error_class = rows.WriteRejected
+            case _:
+                error_class = rows.StoreRefused
         raise error_class(
             f'the store answered {path} with status {answer.status}'
         )
--- a/arbutusrock/platform/tests/test_malformed_answers.py
+++ b/arbutusrock/platform/tests/test_malformed_answers.py
@@ -97,6 +97,22 @@
         await client.watch('t', after=0, wait_s=0)
 
 
+@pytest.mark.parametrize('status', [400, 413])
+async def test_store_tells_a_rejected_write_from_other_refusals(status):
+    client = answer_with(
+        store.StoreClient(
+            address='h:1', timeout_s=1, metrics=metrics.Metrics()
+        ),
+        b'',
+        status=status,
+    )
+    with pytest.raises(rows.WriteRejected):
+        await client.transact(puts=[])
+    with pytest.raises(rows.StoreRefused) as caught:
+        await client.read_range('t')
+    assert not isinstance(caught.value, rows.WriteRejected)
+
+
 def test_registration_whose_name_cannot_be_a_header_is_not_valid():
     """Its first call would raise an error that ends the ownership."""
     data = (
--- a/examples/standins/site/store.py
+++ b/examples/standins/site/store.py
@@ -9,8 +9,8 @@
 
 __all__ = ['MetadataStore']
 
-# A row holds at most 64 KiB, which base64 makes longer by a third.
-MAX_VALUE_CHARACTERS = 65536 // 3 * 4 + 4
+# Limit of a row, taken as that of its value in base64.
+MAX_VALUE_CHARACTERS = 65536
 MAX_TRANSACTION_BYTES = 1_000_000
 
 
@@ -26,6 +26,10 @@
         # history had been dropped.
         self.min_feed_version = 0
         self.call_counts = {}
+        # Longest value in base64 of a row.
+        self.max_value_characters = MAX_VALUE_CHARACTERS
+        # (table, key) of rows that are never taken.
+        self.rejected_rows = set()
         # Duration of a transaction. Those on one part run one after the other;
         # when those that wait take over a second, others are refused with 429.
         self.transaction_s = 0.0
@@ -77,8 +81,11 @@
         if self.transaction_s and not await self._wait_turn(body):
             return web.Response(status=429)
         if any(
-            len(item['value']) > MAX_VALUE_CHARACTERS for item in body['puts']
+            len(item['value']) > self.max_value_characters
+            or (item['table'], item['key']) in self.rejected_rows
+            for item in body['puts']
         ):
+            self._count('rejected')
             return web.Response(status=400)
         row_keys = [_get_row_key(item) for item in body['expected']]
         for row_key, item in zip(row_keys, body['expected'], strict=True):
