Store the other jobs of a batch that holds one which the store rejects

Callers of up to 39 other jobs would have been refused with 503: the submitter took a rejected transaction for a busy store. The batch is halved, and only the job at fault is refused (400, or 413 when it fits into no row).

A submission that is longer than the value of a row under the stricter reading, and was accepted so far, is compressed: up to 65,536 bytes before, as that bounds what an owner goes through for one job.

test_rejected_job_has_other_jobs_refused and test_long_submission_is_compressed_to_fit_its_row failed before.

--- a/arbutusrock/engine/gateway.py
+++ b/arbutusrock/engine/gateway.py
@@ -37,7 +37,7 @@
     :param configuration: :class:`configuration_watcher.ConfigurationWatcher`.
     :param elector: :class:`ownership.OwnerElector`, which has the newest
         heartbeat of the owner.
-    :param max_row_bytes: size of the largest row that the store takes.
+    :param max_row_bytes: size of the largest value that a row takes.
     """
 
     def __init__(self, *, store, configuration, elector, max_row_bytes):
@@ -108,6 +108,8 @@
     async def submit(self, queue, account, job_id, plan, *, deadline_at_s):
         """Accept a job; one that this node has stored already, at once.
 
+        :raises errors.BodyTooLarge: it does not fit into one row.
+        :raises errors.InvalidRequest: the store never takes it.
         :raises errors.StoreUnavailable: it is not stored and never runs.
         :raises errors.StoreOutcomeUnknown: it may have been stored.
         """
@@ -145,6 +147,8 @@
                         left_s=deadline_at_s - clocks.now_s(), job_id=job_id
                     ),
                 )
+            case submitter.StoreOutcome.REJECTED:
+                raise errors.InvalidRequest('the store does not take the job')
             case submitter.StoreOutcome.UNKNOWN:
                 raise errors.StoreOutcomeUnknown(
                     'the job may have been stored'
@@ -190,7 +194,7 @@
             rows.TABLE_PROGRESS, job_id, rows.OWNER_PART
         )
         if row is not None:
-            status = plans.decode_progress(row.value).status
+            status = plans.decode_status(row.value)
             if status in plans.JobStatus.ENDED:
                 self._cache_status(job_id, status)
             return status
@@ -273,7 +277,11 @@
         """
         heartbeat = self.elector.heartbeat
         age_s = clocks.now_s() - self.elector.heartbeat_at_s
-        if heartbeat is None or age_s > MAX_COUNT_AGE_S:
+        if (
+            heartbeat is None
+            or age_s > MAX_COUNT_AGE_S
+            or not heartbeat.waiting_known
+        ):
             raise errors.NodeNotServing(
                 'no count from the owner',
                 retry_after=return_times.choose_retry_after_s(
--- a/arbutusrock/engine/submitter.py
+++ b/arbutusrock/engine/submitter.py
@@ -47,6 +47,8 @@
     STORED = 'stored'
     # It is not stored and never will be.
     REFUSED = 'refused'
+    # As above, and the store would not take it at any time.
+    REJECTED = 'rejected'
     # It may be stored already, or may be later.
     UNKNOWN = 'unknown'
 
@@ -99,7 +101,7 @@
     """Stores the jobs that callers submit to this node.
 
     :param store: client of the store.
-    :param max_row_bytes: size of the largest row that the store takes.
+    :param max_row_bytes: size of the largest value that a row takes.
     """
 
     def __init__(self, *, store, max_row_bytes):
@@ -124,7 +126,7 @@
         :returns: :class:`StoreOutcome`.
         :raises errors.BodyTooLarge: the job does not fit into one row.
         """
-        value = plans.encode_row(submission)
+        value = plans.encode_submission(submission, self.max_row_bytes)
         if len(value) > self.max_row_bytes:
             raise errors.BodyTooLarge(
                 f'the job takes {len(value)} bytes, over {self.max_row_bytes}'
@@ -237,6 +239,8 @@
             for job in batch:
                 if job.job_id in present:
                     job.resolve(StoreOutcome.STORED)
+        except rows.WriteRejected as exc:
+            await self._isolate(batch, exc)
         except rows.StoreRefused as exc:
             await self._handle_refusal(batch, exc)
         except rows.StoreSilent as exc:
@@ -249,6 +253,17 @@
             for job in batch:
                 job.resolve(StoreOutcome.STORED)
 
+    async def _isolate(self, batch, exc):
+        """Store the jobs of a rejected batch that the store does take."""
+        if len(batch) == 1:
+            await self._resolve_refused(
+                batch[0], exc, outcome=StoreOutcome.REJECTED
+            )
+            return
+        middle = len(batch) // 2
+        await self._write(batch[:middle])
+        await self._write(batch[middle:])
+
     async def _handle_refusal(self, batch, exc):
         now_s = clocks.now_s()
         is_busy = isinstance(exc, rows.StoreBusy)
@@ -271,10 +286,14 @@
             RETRY_DELAY_S * 2 ** min(MAX_DELAY_DOUBLINGS, self._busy_count)
         )
 
-    async def _resolve_refused(self, job, exc):
+    async def _resolve_refused(
+        self, job, exc, *, outcome=StoreOutcome.REFUSED
+    ):
         """Resolve a job that the store refused, as far as this node knows.
 
         A call with the same id at another node may have stored it before.
+
+        :param outcome: of a job that is not stored.
         """
         stored = await self._is_stored(job.job_id)
         LOG.info(
@@ -283,7 +302,7 @@
             stored_before=stored,
             error=str(exc),
         )
-        job.resolve(StoreOutcome.STORED if stored else StoreOutcome.REFUSED)
+        job.resolve(StoreOutcome.STORED if stored else outcome)
 
     async def _is_stored(self, job_id):
         """Return whether a job is stored; None when the store is no help."""
--- a/arbutusrock/engine/tests/test_submitter.py
+++ b/arbutusrock/engine/tests/test_submitter.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
+from arbutusrock.engine import plans
 from arbutusrock.engine import rows
 from arbutusrock.engine import submitter
 from arbutusrock.engine.tests import samples
@@ -229,3 +231,61 @@
     running.cancel()
     assert set(outcomes) == {submitter.StoreOutcome.STORED}
     assert part_ids[200] in store.batches[0]
+
+
+class RejectingStore(BatchStore):
+    """A store that never takes one of the jobs."""
+
+    def __init__(self, rejected):
+        super().__init__()
+        self.rejected = rejected
+
+    async def transact(self, *, puts, **_fields):
+        if self.rejected in [row.key for row in puts]:
+            raise rows.WriteRejected('400')
+        return await super().transact(puts=puts)
+
+    async def read_range(self, _table, **_fields):
+        return [], 1
+
+
+async def test_rejected_job_has_other_jobs_refused():
+    """The other jobs of its transaction are stored."""
+    ids = (f'{number:016x}' for number in range(100_000))
+    part_ids = [
+        job_id for job_id in ids if rows.get_job_part(job_id) == 'jobs-0'
+    ][:30]
+    store = RejectingStore(part_ids[11])
+    job_submitter = create_submitter(store)
+    calls = [
+        job_submitter.submit(
+            job_id,
+            samples.create_submission(),
+            deadline_at_s=clocks.now_s() + 10.0,
+        )
+        for job_id in part_ids
+    ]
+    running = asyncio.ensure_future(job_submitter.run())
+    outcomes = await asyncio.gather(*calls)
+    running.cancel()
+    assert outcomes.pop(11) is submitter.StoreOutcome.REJECTED
+    assert set(outcomes) == {submitter.StoreOutcome.STORED}
+
+
+def test_long_submission_is_compressed_to_fit_its_row():
+    """A job of 1,000 steps is accepted by both readings of the row's limit."""
+    submission = samples.create_submission()
+    submission.plan.steps = submission.plan.steps * 3000
+    data = plans.encode_submission(submission, 49_152)
+    assert len(plans.encode_row(submission)) > 20_000
+    assert len(data) <= 49_152
+    short = plans.encode_submission(submission, 10_000)
+    assert len(short) < 10_000
+    assert plans.decode_submission(short) == submission
+    assert plans.read_outline(short).queue == submission.queue
+    # What does not fit is refused, and a damaged row is no row.
+    submission.plan.spec = 'x' * 70_000
+    assert len(plans.encode_submission(submission, 49_152)) > 49_152
+    with pytest.raises(msgspec.DecodeError):
+        plans.decode_submission(short[:-20])
+    assert plans.read_outline(b'Zx') is None
