--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/flake8 .
+	$(VENV)/bin/lint-imports --no-cache
 
 format: $(READY)
 	$(VENV)/bin/ruff check --fix -q . || true
--- a/arbutusrock/engine/gateway.py
+++ b/arbutusrock/engine/callers/gateway.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections import OrderedDict
 
-from arbutusrock.engine import leader
-from arbutusrock.engine import plans
-from arbutusrock.engine import rows
-from arbutusrock.engine import submitter
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ownership import leader
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.state import submitter
 from arbutusrock import errors
 from arbutusrock import logs
 from arbutusrock.scheduling import return_times
--- a/arbutusrock/engine/peers.py
+++ b/arbutusrock/engine/callers/peers.py
@@ -3,8 +3,8 @@
 import asyncio
 import random
 
-from arbutusrock.engine import feeds
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import feeds
+from arbutusrock.engine.ports import rows
 from arbutusrock import logs
 from arbutusrock.utils import decoders
 from arbutusrock.utils import http
--- a/arbutusrock/engine/relay.py
+++ b/arbutusrock/engine/callers/relay.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import rows
 from arbutusrock import logs
 from arbutusrock.utils import clocks
 from arbutusrock.utils import decoders
@@ -102,7 +102,7 @@
     It has the methods of the client that it wraps.
 
     :param direct: client that calls the store directly.
-    :param peers: :class:`arbutusrock.engine.peers.Peers`.
+    :param peers: :class:`arbutusrock.engine.callers.peers.Peers`.
     :param metrics: counts relayed calls.
     """
 
--- a/arbutusrock/engine/status.py
+++ b/arbutusrock/engine/callers/status.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from arbutusrock.engine import vm_views
+from arbutusrock.engine.vms import vm_views
 from arbutusrock.utils import clocks
 
 __all__ = [
--- a/arbutusrock/engine/tests/test_gateway.py
+++ b/arbutusrock/engine/callers/tests/test_gateway.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from arbutusrock.engine import gateway
-from arbutusrock.engine import plans
-from arbutusrock.engine import rows
+from arbutusrock.engine.callers import gateway
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import rows
 from arbutusrock.engine.tests import samples
 from arbutusrock import errors
 
--- a/arbutusrock/engine/tests/test_peers.py
+++ b/arbutusrock/engine/callers/tests/test_peers.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from arbutusrock.engine import peers
-from arbutusrock.engine import rows
+from arbutusrock.engine.callers import peers
+from arbutusrock.engine.ports import rows
 
 
 class OverwrittenStore:
--- a/arbutusrock/engine/tests/test_relay.py
+++ b/arbutusrock/engine/callers/tests/test_relay.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from arbutusrock.engine import relay
-from arbutusrock.engine import rows
+from arbutusrock.engine.callers import relay
+from arbutusrock.engine.ports import rows
 from arbutusrock import metrics
 from arbutusrock.utils import http
 
--- a/arbutusrock/engine/configuration_watcher.py
+++ b/arbutusrock/engine/configuration_watcher.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from arbutusrock.engine import data_centre_cordons
-from arbutusrock.engine import feeds
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import feeds
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.vms import data_centre_cordons
 from arbutusrock import logs
 from arbutusrock.scheduling import FleetConfiguration
 from arbutusrock.utils import clocks
@@ -28,8 +28,9 @@
     :param store: client of the store.
     :param decode: decodes a row into a
         :class:`arbutusrock.scheduling.FleetConfiguration`, a
-        :class:`arbutusrock.engine.platform_messages.WaveRequest`, a
-        :class:`arbutusrock.engine.platform_messages.CordonChange`, or None.
+        :class:`arbutusrock.engine.ports.platform_messages.WaveRequest`, a
+        :class:`arbutusrock.engine.ports.platform_messages.CordonChange`, or
+        None.
     """
 
     def __init__(self, *, store, decode):
--- /dev/null
+++ b/arbutusrock/engine/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Which waiting task gets which worker."""
--- a/arbutusrock/engine/dispatcher.py
+++ b/arbutusrock/engine/dispatch/dispatcher.py
@@ -6,12 +6,12 @@
 
 import asyncio
 
-from arbutusrock.engine import guarded_starts
-from arbutusrock.engine import job_ranks
-from arbutusrock.engine import job_state
-from arbutusrock.engine import lookahead
-from arbutusrock.engine import placement_requests
-from arbutusrock.engine import sound_workers
+from arbutusrock.engine.dispatch import lookahead
+from arbutusrock.engine.dispatch import placement_requests
+from arbutusrock.engine.dispatch import sound_workers
+from arbutusrock.engine.jobs import job_ranks
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.workers import guarded_starts
 from arbutusrock import logs
 from arbutusrock.scheduling import order_window
 from arbutusrock.scheduling import placement
@@ -38,10 +38,11 @@
 class Dispatcher:
     """Starts waiting tasks in the order of their jobs' ranks.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
-    :param links: :class:`arbutusrock.engine.worker_link.WorkerLink` by
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
+    :param links: :class:`arbutusrock.engine.runs.worker_link.WorkerLink` by
         worker id.
-    :param ticket_cache: :class:`arbutusrock.engine.tickets.TicketCache`.
+    :param ticket_cache:
+        :class:`arbutusrock.engine.workers.tickets.TicketCache`.
     :param crash_tracker: knows which tasks may crash their worker.
     """
 
--- a/arbutusrock/engine/lookahead.py
+++ b/arbutusrock/engine/dispatch/lookahead.py
@@ -9,11 +9,11 @@
 import itertools
 import math
 
-from arbutusrock.engine import large_waits
-from arbutusrock.engine import occurrence_estimates
-from arbutusrock.engine import placement_requests
-from arbutusrock.engine import pool_reservations
-from arbutusrock.engine import run_ends
+from arbutusrock.engine.dispatch import placement_requests
+from arbutusrock.engine.dispatch import pool_reservations
+from arbutusrock.engine.jobs import large_waits
+from arbutusrock.engine.jobs import occurrence_estimates
+from arbutusrock.engine.jobs import run_ends
 from arbutusrock import logs
 from arbutusrock.scheduling import ordering
 from arbutusrock.scheduling import placement
@@ -52,9 +52,10 @@
 class Lookahead:
     """Plans reservations and keeps other work off them.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
-    :param ranker: :class:`arbutusrock.engine.job_ranks.JobRanker`.
-    :param ticket_cache: :class:`arbutusrock.engine.tickets.TicketCache`.
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
+    :param ranker: :class:`arbutusrock.engine.jobs.job_ranks.JobRanker`.
+    :param ticket_cache:
+        :class:`arbutusrock.engine.workers.tickets.TicketCache`.
     """
 
     __slots__ = ('term', 'ranker', 'ticket_cache', 'max_heads', '_plans')
--- a/arbutusrock/engine/placement_requests.py
+++ b/arbutusrock/engine/dispatch/placement_requests.py
@@ -17,7 +17,7 @@
 def create_request(term, step, task, suspect_vms, allowed):
     """Return the :class:`placement.PlacementRequest` of a task.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
     :param suspect_vms: VMs with recent failures.
     :param allowed: ids of the workers that a policy service allows; None
         allows all.
--- a/arbutusrock/engine/pool_reservations.py
+++ b/arbutusrock/engine/dispatch/pool_reservations.py
@@ -2,7 +2,7 @@
 
 import math
 
-from arbutusrock.engine import placement_requests
+from arbutusrock.engine.dispatch import placement_requests
 from arbutusrock.scheduling import reservations
 
 __all__ = ['PoolPlan', 'Promise', 'ReservedWorker']
@@ -11,7 +11,7 @@
 class Promise:
     """What a waiting step was promised.
 
-    :param step: :class:`arbutusrock.engine.job_state.Step`.
+    :param step: :class:`arbutusrock.engine.jobs.job_state.Step`.
     :param ready_at_s: when its first task was first expected to have room.
     """
 
--- a/arbutusrock/engine/share_ledger.py
+++ b/arbutusrock/engine/dispatch/share_ledger.py
@@ -2,7 +2,7 @@
 
 import math
 
-from arbutusrock.engine import placement_requests
+from arbutusrock.engine.dispatch import placement_requests
 from arbutusrock import logs
 from arbutusrock.scheduling import fair_shares
 from arbutusrock.scheduling import Resources
@@ -47,7 +47,7 @@
     It is in force when the weights of the accounts differ. Without records,
     as after a takeover, what runs at the first division decides alone.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
     """
 
     __slots__ = ('term', '_pools', '_attained', '_checked', '_in_force')
--- a/arbutusrock/engine/sound_workers.py
+++ b/arbutusrock/engine/dispatch/sound_workers.py
@@ -1,7 +1,7 @@
 """Which workers waiting tasks may use while some VMs work slowly."""
 
-from arbutusrock.engine import placement_requests
-from arbutusrock.engine import run_speeds
+from arbutusrock.engine.dispatch import placement_requests
+from arbutusrock.engine.workers import run_speeds
 from arbutusrock.scheduling import placement
 
 __all__ = [
--- a/arbutusrock/engine/tests/test_dispatcher.py
+++ b/arbutusrock/engine/dispatch/tests/test_dispatcher.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies
 import msgspec
 
-from arbutusrock.engine import dispatcher
-from arbutusrock.engine import plans
-from arbutusrock.engine.tests import test_share_ledger as samples
+from arbutusrock.engine.dispatch import dispatcher
+from arbutusrock.engine.dispatch.tests import test_share_ledger as samples
+from arbutusrock.engine.jobs import plans
 from arbutusrock.scheduling import configuration
 from arbutusrock.scheduling import crash_attribution
 from arbutusrock.scheduling import placement
--- a/arbutusrock/engine/tests/test_lookahead.py
+++ b/arbutusrock/engine/dispatch/tests/test_lookahead.py
@@ -5,13 +5,13 @@
 
 import pytest
 
-from arbutusrock.engine import dispatcher as dispatcher_module
-from arbutusrock.engine import fleet
-from arbutusrock.engine import job_state
-from arbutusrock.engine import lookahead
-from arbutusrock.engine import plans
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.dispatch import dispatcher as dispatcher_module
+from arbutusrock.engine.dispatch import lookahead
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import platform_messages
 from arbutusrock.engine.tests import samples
+from arbutusrock.engine.workers import fleet
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
 
--- a/arbutusrock/engine/tests/test_share_ledger.py
+++ b/arbutusrock/engine/dispatch/tests/test_share_ledger.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from arbutusrock.engine import fleet
-from arbutusrock.engine import job_state
-from arbutusrock.engine import plans
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import share_ledger
+from arbutusrock.engine.dispatch import share_ledger
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import platform_messages
 from arbutusrock.engine.tests import samples
+from arbutusrock.engine.workers import fleet
 from arbutusrock.scheduling import configuration
 from arbutusrock.scheduling import Resources
 
--- /dev/null
+++ b/arbutusrock/engine/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs, their tasks, and what is estimated of them."""
--- a/arbutusrock/engine/job_ranks.py
+++ b/arbutusrock/engine/jobs/job_ranks.py
@@ -1,6 +1,6 @@
 """Ranks of waiting jobs, from the estimates of the owner."""
 
-from arbutusrock.engine import occurrence_estimates
+from arbutusrock.engine.jobs import occurrence_estimates
 from arbutusrock.scheduling import ordering
 from arbutusrock.utils import clocks
 
@@ -13,7 +13,7 @@
 class JobRanker:
     """Ranks waiting steps by their jobs, with a short-lived cache.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
     """
 
     __slots__ = ('term', '_ranks', '_cleared_at_s')
--- a/arbutusrock/engine/job_registry.py
+++ b/arbutusrock/engine/jobs/job_registry.py
@@ -1,7 +1,7 @@
 """Index of the owner's jobs, and the state changes of their tasks."""
 
-from arbutusrock.engine import job_state
-from arbutusrock.engine import plans
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.jobs import plans
 from arbutusrock.utils import clocks
 
 __all__ = ['JobRegistry']
--- a/arbutusrock/engine/job_state.py
+++ b/arbutusrock/engine/jobs/job_state.py
@@ -2,8 +2,8 @@
 
 import enum
 
-from arbutusrock.engine import plans
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import platform_messages
 
 __all__ = [
     'Job',
@@ -281,8 +281,8 @@
 
     :param submission: :class:`plans.Submission`.
     :param progress: :class:`plans.JobProgress`.
-    :param layout: :class:`arbutusrock.engine.progress_layout.Layout` of its
-        rows; None while its progress is one row.
+    :param layout: :class:`arbutusrock.engine.state.progress_layout.Layout` of
+        its rows; None while its progress is one row.
     :param inherited: whether it was accepted before this node became the
         owner.
     :param read_at_s: when this owner read it; 0 for an inherited job.
--- a/arbutusrock/engine/occurrence_estimates.py
+++ b/arbutusrock/engine/jobs/occurrence_estimates.py
@@ -51,7 +51,7 @@
     It is kept with the occurrence until more of its tasks are done, as the
     owner estimates each open job several times a second.
 
-    :param occurrence: :class:`arbutusrock.engine.job_state.Occurrence`.
+    :param occurrence: :class:`arbutusrock.engine.jobs.job_state.Occurrence`.
     :param done_counts: numbers of tasks done, by step.
     """
 
@@ -113,7 +113,7 @@
 def compute_critical_path_s(plan, *, done=frozenset()):
     """Return the length of the critical path by declared durations.
 
-    :param plan: :class:`arbutusrock.engine.plans.JobPlan`.
+    :param plan: :class:`arbutusrock.engine.jobs.plans.JobPlan`.
     :param done: numbers of steps that count as zero.
     :returns: seconds.
     """
--- a/arbutusrock/engine/plans.py
+++ b/arbutusrock/engine/jobs/plans.py
@@ -127,7 +127,7 @@
     """Progress of a job, and its row unless that is divided.
 
     How it is divided is described at
-    :mod:`arbutusrock.engine.progress_layout`.
+    :mod:`arbutusrock.engine.state.progress_layout`.
 
     :param done: bitmap of the done tasks by "occurrence.step".
     :param failed_runs: numbers of the failed runs by "occurrence.step.index".
--- a/arbutusrock/engine/run_ends.py
+++ b/arbutusrock/engine/jobs/run_ends.py
@@ -1,6 +1,6 @@
 """When runs are expected to have ended."""
 
-from arbutusrock.engine import job_state
+from arbutusrock.engine.jobs import job_state
 
 __all__ = ['estimate_end_s']
 
--- a/arbutusrock/engine/tests/test_job_registry.py
+++ b/arbutusrock/engine/jobs/tests/test_job_registry.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from arbutusrock.engine import job_registry
-from arbutusrock.engine import plans
+from arbutusrock.engine.jobs import job_registry
+from arbutusrock.engine.jobs import plans
 from arbutusrock.engine.tests import samples
 
 
--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -4,13 +4,13 @@
 
 import mode
 
+from arbutusrock.engine.callers import gateway as gateway_module
+from arbutusrock.engine.callers import peers as peers_module
+from arbutusrock.engine.callers import relay
 from arbutusrock.engine import configuration_watcher
-from arbutusrock.engine import gateway as gateway_module
-from arbutusrock.engine import leader as leader_module
-from arbutusrock.engine import ownership as ownership_module
-from arbutusrock.engine import peers as peers_module
-from arbutusrock.engine import relay
-from arbutusrock.engine import term as term_module
+from arbutusrock.engine.ownership import leader as leader_module
+from arbutusrock.engine.ownership import ownership as ownership_module
+from arbutusrock.engine.term import term as term_module
 from arbutusrock import logs
 
 __all__ = ['Node']
--- /dev/null
+++ b/arbutusrock/engine/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which node owns the unit, and the parts that run while it does."""
--- a/arbutusrock/engine/leader.py
+++ b/arbutusrock/engine/ownership/leader.py
@@ -9,25 +9,25 @@
 
 import msgspec
 
-from arbutusrock.engine import cordon_controller
-from arbutusrock.engine import dispatcher
-from arbutusrock.engine import evacuation
-from arbutusrock.engine import feeds
-from arbutusrock.engine import occurrence_estimates
-from arbutusrock.engine import owner_knowledge
-from arbutusrock.engine import pace_controller
-from arbutusrock.engine import plans
-from arbutusrock.engine import progress_layout
-from arbutusrock.engine import registration_controller
-from arbutusrock.engine import retention
-from arbutusrock.engine import rows
-from arbutusrock.engine import run_controller
-from arbutusrock.engine import state_writer
-from arbutusrock.engine import straggler_controller
-from arbutusrock.engine import term as term_module
-from arbutusrock.engine import tickets
-from arbutusrock.engine import vm_controller
-from arbutusrock.engine import worker_link
+from arbutusrock.engine.dispatch import dispatcher
+from arbutusrock.engine.jobs import occurrence_estimates
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import feeds
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.runs import pace_controller
+from arbutusrock.engine.runs import run_controller
+from arbutusrock.engine.runs import straggler_controller
+from arbutusrock.engine.runs import worker_link
+from arbutusrock.engine.state import owner_knowledge
+from arbutusrock.engine.state import progress_layout
+from arbutusrock.engine.state import retention
+from arbutusrock.engine.state import state_writer
+from arbutusrock.engine.term import term as term_module
+from arbutusrock.engine.vms import cordon_controller
+from arbutusrock.engine.vms import evacuation
+from arbutusrock.engine.vms import vm_controller
+from arbutusrock.engine.workers import registration_controller
+from arbutusrock.engine.workers import tickets
 from arbutusrock import logs
 from arbutusrock.scheduling import pool_sizing
 from arbutusrock.utils import clocks
--- a/arbutusrock/engine/ownership.py
+++ b/arbutusrock/engine/ownership/ownership.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from arbutusrock.engine import feeds
-from arbutusrock.engine import owner_monitor as owner_monitor_module
-from arbutusrock.engine import rows
-from arbutusrock.engine import state_writer
+from arbutusrock.engine.ownership import owner_monitor as owner_monitor_module
+from arbutusrock.engine.ports import feeds
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.state import state_writer
 from arbutusrock import logs
 from arbutusrock.scheduling import dark_workers
 from arbutusrock.utils import clocks
--- a/arbutusrock/engine/tests/test_leader.py
+++ b/arbutusrock/engine/ownership/tests/test_leader.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from arbutusrock.engine import leader as leader_module
-from arbutusrock.engine import plans
-from arbutusrock.engine import rows
-from arbutusrock.engine import state_writer
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ownership import leader as leader_module
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.state import state_writer
 from arbutusrock.engine.tests import samples
 
 JOB = '0' * 16
--- a/arbutusrock/engine/tests/test_owner_monitor.py
+++ b/arbutusrock/engine/ownership/tests/test_owner_monitor.py
@@ -8,11 +8,11 @@
 
 import pytest
 
-from arbutusrock.engine import owner_monitor
-from arbutusrock.engine import ownership
-from arbutusrock.engine import rows
-from arbutusrock.engine import state_writer
-from arbutusrock.engine.tests import test_ownership
+from arbutusrock.engine.ownership import owner_monitor
+from arbutusrock.engine.ownership import ownership
+from arbutusrock.engine.ownership.tests import test_ownership
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.state import state_writer
 
 TIMEOUT_S = 2.0
 # Longer than the monitor takes to notice the end of a process.
--- a/arbutusrock/engine/tests/test_ownership.py
+++ b/arbutusrock/engine/ownership/tests/test_ownership.py
@@ -3,9 +3,9 @@
 import msgspec
 import pytest
 
-from arbutusrock.engine import ownership
-from arbutusrock.engine import rows
-from arbutusrock.engine import state_writer
+from arbutusrock.engine.ownership import ownership
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.state import state_writer
 
 
 class Clock:
--- /dev/null
+++ b/arbutusrock/engine/ports/__init__.py
@@ -0,0 +1,1 @@
+"""What the engine asks of a platform: rows, feeds and messages."""
--- a/arbutusrock/engine/feeds.py
+++ b/arbutusrock/engine/ports/feeds.py
@@ -5,7 +5,7 @@
 
 import asyncio
 
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import rows
 from arbutusrock import logs
 
 __all__ = [
--- a/arbutusrock/engine/tests/test_feeds.py
+++ b/arbutusrock/engine/ports/tests/test_feeds.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from arbutusrock.engine import feeds
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import feeds
+from arbutusrock.engine.ports import rows
 
 
 class Store:
--- a/arbutusrock/engine/tests/test_follow_table.py
+++ b/arbutusrock/engine/ports/tests/test_follow_table.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from arbutusrock.engine import feeds
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import feeds
+from arbutusrock.engine.ports import rows
 
 
 class RefusingStore:
--- /dev/null
+++ b/arbutusrock/engine/runs/__init__.py
@@ -0,0 +1,1 @@
+"""Runs of tasks on workers: orders, reports, crashes and stragglers."""
--- a/arbutusrock/engine/crash_tracker.py
+++ b/arbutusrock/engine/runs/crash_tracker.py
@@ -7,10 +7,10 @@
 a worker stops answering: a new owner cannot learn of them from the worker.
 """
 
-from arbutusrock.engine import fleet as fleet_module
-from arbutusrock.engine import job_state
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import vm_views
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.vms import vm_views
+from arbutusrock.engine.workers import fleet as fleet_module
 from arbutusrock import logs
 from arbutusrock.scheduling import crash_attribution
 from arbutusrock.scheduling import isolation
@@ -29,8 +29,9 @@
 class CrashTracker:
     """Records crashes of workers with the tasks that may have caused them.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
-    :param state_writer: :class:`arbutusrock.engine.state_writer.StateWriter`.
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
+    :param state_writer:
+        :class:`arbutusrock.engine.state.state_writer.StateWriter`.
     :param on_give_up: called with a task that is not to be started again.
     """
 
--- a/arbutusrock/engine/pace_controller.py
+++ b/arbutusrock/engine/runs/pace_controller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from arbutusrock.engine import job_state
+from arbutusrock.engine.jobs import job_state
 from arbutusrock import logs
 from arbutusrock.scheduling import pacing
 
@@ -16,7 +16,7 @@
 class PaceController:
     """Orders the pace of the filling tasks of each worker, in one task.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
     :param links: connections by worker id.
     """
 
--- a/arbutusrock/engine/run_controller.py
+++ b/arbutusrock/engine/runs/run_controller.py
@@ -4,13 +4,13 @@
 tasks again whose runs were lost, and stops runs that are not to go on.
 """
 
-from arbutusrock.engine import crash_tracker
-from arbutusrock.engine import fleet
-from arbutusrock.engine import job_state
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import run_speeds
-from arbutusrock.engine import term as term_module
-from arbutusrock.engine import unanswered_orders
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.runs import crash_tracker
+from arbutusrock.engine.runs import unanswered_orders
+from arbutusrock.engine.term import term as term_module
+from arbutusrock.engine.workers import fleet
+from arbutusrock.engine.workers import run_speeds
 from arbutusrock import logs
 from arbutusrock.scheduling import crash_attribution
 from arbutusrock.utils import clocks
@@ -176,7 +176,7 @@
         """Record that a worker's incarnation and all its runs have ended.
 
         After a restart under the same id, the runs whose start orders have no
-        answer stay with it (:mod:`arbutusrock.engine.unanswered_orders`).
+        answer stay with it (:mod:`arbutusrock.engine.runs.unanswered_orders`).
 
         :param cause: :class:`fleet.IncarnationEnd`.
         """
--- a/arbutusrock/engine/straggler_controller.py
+++ b/arbutusrock/engine/runs/straggler_controller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from arbutusrock.engine import run_speeds
+from arbutusrock.engine.workers import run_speeds
 from arbutusrock import logs
 from arbutusrock.scheduling import stragglers
 from arbutusrock.utils import clocks
@@ -20,7 +20,7 @@
 
     Serving tasks and gangs are left alone.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
     :param run_controller: stops runs.
     :param dispatcher: starts extra runs, and knows the free capacity.
     """
--- a/arbutusrock/engine/tests/test_crash_tracker.py
+++ b/arbutusrock/engine/runs/tests/test_crash_tracker.py
@@ -2,13 +2,13 @@
 
 import msgspec
 
-from arbutusrock.engine import fleet
-from arbutusrock.engine import guarded_starts
-from arbutusrock.engine import job_state
-from arbutusrock.engine import plans
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.runs import worker_link
 from arbutusrock.engine.tests import samples
-from arbutusrock.engine import worker_link
+from arbutusrock.engine.workers import fleet
+from arbutusrock.engine.workers import guarded_starts
 from arbutusrock.scheduling import crash_attribution
 
 JOB = '0' * 16
--- a/arbutusrock/engine/tests/test_run_controller.py
+++ b/arbutusrock/engine/runs/tests/test_run_controller.py
@@ -5,13 +5,13 @@
 import msgspec
 import pytest
 
-from arbutusrock.engine import fleet
-from arbutusrock.engine import job_state
-from arbutusrock.engine import plans
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import run_controller
-from arbutusrock.engine import run_speeds
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.runs import run_controller
 from arbutusrock.engine.tests import samples
+from arbutusrock.engine.workers import fleet
+from arbutusrock.engine.workers import run_speeds
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
 
--- a/arbutusrock/engine/tests/test_worker_link.py
+++ b/arbutusrock/engine/runs/tests/test_worker_link.py
@@ -3,10 +3,10 @@
 import asyncio
 import types
 
-from arbutusrock.engine import job_state
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.runs import worker_link
 from arbutusrock.engine.tests import samples
-from arbutusrock.engine import worker_link
 from arbutusrock.utils import clocks
 
 
--- a/arbutusrock/engine/unanswered_orders.py
+++ b/arbutusrock/engine/runs/unanswered_orders.py
@@ -6,10 +6,10 @@
 is started nowhere else until the new incarnation is known to reject the order.
 """
 
-from arbutusrock.engine import fleet
-from arbutusrock.engine import job_state
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import term as term_module
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.term import term as term_module
+from arbutusrock.engine.workers import fleet
 from arbutusrock import logs
 
 __all__ = ['UnansweredOrders']
@@ -26,7 +26,7 @@
 
     :param term: :class:`term_module.Term`.
     :param run_controller:
-        :class:`arbutusrock.engine.run_controller.RunController`.
+        :class:`arbutusrock.engine.runs.run_controller.RunController`.
     """
 
     def __init__(self, *, term, run_controller):
--- a/arbutusrock/engine/worker_link.py
+++ b/arbutusrock/engine/runs/worker_link.py
@@ -6,10 +6,10 @@
 
 import asyncio
 
-from arbutusrock.engine import fleet
-from arbutusrock.engine import job_state
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import term as term_module
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.term import term as term_module
+from arbutusrock.engine.workers import fleet
 from arbutusrock import logs
 from arbutusrock.utils import clocks
 
@@ -54,8 +54,8 @@
 
     :param term: :class:`term_module.Term`.
     :param run_controller:
-        :class:`arbutusrock.engine.run_controller.RunController`.
-    :param worker: :class:`arbutusrock.engine.fleet.WorkerState`.
+        :class:`arbutusrock.engine.runs.run_controller.RunController`.
+    :param worker: :class:`arbutusrock.engine.workers.fleet.WorkerState`.
     :param client: client of the worker.
     :param spawn: starts a task whose failure ends the term.
     """
--- /dev/null
+++ b/arbutusrock/engine/state/__init__.py
@@ -0,0 +1,1 @@
+"""The owner's rows: progress of jobs, roster, knowledge, retention."""
--- a/arbutusrock/engine/owner_knowledge.py
+++ b/arbutusrock/engine/state/owner_knowledge.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import rows
 from arbutusrock import logs
 from arbutusrock.scheduling import knowledge_ageing
 from arbutusrock.scheduling import vm_speeds
--- a/arbutusrock/engine/progress_layout.py
+++ b/arbutusrock/engine/state/progress_layout.py
@@ -19,7 +19,7 @@
 
 import msgspec
 
-from arbutusrock.engine import plans
+from arbutusrock.engine.jobs import plans
 from arbutusrock.scheduling import crash_attribution
 from arbutusrock.utils import decoders
 
--- a/arbutusrock/engine/progress_rows.py
+++ b/arbutusrock/engine/state/progress_rows.py
@@ -10,9 +10,9 @@
 either.
 """
 
-from arbutusrock.engine import plans
-from arbutusrock.engine import progress_layout
-from arbutusrock.engine import rows
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.state import progress_layout
 from arbutusrock import logs
 
 __all__ = ['ProgressRows', 'ProgressWrite']
@@ -23,7 +23,7 @@
 class ProgressWrite:
     """Rows of one job that are written together.
 
-    :param job: :class:`arbutusrock.engine.job_state.Job`.
+    :param job: :class:`arbutusrock.engine.jobs.job_state.Job`.
     :param number: of the part; None for the head or the whole progress.
     :param rows: each with the version that it must have.
     """
@@ -43,7 +43,7 @@
     """Stored rows of the progress of all jobs, as far as this owner knows.
 
     :param job_registry: names the jobs that have changed.
-    :param refused: :class:`arbutusrock.engine.refused_rows.RefusedRows`.
+    :param refused: :class:`arbutusrock.engine.state.refused_rows.RefusedRows`.
     :param max_row_bytes: size of the largest value that a row takes.
     :ivar unrecorded: ids of the jobs with a refused row whose suspension is
         not stored yet. What workers report of them must not be acknowledged.
--- a/arbutusrock/engine/refused_rows.py
+++ b/arbutusrock/engine/state/refused_rows.py
@@ -70,7 +70,7 @@
     def record(self, row, cause, now_s):
         """Record that a row was refused.
 
-        :param row: :class:`arbutusrock.engine.rows.Row`.
+        :param row: :class:`arbutusrock.engine.ports.rows.Row`.
         :param cause: what the store has answered.
         """
         known = self._found.get((row.table, row.key))
--- a/arbutusrock/engine/retention.py
+++ b/arbutusrock/engine/state/retention.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from arbutusrock.engine import plans
-from arbutusrock.engine import rows
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import rows
 from arbutusrock import logs
 from arbutusrock.utils import clocks
 
@@ -25,9 +25,10 @@
 class Retention:
     """One task that removes ended jobs from memory and from the store.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
     :param store: client of the store.
-    :param state_writer: :class:`arbutusrock.engine.state_writer.StateWriter`,
+    :param state_writer:
+        :class:`arbutusrock.engine.state.state_writer.StateWriter`,
         which has the claim and the versions of progress rows.
     :param cancel_suffix: suffix of the key of a cancellation.
     """
--- a/arbutusrock/engine/roster.py
+++ b/arbutusrock/engine/state/roster.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import rows
 from arbutusrock import logs
 from arbutusrock.utils import decoders
 
--- a/arbutusrock/engine/state_writer.py
+++ b/arbutusrock/engine/state/state_writer.py
@@ -4,12 +4,12 @@
 
 import msgspec
 
-from arbutusrock.engine import owner_knowledge
-from arbutusrock.engine import progress_rows as progress_rows_module
-from arbutusrock.engine import refused_rows
-from arbutusrock.engine import roster as roster_module
-from arbutusrock.engine import rows
-from arbutusrock.engine import term as term_module
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.state import owner_knowledge
+from arbutusrock.engine.state import progress_rows as progress_rows_module
+from arbutusrock.engine.state import refused_rows
+from arbutusrock.engine.state import roster as roster_module
+from arbutusrock.engine.term import term as term_module
 from arbutusrock import logs
 from arbutusrock.utils import clocks
 
--- a/arbutusrock/engine/submitter.py
+++ b/arbutusrock/engine/state/submitter.py
@@ -9,8 +9,8 @@
 from collections import OrderedDict
 import enum
 
-from arbutusrock.engine import plans
-from arbutusrock.engine import rows
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import rows
 from arbutusrock import errors
 from arbutusrock import logs
 from arbutusrock.scheduling import batch_order
--- a/arbutusrock/engine/tests/test_owner_knowledge.py
+++ b/arbutusrock/engine/state/tests/test_owner_knowledge.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from arbutusrock.engine import owner_knowledge
+from arbutusrock.engine.state import owner_knowledge
 from arbutusrock.engine.tests import samples
 from arbutusrock.utils import clocks
 
--- a/arbutusrock/engine/tests/test_progress_rows.py
+++ b/arbutusrock/engine/state/tests/test_progress_rows.py
@@ -8,10 +8,10 @@
 import msgspec
 import pytest
 
-from arbutusrock.engine import plans
-from arbutusrock.engine import progress_layout
-from arbutusrock.engine import rows
-from arbutusrock.engine import state_writer
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.state import progress_layout
+from arbutusrock.engine.state import state_writer
 from arbutusrock.engine.tests import samples
 from arbutusrock.scheduling import crash_attribution
 
--- a/arbutusrock/engine/tests/test_state_writer.py
+++ b/arbutusrock/engine/state/tests/test_state_writer.py
@@ -5,13 +5,13 @@
 import msgspec
 import pytest
 
-from arbutusrock.engine import fleet
-from arbutusrock.engine import plans
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import rows
-from arbutusrock.engine import state_writer
-from arbutusrock.engine import term
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.state import state_writer
+from arbutusrock.engine.term import term
 from arbutusrock.engine.tests import samples
+from arbutusrock.engine.workers import fleet
 from arbutusrock.scheduling import Resources
 
 
--- a/arbutusrock/engine/tests/test_submitter.py
+++ b/arbutusrock/engine/state/tests/test_submitter.py
@@ -5,9 +5,9 @@
 import msgspec
 import pytest
 
-from arbutusrock.engine import plans
-from arbutusrock.engine import rows
-from arbutusrock.engine import submitter
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.state import submitter
 from arbutusrock.engine.tests import samples
 from arbutusrock.utils import clocks
 
--- /dev/null
+++ b/arbutusrock/engine/term/__init__.py
@@ -0,0 +1,1 @@
+"""State of one ownership that all its parts share."""
--- a/arbutusrock/engine/inherited_waits.py
+++ b/arbutusrock/engine/term/inherited_waits.py
@@ -11,7 +11,7 @@
 class InheritedWaits:
     """How long each pool waits for workers that have not answered.
 
-    :param fleet: :class:`arbutusrock.engine.fleet.Fleet`.
+    :param fleet: :class:`arbutusrock.engine.workers.fleet.Fleet`.
     :param metrics: :class:`arbutusrock.metrics.Metrics`.
     """
 
--- a/arbutusrock/engine/term.py
+++ b/arbutusrock/engine/term/term.py
@@ -2,12 +2,12 @@
 
 import asyncio
 
-from arbutusrock.engine import fleet as fleet_module
-from arbutusrock.engine import inherited_waits
-from arbutusrock.engine import job_registry
-from arbutusrock.engine import owner_load
-from arbutusrock.engine import share_ledger
-from arbutusrock.engine import takeover_phases
+from arbutusrock.engine.dispatch import share_ledger
+from arbutusrock.engine.jobs import job_registry
+from arbutusrock.engine.term import inherited_waits
+from arbutusrock.engine.term import owner_load
+from arbutusrock.engine.term import takeover_phases
+from arbutusrock.engine.workers import fleet as fleet_module
 from arbutusrock.scheduling import admission
 from arbutusrock.scheduling import dark_workers
 from arbutusrock.scheduling import estimates
--- a/arbutusrock/engine/tests/test_owner_load.py
+++ b/arbutusrock/engine/term/tests/test_owner_load.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from arbutusrock.engine import owner_load
+from arbutusrock.engine.term import owner_load
 from arbutusrock.scheduling import order_window
 
 ORDER_TIMEOUT_S = 0.8
--- a/arbutusrock/engine/tests/test_term.py
+++ b/arbutusrock/engine/term/tests/test_term.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from arbutusrock.engine import job_state
-from arbutusrock.engine import ownership
-from arbutusrock.engine import state_writer
-from arbutusrock.engine import term as term_module
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.ownership import ownership
+from arbutusrock.engine.state import state_writer
+from arbutusrock.engine.term import term as term_module
 from arbutusrock.engine.tests import samples
 from arbutusrock.scheduling import lease_bounds
 
--- a/arbutusrock/engine/tests/samples.py
+++ b/arbutusrock/engine/tests/samples.py
@@ -2,13 +2,13 @@
 
 import types
 
-from arbutusrock.engine import data_centre_cordons
-from arbutusrock.engine import fleet
-from arbutusrock.engine import job_state
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.jobs import plans
 from arbutusrock.engine import node_settings
-from arbutusrock.engine import plans
-from arbutusrock.engine import run_controller
-from arbutusrock.engine import term as term_module
+from arbutusrock.engine.runs import run_controller
+from arbutusrock.engine.term import term as term_module
+from arbutusrock.engine.vms import data_centre_cordons
+from arbutusrock.engine.workers import fleet
 from arbutusrock import metrics
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
--- a/arbutusrock/engine/tests/test_configuration_watcher.py
+++ b/arbutusrock/engine/tests/test_configuration_watcher.py
@@ -3,7 +3,7 @@
 import pytest
 
 from arbutusrock.engine import configuration_watcher
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import rows
 from arbutusrock.platform import operator_rows
 
 
--- /dev/null
+++ b/arbutusrock/engine/vms/__init__.py
@@ -0,0 +1,1 @@
+"""VMs: pools, moves, maintenance waves and evacuated data centres."""
--- a/arbutusrock/engine/cordon_controller.py
+++ b/arbutusrock/engine/vms/cordon_controller.py
@@ -15,9 +15,10 @@
     """Logs which evacuations are in force, and which pools they leave empty.
 
     That workers of an evacuated data centre get no runs does not depend on
-    it: :class:`arbutusrock.engine.fleet.WorkerState` asks for that itself.
+    it: :class:`arbutusrock.engine.workers.fleet.WorkerState` asks for that
+    itself.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
     """
 
     def __init__(self, *, term):
--- a/arbutusrock/engine/evacuation.py
+++ b/arbutusrock/engine/vms/evacuation.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from arbutusrock.engine import job_state
+from arbutusrock.engine.jobs import job_state
 from arbutusrock import logs
 from arbutusrock.scheduling import disruption
 from arbutusrock.scheduling import placement
@@ -32,7 +32,7 @@
 
     The tasks of stopped runs are queued again and start on other workers.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
     :param run_controller: stops runs.
     """
 
--- a/arbutusrock/engine/tests/test_cordons.py
+++ b/arbutusrock/engine/vms/tests/test_cordons.py
@@ -3,13 +3,13 @@
 import asyncio
 import types
 
-from arbutusrock.engine import cordon_controller
-from arbutusrock.engine import job_state
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.runs import worker_link
 from arbutusrock.engine.tests import samples
-from arbutusrock.engine import vm_registry
-from arbutusrock.engine import vm_views
-from arbutusrock.engine import worker_link
+from arbutusrock.engine.vms import cordon_controller
+from arbutusrock.engine.vms import vm_registry
+from arbutusrock.engine.vms import vm_views
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
 
--- a/arbutusrock/engine/tests/test_evacuation.py
+++ b/arbutusrock/engine/vms/tests/test_evacuation.py
@@ -2,11 +2,11 @@
 
 import types
 
-from arbutusrock.engine import evacuation
-from arbutusrock.engine import fleet
-from arbutusrock.engine import job_state
-from arbutusrock.engine import plans
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.vms import evacuation
+from arbutusrock.engine.workers import fleet
 from arbutusrock.scheduling import Resources
 
 DEMAND = Resources(cpu=1000, memory_mb=100)
--- a/arbutusrock/engine/tests/test_vm_controller.py
+++ b/arbutusrock/engine/vms/tests/test_vm_controller.py
@@ -5,8 +5,8 @@
 import types
 from unittest import mock
 
-from arbutusrock.engine import owner_load
-from arbutusrock.engine import vm_controller
+from arbutusrock.engine.term import owner_load
+from arbutusrock.engine.vms import vm_controller
 from arbutusrock.utils import clocks
 
 SIZING_S = 0.1
--- a/arbutusrock/engine/tests/test_vm_registry.py
+++ b/arbutusrock/engine/vms/tests/test_vm_registry.py
@@ -1,7 +1,7 @@
 """Effect of a list of VMs that lags on the pending orders."""
 
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import vm_registry
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.vms import vm_registry
 
 
 def create_entry(state=platform_messages.VMState.UP):
--- a/arbutusrock/engine/tests/test_vm_views.py
+++ b/arbutusrock/engine/vms/tests/test_vm_views.py
@@ -10,11 +10,11 @@
 
 import msgspec
 
-from arbutusrock.engine import job_state
-from arbutusrock.engine import plans
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.jobs import plans
 from arbutusrock.engine.tests import samples
-from arbutusrock.engine.tests import test_cordons
-from arbutusrock.engine import vm_views
+from arbutusrock.engine.vms.tests import test_cordons
+from arbutusrock.engine.vms import vm_views
 from arbutusrock.scheduling import pool_sizing
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
--- a/arbutusrock/engine/tests/test_wave_controller.py
+++ b/arbutusrock/engine/vms/tests/test_wave_controller.py
@@ -3,12 +3,12 @@
 import contextlib
 import types
 
-from arbutusrock.engine import fleet
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import rows
-from arbutusrock.engine import vm_registry
-from arbutusrock.engine import vm_views
-from arbutusrock.engine import wave_controller
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.vms import vm_registry
+from arbutusrock.engine.vms import vm_views
+from arbutusrock.engine.vms import wave_controller
+from arbutusrock.engine.workers import fleet
 from arbutusrock.scheduling import Resources
 
 
--- a/arbutusrock/engine/vm_controller.py
+++ b/arbutusrock/engine/vms/vm_controller.py
@@ -4,12 +4,12 @@
 
 import msgspec
 
-from arbutusrock.engine import fleet
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import term as term_module
-from arbutusrock.engine import vm_registry
-from arbutusrock.engine import vm_views
-from arbutusrock.engine import wave_controller
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.term import term as term_module
+from arbutusrock.engine.vms import vm_registry
+from arbutusrock.engine.vms import vm_views
+from arbutusrock.engine.vms import wave_controller
+from arbutusrock.engine.workers import fleet
 from arbutusrock import logs
 from arbutusrock.scheduling import consolidation
 from arbutusrock.scheduling import pool_sizing
@@ -42,7 +42,7 @@
     :param term: :class:`term_module.Term`.
     :param state_writer: writes the progress of waves.
     :param run_controller:
-        :class:`arbutusrock.engine.run_controller.RunController`.
+        :class:`arbutusrock.engine.runs.run_controller.RunController`.
     :param store: client of the store.
     :param adapter: has the client of the VM service as ``vm_client``, and
         ``encode_wave_status``.
--- a/arbutusrock/engine/vm_registry.py
+++ b/arbutusrock/engine/vms/vm_registry.py
@@ -1,6 +1,6 @@
 """VMs as the platform lists them, and the owner's pending orders for them."""
 
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.ports import platform_messages
 
 __all__ = ['VMOrder', 'TrackedVM', 'VMRegistry']
 
--- a/arbutusrock/engine/vm_views.py
+++ b/arbutusrock/engine/vms/vm_views.py
@@ -5,9 +5,9 @@
 
 import math
 
-from arbutusrock.engine import job_state
-from arbutusrock.engine import occurrence_estimates
-from arbutusrock.engine import placement_requests
+from arbutusrock.engine.dispatch import placement_requests
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.jobs import occurrence_estimates
 from arbutusrock.scheduling import consolidation
 from arbutusrock.scheduling import pool_sizing
 from arbutusrock.scheduling import quotas
@@ -82,7 +82,7 @@
 def is_empty(tracked, worker, *, leases_inherited):
     """Return whether nothing can be running on a VM.
 
-    :param tracked: :class:`arbutusrock.engine.vm_registry.TrackedVM`.
+    :param tracked: :class:`arbutusrock.engine.vms.vm_registry.TrackedVM`.
     :param worker: its current worker, or None.
     :param leases_inherited: whether leases of an earlier owner may still
         run. Then a worker that the platform lists may have runs although it
--- a/arbutusrock/engine/wave_controller.py
+++ b/arbutusrock/engine/vms/wave_controller.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from arbutusrock.engine import feeds
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import rows
-from arbutusrock.engine import vm_registry as vm_registry_module
-from arbutusrock.engine import vm_views
+from arbutusrock.engine.ports import feeds
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.vms import vm_registry as vm_registry_module
+from arbutusrock.engine.vms import vm_views
 from arbutusrock import logs
 from arbutusrock.scheduling import wave_selection
 from arbutusrock.utils import clocks
@@ -40,10 +40,10 @@
     A VM gets its order once it is empty. Until then its worker is cordoned,
     and evacuated by the evacuation controller.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
-    :param vm_registry: :class:`arbutusrock.engine.vm_registry.VMRegistry`.
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
+    :param vm_registry: :class:`arbutusrock.engine.vms.vm_registry.VMRegistry`.
     :param issue_order: sends an order, see
-        :meth:`arbutusrock.engine.vm_controller.VMController.issue_order`.
+        :meth:`arbutusrock.engine.vms.vm_controller.VMController.issue_order`.
     :param state_writer: writes the progress of waves.
     :param store: client of the store.
     :param encode_wave_status: encodes the report for operators.
--- /dev/null
+++ b/arbutusrock/engine/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Workers as the owner knows them."""
--- a/arbutusrock/engine/fleet.py
+++ b/arbutusrock/engine/workers/fleet.py
@@ -4,7 +4,7 @@
 import enum
 import math
 
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.ports import platform_messages
 from arbutusrock.scheduling import dark_workers
 from arbutusrock.scheduling import Resources
 
--- a/arbutusrock/engine/guarded_starts.py
+++ b/arbutusrock/engine/workers/guarded_starts.py
@@ -1,6 +1,6 @@
 """Starts tasks that may crash their worker, each apart from other tasks."""
 
-from arbutusrock.engine import job_state
+from arbutusrock.engine.jobs import job_state
 from arbutusrock.scheduling import crash_attribution
 from arbutusrock.scheduling import isolation
 from arbutusrock.utils import clocks
@@ -74,9 +74,9 @@
 class GuardedStarter:
     """Starts suspects where a crash costs least and tells who caused it.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
     :param crash_tracker:
-        :class:`arbutusrock.engine.crash_tracker.CrashTracker`.
+        :class:`arbutusrock.engine.runs.crash_tracker.CrashTracker`.
     """
 
     def __init__(self, *, term, crash_tracker):
--- a/arbutusrock/engine/registration_controller.py
+++ b/arbutusrock/engine/workers/registration_controller.py
@@ -11,10 +11,10 @@
 
 import msgspec
 
-from arbutusrock.engine import feeds
-from arbutusrock.engine import fleet as fleet_module
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import feeds
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.workers import fleet as fleet_module
 from arbutusrock import logs
 from arbutusrock.scheduling import dark_workers
 from arbutusrock.utils import clocks
--- a/arbutusrock/engine/run_speeds.py
+++ b/arbutusrock/engine/workers/run_speeds.py
@@ -2,7 +2,7 @@
 
 import statistics
 
-from arbutusrock.engine import job_state
+from arbutusrock.engine.jobs import job_state
 from arbutusrock import logs
 from arbutusrock.scheduling import stragglers
 
--- a/arbutusrock/engine/tests/test_registration_controller.py
+++ b/arbutusrock/engine/workers/tests/test_registration_controller.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import registration_controller
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.ports import rows
 from arbutusrock.engine.tests import samples
-from arbutusrock.engine import vm_views
+from arbutusrock.engine.vms import vm_views
+from arbutusrock.engine.workers import registration_controller
 from arbutusrock.scheduling import dark_workers
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
--- a/arbutusrock/engine/tests/test_run_speeds.py
+++ b/arbutusrock/engine/workers/tests/test_run_speeds.py
@@ -5,13 +5,13 @@
 import msgspec
 import pytest
 
-from arbutusrock.engine import dispatcher
-from arbutusrock.engine import job_state
-from arbutusrock.engine import placement_requests
-from arbutusrock.engine import run_speeds
-from arbutusrock.engine import straggler_controller
+from arbutusrock.engine.dispatch import dispatcher
+from arbutusrock.engine.dispatch import placement_requests
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.runs import straggler_controller
 from arbutusrock.engine.tests import samples
-from arbutusrock.engine.tests import test_cordons
+from arbutusrock.engine.vms.tests import test_cordons
+from arbutusrock.engine.workers import run_speeds
 from arbutusrock.scheduling import placement
 from arbutusrock.utils import clocks
 
--- a/arbutusrock/engine/tests/test_tickets.py
+++ b/arbutusrock/engine/workers/tests/test_tickets.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from arbutusrock.engine import fleet
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.ports import platform_messages
 from arbutusrock.engine.tests import samples
-from arbutusrock.engine import tickets
+from arbutusrock.engine.workers import fleet
+from arbutusrock.engine.workers import tickets
 from arbutusrock.scheduling import configuration
 from arbutusrock.utils import clocks
 
--- a/arbutusrock/engine/tickets.py
+++ b/arbutusrock/engine/workers/tickets.py
@@ -32,10 +32,10 @@
 class TicketCache:
     """Requests tickets for steps and keeps them until they expire.
 
-    They are kept in :attr:`arbutusrock.engine.job_state.Step.tickets`. One is
-    valid for the incarnation of the worker that it was requested for.
+    They are kept in :attr:`arbutusrock.engine.jobs.job_state.Step.tickets`.
+    One is valid for the incarnation of the worker that it was requested for.
 
-    :param term: :class:`arbutusrock.engine.term.Term`.
+    :param term: :class:`arbutusrock.engine.term.term.Term`.
     :param client: client of the policy service; None means that all workers
         are allowed.
     :param spawn: starts a task whose failure ends the term.
--- a/arbutusrock/platform/adapter.py
+++ b/arbutusrock/platform/adapter.py
@@ -45,7 +45,7 @@
         """Return a client of one incarnation of a worker.
 
         :param entry:
-            :class:`arbutusrock.engine.platform_messages.WorkerEntry`.
+            :class:`arbutusrock.engine.ports.platform_messages.WorkerEntry`.
         """
         return workers.WorkerClient(
             address=entry.address,
--- a/arbutusrock/platform/advice.py
+++ b/arbutusrock/platform/advice.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.ports import platform_messages
 from arbutusrock import logs
 from arbutusrock.utils import decoders
 from arbutusrock.utils import http
--- a/arbutusrock/platform/internal_api.py
+++ b/arbutusrock/platform/internal_api.py
@@ -6,8 +6,8 @@
 from aiohttp import web
 import msgspec
 
-from arbutusrock.engine import peers
-from arbutusrock.engine import status
+from arbutusrock.engine.callers import peers
+from arbutusrock.engine.callers import status
 from arbutusrock import logs
 from arbutusrock.platform import operator_rows
 
--- a/arbutusrock/platform/job_bodies.py
+++ b/arbutusrock/platform/job_bodies.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from arbutusrock.engine import plans
+from arbutusrock.engine.jobs import plans
 from arbutusrock import errors
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import decoders
--- a/arbutusrock/platform/operator_rows.py
+++ b/arbutusrock/platform/operator_rows.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.ports import platform_messages
 from arbutusrock.platform import workers
 from arbutusrock.scheduling import configuration
 from arbutusrock.scheduling import configuration_check
--- a/arbutusrock/platform/store.py
+++ b/arbutusrock/platform/store.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import rows
 from arbutusrock.utils import decoders
 from arbutusrock.utils import http
 
--- a/arbutusrock/platform/tests/test_malformed_answers.py
+++ b/arbutusrock/platform/tests/test_malformed_answers.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.ports import rows
 from arbutusrock import metrics
 from arbutusrock.platform import advice
 from arbutusrock.platform import store
--- a/arbutusrock/platform/tests/test_worker_client.py
+++ b/arbutusrock/platform/tests/test_worker_client.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 import pytest
 
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.ports import platform_messages
 from arbutusrock import metrics
 from arbutusrock.platform import workers
 from examples.standins.site import workers as standins
--- a/arbutusrock/platform/vm_service.py
+++ b/arbutusrock/platform/vm_service.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.ports import platform_messages
 from arbutusrock import logs
 from arbutusrock.platform import workers
 from arbutusrock.utils import decoders
--- a/arbutusrock/platform/workers.py
+++ b/arbutusrock/platform/workers.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import roster
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.state import roster
 from arbutusrock import logs
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import decoders
--- a/arbutusrock/scheduling/tests/test_placement.py
+++ b/arbutusrock/scheduling/tests/test_placement.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies
 import msgspec
 
-from arbutusrock.engine import fleet
-from arbutusrock.engine import platform_messages
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.workers import fleet
 from arbutusrock.scheduling import placement
 from arbutusrock.scheduling import Resources
 
--- a/benchmarks/bench_share_order.py
+++ b/benchmarks/bench_share_order.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from arbutusrock.engine.tests import test_share_ledger as samples
+from arbutusrock.engine.dispatch.tests import test_share_ledger as samples
 
 ROUNDS = 10
 ACCOUNTS = 20
--- a/benchmarks/fleet_simulation.py
+++ b/benchmarks/fleet_simulation.py
@@ -1,9 +1,10 @@
 """A simulated fleet in virtual time, driven by the product's own decisions.
 
 The ranking, placement, forecast and pool sizing are those of an owner
-(:class:`arbutusrock.engine.leader.Leader`). The workers, the VM service and
-the callers are simulated: a start is confirmed at once, a task ends after its
-true duration, a move takes ``move_s`` and ``REGISTRATION_DELAY_S``.
+(:class:`arbutusrock.engine.ownership.leader.Leader`). The workers, the VM
+service and the callers are simulated: a start is confirmed at once, a task
+ends after its true duration, a move takes ``move_s`` and
+``REGISTRATION_DELAY_S``.
 """
 
 import heapq
@@ -15,15 +16,15 @@
 
 import msgspec
 
-from arbutusrock.engine import fleet as fleet_module
-from arbutusrock.engine import job_state
-from arbutusrock.engine import leader as leader_module
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.jobs import plans
 from arbutusrock.engine import node_settings
-from arbutusrock.engine import plans
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import rows
-from arbutusrock.engine import term as term_module
-from arbutusrock.engine import vm_registry
+from arbutusrock.engine.ownership import leader as leader_module
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.term import term as term_module
+from arbutusrock.engine.vms import vm_registry
+from arbutusrock.engine.workers import fleet as fleet_module
 from arbutusrock import metrics
 from arbutusrock.scheduling import configuration
 from arbutusrock.scheduling import Resources
--- a/benchmarks/lookahead_cost.py
+++ b/benchmarks/lookahead_cost.py
@@ -12,14 +12,14 @@
 
 import structlog
 
-from arbutusrock.engine import fleet
-from arbutusrock.engine import job_ranks
-from arbutusrock.engine import job_state
-from arbutusrock.engine import lookahead
+from arbutusrock.engine.dispatch import lookahead
+from arbutusrock.engine.jobs import job_ranks
+from arbutusrock.engine.jobs import job_state
+from arbutusrock.engine.jobs import plans
 from arbutusrock.engine import node_settings
-from arbutusrock.engine import plans
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import term as term_module
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.term import term as term_module
+from arbutusrock.engine.workers import fleet
 from arbutusrock import metrics
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
--- a/tests/test_site_capacity.py
+++ b/tests/test_site_capacity.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from arbutusrock.engine import registration_controller
+from arbutusrock.engine.workers import registration_controller
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
--- a/tests/test_site_cordons.py
+++ b/tests/test_site_cordons.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from arbutusrock.engine import rows
-from arbutusrock.engine import status
+from arbutusrock.engine.callers import status
+from arbutusrock.engine.ports import rows
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from arbutusrock.engine import ownership
-from arbutusrock.engine import retention
+from arbutusrock.engine.ownership import ownership
+from arbutusrock.engine.state import retention
 from arbutusrock.utils import clocks
 from examples.standins.site.site import create_step
 from tests import site_checks
--- a/tests/test_site_knowledge.py
+++ b/tests/test_site_knowledge.py
@@ -6,8 +6,8 @@
 import msgspec
 import pytest
 
-from arbutusrock.engine import owner_knowledge
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import rows
+from arbutusrock.engine.state import owner_knowledge
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
--- a/tests/test_site_large_jobs.py
+++ b/tests/test_site_large_jobs.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from arbutusrock.engine import rows
+from arbutusrock.engine.ports import rows
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
--- a/tests/test_site_partition.py
+++ b/tests/test_site_partition.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from arbutusrock.engine import platform_messages
-from arbutusrock.engine import term as term_module
+from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.term import term as term_module
 from arbutusrock.scheduling import lease_bounds
 from examples.standins.site.site import create_step
 from tests import site_checks
--- a/tests/test_site_reboots.py
+++ b/tests/test_site_reboots.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from arbutusrock.engine import job_state
+from arbutusrock.engine.jobs import job_state
 from examples.standins.site.site import create_step
 from tests import site_checks
 from tests.site_checks import JOB
