Keep the policy settings of a job whose route is dropped, and delay refused starts

Cause: tickets were requested with the settings of the queue in the newest configuration only; without a queue the tasks were ordered without tickets, the worker refused each order, and the task was queued again at once, 400 times a second. The same loop showed for orders refused for room, as late and as old.

Change: the settings are stored with the job at acceptance; a step whose start was refused for a missing ticket asks for tickets in any case. A task that was refused twice in a row waits for a growing time, up to 2 s. Refused starts are counted by outcome.

--- a/arbutusrock/engine/callers/gateway.py
+++ b/arbutusrock/engine/callers/gateway.py
@@ -124,6 +124,7 @@
             max_attempts=queue.max_attempts,
             stretch=queue.stretch,
             objective_ms=queue.objective_ms,
+            advice=queue.advice,
         )
         outcome = await self.submitter.submit(
             job_id,
--- a/arbutusrock/engine/dispatch/dispatcher.py
+++ b/arbutusrock/engine/dispatch/dispatcher.py
@@ -259,6 +259,8 @@
                 return True
             if task.name in unwanted_runs and not step.plan.speculative:
                 continue
+            if task.not_before_s > now_s:
+                continue
             if self.guarded_starter.must_isolate(task, now_s):
                 continue
             if not self._fits_account_limit(step, 1):
@@ -290,6 +292,7 @@
         unwanted_runs = self.term.fleet.unwanted_runs
         if any(
             task.name in unwanted_runs
+            or task.not_before_s > now_s
             or self.guarded_starter.must_isolate(task, now_s)
             for task in step.tasks
         ):
@@ -360,12 +363,16 @@
         suspects = [
             task
             for task in step.waiting.values()
-            if self.guarded_starter.must_isolate(task, now_s)
+            if task.not_before_s <= now_s
+            and self.guarded_starter.must_isolate(task, now_s)
         ]
         unwanted_runs = self.term.fleet.unwanted_runs
         if step.plan.gang:
             complete = len(step.waiting) == step.plan.count
-            free = not any(task.name in unwanted_runs for task in step.tasks)
+            free = not any(
+                task.name in unwanted_runs or task.not_before_s > now_s
+                for task in step.tasks
+            )
             return [step.tasks] if suspects and complete and free else []
         return [
             [task]
--- a/arbutusrock/engine/jobs/job_state.py
+++ b/arbutusrock/engine/jobs/job_state.py
@@ -144,6 +144,8 @@
         'status',
         'runs',
         'starts',
+        'refused_starts',
+        'not_before_s',
         'failed_runs',
         'deprioritized_vms',
         'crashes_durable_at_flush',
@@ -166,6 +168,10 @@
         self.runs = []
         # Number of runs that this owner has ordered.
         self.starts = 0
+        # Start orders in a row that workers have refused, and when the task
+        # may be ordered again.
+        self.refused_starts = 0
+        self.not_before_s = 0.0
         self.failed_runs = set()
         # VMs on which a run of it failed or made no progress.
         self.deprioritized_vms = set()
@@ -221,6 +227,7 @@
         'unblocked',
         'key',
         'tickets',
+        'needs_tickets',
         'runs_by_vm',
         'start_waits_s',
     )
@@ -237,6 +244,8 @@
         self.unblocked = False
         # Answers of the policy service by worker, kept by TicketCache.
         self.tickets = {}
+        # Whether a worker has refused a start of it without a ticket.
+        self.needs_tickets = False
         # Number of runs by VM, for StepPlan.most_per_worker.
         self.runs_by_vm = {}
         # How long its tasks waited for their first runs, where recorded.
--- a/arbutusrock/engine/jobs/plans.py
+++ b/arbutusrock/engine/jobs/plans.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from arbutusrock.scheduling import configuration
 from arbutusrock.scheduling import crash_attribution
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import decoders
@@ -111,6 +112,8 @@
     :param max_attempts: failed runs of a task after which the job fails.
     :param stretch: factor on the critical path in the completion objective.
     :param objective_ms: fixed part of the completion objective.
+    :param advice: :class:`configuration.AdviceSettings` of its queue; None
+        without a policy service. Rows of earlier versions do not have it.
     """
 
     queue: str
@@ -121,6 +124,7 @@
     max_attempts: int = 3
     stretch: float = 1.0
     objective_ms: float = 1000.0
+    advice: configuration.AdviceSettings | None = None
 
 
 class JobProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
--- a/arbutusrock/engine/runs/run_controller.py
+++ b/arbutusrock/engine/runs/run_controller.py
@@ -22,6 +22,12 @@
 COMPLETIONS_PER_PAGE = 500
 # How long a new owner defers reports of a job whose row it has not loaded.
 JOB_LOAD_GRACE_S = 2.0
+# Delays before a task is ordered again that workers have refused twice and
+# more often in a row.
+MIN_REFUSAL_DELAY_S = 0.05
+MAX_REFUSAL_DELAY_S = 2.0
+# Refusals after which the delay does not grow any more.
+MAX_REFUSALS = 8
 LOG = logs.get_log('runs')
 
 
@@ -105,6 +111,7 @@
                 run.started_at_s = run.confirmed_at_s = now_s
                 if run.task is not None:
                     run.task.step.job.started = True
+                    run.task.refused_starts = 0
                 return
             case platform_messages.OrderOutcome.UNKNOWN:
                 worker.unresponsive = True
@@ -125,17 +132,36 @@
             case platform_messages.OrderOutcome.BAD_TICKET if (
                 run.task is not None
             ):
-                run.task.step.tickets.pop(worker.worker_id, None)
+                step = run.task.step
+                if step.tickets.pop(worker.worker_id, None) is None:
+                    step.needs_tickets = True
             case platform_messages.OrderOutcome.INVALID if (
                 run.task is not None
             ):
                 self._record_failed_attempt(run.task, run)
         self._log_failed_start(run, outcome)
+        if run.task is not None and not worker.unresponsive:
+            self._delay_task(run.task, now_s)
         self.crash_tracker.drop_run(run)
         self.requeue_run(run)
 
     @staticmethod
-    def _log_failed_start(run, outcome):
+    def _delay_task(task, now_s):
+        """Have a task wait that workers refuse; the first time it does not.
+
+        A worker that has refused a start once may do so for ever.
+        """
+        if task.refused_starts:
+            task.not_before_s = now_s + min(
+                MAX_REFUSAL_DELAY_S,
+                MIN_REFUSAL_DELAY_S * 2 ** (task.refused_starts - 1),
+            )
+        task.refused_starts = min(task.refused_starts + 1, MAX_REFUSALS)
+
+    def _log_failed_start(self, run, outcome):
+        self.term.metrics.count(
+            'starts_refused', (('outcome', outcome.value),)
+        )
         LOG.info(
             'a start order was not carried out',
             task=run.name,
--- a/arbutusrock/engine/workers/tickets.py
+++ b/arbutusrock/engine/workers/tickets.py
@@ -1,6 +1,7 @@
 """Requests tickets: the policy service's permissions to run a step."""
 
 from arbutusrock import logs
+from arbutusrock.scheduling import configuration
 from arbutusrock.utils import clocks
 
 __all__ = ['TicketCache']
@@ -11,6 +12,11 @@
 ANSWER_MARGIN_S = 1.0
 # A ticket is not used when it expires within this time.
 EXPIRY_MARGIN_S = 0.3
+# Used for a step whose workers ask for tickets though no settings are known:
+# its queue is gone, and its row was written by an earlier version.
+DEFAULT_ADVICE = configuration.AdviceSettings(
+    decide_ms=500.0, each_ms=50.0, valid_ms=3000.0
+)
 LOG = logs.get_log('policy')
 
 
@@ -49,12 +55,19 @@
         self._pending_steps = set()
 
     def _get_advice(self, step):
-        queue = self.term.configuration.current.queues.get(
-            step.job.submission.queue
-        )
-        if queue is None or self.client is None:
+        """Return the settings of the policy service for a step, or None.
+
+        Those of the newest configuration count. A job whose queue is not in
+        it any more keeps those that it was accepted with.
+        """
+        if self.client is None:
             return None
-        return queue.advice
+        submission = step.job.submission
+        queue = self.term.configuration.current.queues.get(submission.queue)
+        advice = submission.advice if queue is None else queue.advice
+        if advice is None and step.needs_tickets:
+            return DEFAULT_ADVICE
+        return advice
 
     def get_allowed_ids(self, step, workers, now_s):
         """Return the ids of workers with a valid ticket; None allows all.
--- a/examples/standins/site/workers.py
+++ b/examples/standins/site/workers.py
@@ -90,6 +90,10 @@
         self.pace_percents = {}
         # Whether all runs fail.
         self.failing = False
+        # Reason for which it refuses all starts, or those without a ticket
+        # for ``ticket``; and how many it has refused.
+        self.refusal = ''
+        self.refused_starts = 0
         # Whether the process was killed.
         self.aborted = False
         self._timers = {}
@@ -153,6 +157,11 @@
             raise _Refused('old')
         if body['deadlineMs'] < self.clock_ms:
             raise _Refused('late')
+        if self.refusal and not (
+            self.refusal == 'ticket' and 'ticket' in body
+        ):
+            self.refused_starts += 1
+            raise _Refused(self.refusal)
         run_record = RunRecord(
             worker_id=self.worker_id, task=task, run=run, spec=body['spec']
         )
