Tell a stalled run from a long one by what its report can show

Cause: a run whose percentage had not risen for 1.3 s counted as stalled, whatever its duration; whole percents of ten minutes rise each 6 s. Each pass excluded its VM for 4 s, also where the run could not be moved.

Change: the time is 1.3 s, or 0.15 of the declared estimate, or 2.5 times what the last rise took for a percent, whichever is longest. One run alone excludes its VM once; all of two or more that stall go on to do so.

--- a/arbutusrock/engine/jobs/job_state.py
+++ b/arbutusrock/engine/jobs/job_state.py
@@ -89,6 +89,8 @@
         'stop_reason',
         'percent',
         'last_progress_at_s',
+        'rise_s',
+        'stall_recorded',
         'ready_at_s',
         'checkpoint',
         'load',
@@ -119,6 +121,10 @@
         self.percent = 0.0
         # When its reported percentage last rose.
         self.last_progress_at_s = now_s
+        # Time that the last rise took for each percent.
+        self.rise_s = 0.0
+        # Whether its VM was excluded because of it.
+        self.stall_recorded = False
         # Since when a serving task is ready; None before.
         self.ready_at_s = None
         self.checkpoint = ''
--- a/arbutusrock/engine/runs/run_controller.py
+++ b/arbutusrock/engine/runs/run_controller.py
@@ -441,6 +441,9 @@
         if run.task is not None:
             run.task.step.job.started = True
         if report.percent > run.percent:
+            run.rise_s = (now_s - run.last_progress_at_s) / (
+                report.percent - run.percent
+            )
             run.last_progress_at_s = now_s
         run.percent = report.percent
         run.load = report.load
--- a/arbutusrock/engine/runs/straggler_controller.py
+++ b/arbutusrock/engine/runs/straggler_controller.py
@@ -61,6 +61,7 @@
                     self.term, run, view.expected_s, now_s
                 )
             run_speeds.update(self.term, [run for run, _ in views], now_s)
+        self._exclude_stalled_vms(views, now_s)
         # What runs that are stopped in this pass will take elsewhere.
         taken = {}
         for run, view in views:
@@ -71,7 +72,7 @@
             view.vm_sound = estimate.known_sound
             remedy = stragglers.choose_remedy(view)
             if remedy is not stragglers.Remedy.NONE:
-                self._apply_remedy(run, view, remedy, now_s, taken)
+                self._apply_remedy(run, view, remedy, taken)
 
     def _create_view(self, run, worker):
         plan = run.task.step.plan
@@ -85,19 +86,40 @@
             age_s=worker.last_reply_at_s - run.confirmed_at_s,
             percent=run.percent,
             stalled_s=worker.last_reply_at_s - run.last_progress_at_s,
+            estimate_s=plan.estimate_ms / 1000,
+            rise_s=run.rise_s,
+            starts=run.task.starts,
             sibling_durations_s=durations_s,
             speculative=plan.speculative,
             checkpointing=plan.checkpointing,
             expected_s=expected_s,
         )
 
-    def _apply_remedy(self, run, view, remedy, now_s, taken):
+    def _exclude_stalled_vms(self, views, now_s):
+        """Exclude the VMs with runs that stall.
+
+        One run alone excludes its VM once only: it may be a long one that
+        cannot be moved, and other work must not wait for it.
+        """
+        by_vm = {}
+        for run, view in views:
+            by_vm.setdefault(run.worker.vm, []).append(
+                (run, stragglers.is_stalled(view))
+            )
+        for vm, found in by_vm.items():
+            stalled = [run for run, is_stalled in found if is_stalled]
+            if len(stalled) == len(found) > 1 or any(
+                not run.stall_recorded for run in stalled
+            ):
+                self.term.vm_health.record_stall(vm, now_s)
+            for run in stalled:
+                run.stall_recorded = True
+
+    def _apply_remedy(self, run, view, remedy, taken):
         task = run.task
         if len(task.runs) > 1:
             return
         stalled = stragglers.is_stalled(view)
-        if stalled:
-            self.term.vm_health.record_stall(run.worker.vm, now_s)
         task.deprioritized_vms.add(run.worker.vm)
         if remedy is stragglers.Remedy.COPY:
             started = self.dispatcher.start_extra_run(task)
--- a/arbutusrock/scheduling/stragglers.py
+++ b/arbutusrock/scheduling/stragglers.py
@@ -7,6 +7,11 @@
 extra runs, one is started on another VM; otherwise the run is stopped and
 restarted elsewhere.
 
+A run stalls when its percentage does not rise although its report could show
+it. Workers report whole percents: those of a task of ten minutes rise each six
+seconds. How often they rise is taken from the declared estimate, which may be
+wrong by ten, and from the last rise that was seen.
+
 One task in thirty takes seven times as long on any VM. Where other runs show
 that the VM works as expected, a run far behind is one of these: elsewhere it
 would take as long again, so it stays. A VM that is known to be slow is left as
@@ -21,10 +26,18 @@
 MIN_AGE_S = 0.7
 # The same on a VM that is known to be slow.
 MIN_AGE_ON_SLOW_VM_S = 0.3
-# A run whose percentage has not risen for this time is stalled.
+# A run whose percentage has not risen for this time is stalled, if it can be
+# expected to have risen.
 STALL_TIMEOUT_S = 1.3
+# Part of the estimate in which the percentage of a run rises at least once:
+# one percent of ten times the estimate, and half as much for the report.
+RISE_FRACTION = 0.15
+# A rise may take this many times as long for a percent as the last one.
+RISE_FACTOR = 2.5
 # A run is slow when it takes this many times the median of its siblings.
 SLOW_FACTOR = 2.5
+# The time of a run of unknown duration is doubled this often.
+MAX_DOUBLINGS = 12
 # Siblings on other VMs whose durations must be known for a comparison.
 MIN_SIBLINGS = 2
 # A restarted run must be expected to end within this part of the time that
@@ -46,6 +59,10 @@
     :param age_s: time from the start of the run to the report.
     :param percent: progress of the run.
     :param stalled_s: time from the last rise of the percentage to the report.
+    :param estimate_s: declared estimate of its duration; 0 without one.
+    :param rise_s: time that the last rise took for each percent; 0 before the
+        first one.
+    :param starts: number of runs of the task so far.
     :param sibling_durations_s: durations of other tasks of the same step on
         other VMs.
     :param speculative: an extra run may be started beside it.
@@ -59,6 +76,9 @@
         'age_s',
         'percent',
         'stalled_s',
+        'estimate_s',
+        'rise_s',
+        'starts',
         'sibling_durations_s',
         'speculative',
         'checkpointing',
@@ -73,6 +93,9 @@
         age_s,
         percent,
         stalled_s,
+        estimate_s=0.0,
+        rise_s=0.0,
+        starts=1,
         sibling_durations_s=(),
         speculative=False,
         checkpointing=False,
@@ -83,6 +106,9 @@
         self.age_s = age_s
         self.percent = percent
         self.stalled_s = stalled_s
+        self.estimate_s = estimate_s
+        self.rise_s = rise_s
+        self.starts = starts
         self.sibling_durations_s = sibling_durations_s
         self.speculative = speculative
         self.checkpointing = checkpointing
@@ -115,8 +141,29 @@
 
 
 def is_stalled(run):
-    """Return whether a run makes no progress while its worker reports."""
-    return run.stalled_s > STALL_TIMEOUT_S
+    """Return whether a run makes no progress while its worker reports.
+
+    A run of unknown duration is given twice the time with each start: it may
+    just take long.
+
+    >>> def view(stalled_s, **fields):
+    ...     return RunView(
+    ...         age_s=700.0, percent=50, stalled_s=stalled_s, **fields)
+    >>> is_stalled(view(6.0, estimate_s=1.0))
+    True
+    >>> is_stalled(view(6.0, estimate_s=60.0))
+    False
+    >>> is_stalled(view(6.0, estimate_s=1.0, rise_s=5.0))
+    False
+    """
+    timeout_s = STALL_TIMEOUT_S
+    if not (run.estimate_s or run.rise_s):
+        timeout_s *= 2 ** min(max(run.starts, 1) - 1, MAX_DOUBLINGS)
+    return run.stalled_s > max(
+        timeout_s,
+        run.estimate_s * RISE_FRACTION,
+        run.rise_s * RISE_FACTOR,
+    )
 
 
 def _ends_sooner_elsewhere(run):
