Bound the memory of a backlog by account and queue

Cause: the bound on tasks in memory held for an account over all its queues. A job beyond it has no waiting task, so the dispatcher never sees it.

Change: each queue of an account may hold one job of any size and 1,000 tasks, whatever the others hold. The oldest job of a queue comes first. The owner looks at queues with waiting jobs and no more at each job.

--- a/arbutusrock/engine/jobs/job_registry.py
+++ b/arbutusrock/engine/jobs/job_registry.py
@@ -1,5 +1,7 @@
 """Index of the owner's jobs, and the state changes of their tasks."""
 
+import collections
+
 from arbutusrock.engine.jobs import job_state
 from arbutusrock.engine.jobs import plans
 from arbutusrock.utils import clocks
@@ -9,6 +11,9 @@
 # Tasks of one account that are held in memory at once. Further occurrences
 # start when earlier ones have finished.
 MAX_OPEN_TASKS_PER_ACCOUNT = 20_000
+# Tasks of an account that are held for each of its queues whatever the others
+# hold, so that the backlog of one does not keep jobs of another from workers.
+MIN_OPEN_TASKS_PER_QUEUE = 1000
 
 
 class JobRegistry:
@@ -29,10 +34,12 @@
         self.waiting_steps = {}
         # Jobs whose progress row must be written.
         self.dirty_jobs = {}
-        # Jobs with occurrences that have not started.
+        # Jobs with occurrences that have not started, by account and queue, in
+        # the order in which they came.
         self._scheduled = {}
-        # Number of tasks of the started occurrences of open jobs, by account.
-        self._open_tasks = {}
+        # Number of tasks of the started occurrences of open jobs, by account,
+        # and by account and queue.
+        self._open_tasks = collections.Counter()
 
     def add(
         self,
@@ -60,24 +67,46 @@
         )
         self.jobs[job_id] = job
         if not job.ended:
-            self._scheduled[job_id] = job
+            scheduled = self._scheduled.setdefault(_get_backlog(job), {})
+            scheduled[job_id] = job
             self.open_jobs[job_id] = job
         return job
 
+    def _is_scheduled(self, job):
+        return job.job_id in self._scheduled.get(_get_backlog(job), ())
+
+    def _unschedule(self, job):
+        scheduled = self._scheduled.get(_get_backlog(job), {})
+        scheduled.pop(job.job_id, None)
+        if not scheduled:
+            self._scheduled.pop(_get_backlog(job), None)
+
     def start_due_occurrences(self, wall_s, now_s):
-        """Start the occurrences that are due."""
-        for job_id in list(self._scheduled):
-            self.start_job(job_id, wall_s, now_s)
+        """Start the occurrences that are due.
+
+        Those of an account and queue that do not fit into memory wait, the
+        oldest first. Others do not wait for them.
+        """
+        for scheduled in list(self._scheduled.values()):
+            for job_id in list(scheduled):
+                if not self.start_job(job_id, wall_s, now_s):
+                    break
 
     def start_job(self, job_id, wall_s, now_s):
-        """Start the occurrences of one job that are due."""
-        job = self._scheduled.get(job_id)
-        while job is not None and job_id in self._scheduled:
+        """Start the occurrences of one job that are due.
+
+        :returns: False when one of them does not fit into memory.
+        """
+        job = self.jobs.get(job_id)
+        while job is not None and self._is_scheduled(job):
             number = job.next_occurrence
             due_unix_s = self._get_due_unix_s(job, number)
-            if due_unix_s > wall_s or not self._has_memory(job):
+            if due_unix_s > wall_s:
                 break
+            if not self._has_memory(job):
+                return False
             self._start_occurrence(job, number, due_unix_s, now_s)
+        return True
 
     @staticmethod
     def _get_due_unix_s(job, number):
@@ -87,22 +116,22 @@
         return (plan.start_at_ms + number * plan.interval_ms) / 1000
 
     def _has_memory(self, job):
-        account = job.submission.account
-        used = self._open_tasks.get(account, 0)
-        return not used or (
-            used + job.task_count <= MAX_OPEN_TASKS_PER_ACCOUNT
+        of_queue = self._open_tasks[_get_backlog(job)]
+        of_account = self._open_tasks[job.submission.account]
+        return (
+            not of_queue
+            or of_queue + job.task_count <= MIN_OPEN_TASKS_PER_QUEUE
+            or of_account + job.task_count <= MAX_OPEN_TASKS_PER_ACCOUNT
         )
 
     def _count_tasks(self, job, occurrences):
-        account = job.submission.account
-        self._open_tasks[account] = (
-            self._open_tasks.get(account, 0) + occurrences * job.task_count
-        )
+        for key in (job.submission.account, _get_backlog(job)):
+            self._open_tasks[key] += occurrences * job.task_count
 
     def _start_occurrence(self, job, number, due_unix_s, now_s):
         job.next_occurrence += 1
         if job.next_occurrence >= max(1, job.plan.times):
-            del self._scheduled[job.job_id]
+            self._unschedule(job)
         if number in job.progress.finished:
             return
         occurrence = job_state.Occurrence(
@@ -317,7 +346,7 @@
         job.progress.status = status
         job.progress.ended_ms = wall_s * 1000
         self._mark_job(job)
-        self._scheduled.pop(job.job_id, None)
+        self._unschedule(job)
         self.open_jobs.pop(job.job_id, None)
         self._count_tasks(job, -len(job.occurrences))
         for task in job.iterate_tasks():
@@ -360,7 +389,7 @@
         wall_s, now_s = clocks.wall_time_s(), clocks.now_s()
         while (
             number >= job.next_occurrence
-            and job.job_id in self._scheduled
+            and self._is_scheduled(job)
             and self._get_due_unix_s(job, number) <= wall_s
         ):
             earlier = job.next_occurrence
@@ -384,3 +413,8 @@
         self.jobs.pop(job_id, None)
         self.archived_rows.pop(job_id, None)
         self.dirty_jobs.pop(job_id, None)
+
+
+def _get_backlog(job):
+    """Return the account and the queue of a job."""
+    return job.submission.account, job.submission.queue
--- a/arbutusrock/engine/jobs/tests/test_job_registry.py
+++ b/arbutusrock/engine/jobs/tests/test_job_registry.py
@@ -7,8 +7,9 @@
 from arbutusrock.engine.tests import samples
 
 
-def add_job(registry, job_id, *, times, count):
+def add_job(registry, job_id, *, times, count, queue='q'):
     submission = samples.create_submission()
+    submission.queue = queue
     plan = plans.JobPlan(
         spec='',
         steps=(plans.StepPlan(count=count),),
@@ -45,6 +46,47 @@
     assert second.occurrences
 
 
+def test_backlog_of_one_queue_keeps_jobs_of_another_waiting():
+    """Guards against LOST: they were never dispatched, beside idle workers."""
+    registry = job_registry.JobRegistry()
+    for number in range(200):
+        add_job(registry, f'a{number:015x}', times=0, count=160)
+    small = [
+        add_job(registry, f'b{number:015x}', times=0, count=6, queue='other')
+        for number in range(4)
+    ]
+    large = add_job(registry, 'c' * 16, times=0, count=20_000, queue='third')
+    registry.start_due_occurrences(1e9, 0.0)
+    assert all(job.occurrences for job in small)
+    assert large.occurrences
+    # Memory stays bounded, for each queue as well.
+    for number in range(500):
+        add_job(registry, f'd{number:015x}', times=0, count=6, queue='other')
+    registry.start_due_occurrences(1e9, 0.0)
+    started = [job for job in registry.jobs.values() if job.occurrences]
+    tasks = sum(job.task_count for job in started)
+    assert tasks <= (
+        job_registry.MAX_OPEN_TASKS_PER_ACCOUNT
+        + job_registry.MIN_OPEN_TASKS_PER_QUEUE
+        + large.task_count
+    )
+
+
+def test_oldest_job_of_a_queue_is_passed_by_smaller_ones():
+    """A large job would wait for ever behind a stream of small ones."""
+    registry = job_registry.JobRegistry()
+    first = add_job(registry, '1' * 16, times=0, count=15_000)
+    large = add_job(registry, '2' * 16, times=0, count=15_000)
+    small = add_job(registry, '3' * 16, times=0, count=10)
+    registry.start_due_occurrences(1e9, 0.0)
+    assert first.occurrences
+    assert not (large.occurrences or small.occurrences)
+    registry.cancel(first, 0.0)
+    registry.start_due_occurrences(1e9, 0.0)
+    assert large.occurrences
+    assert small.occurrences
+
+
 def test_reported_task_of_a_job_that_waits_for_memory_is_known():
     """Guards against LOST: its runs were stopped after a takeover.
 
