Give a task up for crashes of its workers only when these are alike

Cause: a task was given up once it was the only suspect in two crashes, at any time up to 10 s after its start; a run that is alone on its worker always is.

Change: two sole crashes right after a start (.15 s), or three crashes about as long after it, or four of any kind. A run that was ordered while an earlier order to its worker had no answer is not suspected.

--- a/arbutusrock/engine/runs/crash_tracker.py
+++ b/arbutusrock/engine/runs/crash_tracker.py
@@ -7,6 +7,8 @@
 a worker stops answering: a new owner cannot learn of them from the worker.
 """
 
+import math
+
 from arbutusrock.engine.jobs import job_state
 from arbutusrock.engine.ports import platform_messages
 from arbutusrock.engine.vms import vm_views
@@ -23,6 +25,8 @@
 # A VM that has a new worker after a longer time counts as newly started, not
 # as one whose worker has crashed.
 MAX_RECOVERY_S = 60.0
+# A worker that has not answered an order after this time is dark.
+MAX_ANSWER_S = 0.05
 LOG = logs.get_log('crashes')
 
 
@@ -316,13 +320,29 @@
 
 
 def _find_live_runs(worker):
-    """Return the runs of a worker whose start order was sent."""
-    return [
+    """Return the runs of a worker that may be why it does not answer.
+
+    Those whose start order was not sent are left out, and those that were
+    ordered after another one that has no answer: the worker was dark then.
+    """
+    live = [
         run
         for run in worker.runs.values()
         if run.task is not None
         and run.state is not job_state.RunState.RESERVED
     ]
+    unanswered_at_s = [
+        run.ordered_at_s
+        for run in live
+        if run.state is job_state.RunState.IN_DOUBT
+    ]
+    dark_at_s = min(unanswered_at_s, default=math.inf) + MAX_ANSWER_S
+    return [
+        run
+        for run in live
+        if run.state is not job_state.RunState.IN_DOUBT
+        or run.ordered_at_s <= dark_at_s
+    ]
 
 
 def _is_gang_cleared(step):
--- a/arbutusrock/engine/runs/tests/test_crash_tracker.py
+++ b/arbutusrock/engine/runs/tests/test_crash_tracker.py
@@ -10,6 +10,7 @@
 from arbutusrock.engine.workers import fleet
 from arbutusrock.engine.workers import guarded_starts
 from arbutusrock.scheduling import crash_attribution
+from arbutusrock.utils import clocks
 
 JOB = '0' * 16
 
@@ -83,6 +84,20 @@
     assert progress.unresolved['0.0.0'][0].worker_id == 'i-0'
 
 
+def test_run_that_was_ordered_of_a_dark_worker_is_blamed():
+    """Guards against LOST: its order had not reached the worker."""
+    controller = create_controller()
+    run, _ = start_runs(controller)
+    later = samples.add_run(controller.term, run.worker, job_id='9' * 16)
+    for item in (run, later):
+        item.state = job_state.RunState.IN_DOUBT
+    run.ordered_at_s = clocks.now_s()
+    later.ordered_at_s = run.ordered_at_s + 0.4
+    controller.end_incarnation(run.worker, fleet.IncarnationEnd.REPLACED)
+    assert run.task.crashes
+    assert not later.task.crashes
+
+
 def test_gang_is_cleared_by_members_on_other_workers():
     """The worker of one member is silent while the other one runs on."""
     controller = create_controller()
--- a/arbutusrock/scheduling/crash_attribution.py
+++ b/arbutusrock/scheduling/crash_attribution.py
@@ -7,10 +7,14 @@
 A crash follows the start of its cause, so runs that have been seen running
 for a while are not blamed, unless no other run was there. A suspect is
 started again where no other suspect is. A task is given up once it was the
-only suspect in several crashes; one that then runs for longer than before is
-cleared. So a task whose worker crashed for another reason is given up only if
-that happens to it again, soon after a start, before a run of it has outlived
-the crash before.
+only suspect in several crashes that are alike; one that then runs for longer
+than before is cleared.
+
+What tells the cause from a run that was merely there: it crashes its worker
+each time at the same point of its work. Two crashes right after a start are
+enough, as others seldom fall there. Of crashes later on three have to follow
+a start after about the same time. Workers also crash for other reasons, one
+after the other; then the times differ.
 """
 
 import msgspec
@@ -41,6 +45,13 @@
 # up too. A task may be started twice after three crashes, and one crash may
 # have been missed at a change of the owner.
 MAX_SUSPECTED_CRASHES = 4
+# Crashes under a task as a suspect, about as long after its start, after which
+# it is given up unless it lasts; in most of them it was the only one.
+MAX_LIKE_CRASHES = 3
+# Times after a start are alike when they differ by at most this part, or by
+# this time: what was seen of a run is as old as its worker's last report.
+LIKE_FRACTION = 0.25
+LIKE_S = 0.3
 
 
 class CrashRecord(msgspec.Struct, kw_only=True, frozen=True):
@@ -142,7 +153,24 @@
     """
     if sum(crash.suspect for crash in crashes) >= MAX_SUSPECTED_CRASHES:
         return True
-    return not lasting and count_sole_crashes(crashes) >= MAX_SOLE_CRASHES
+    if lasting:
+        return False
+    sole_s = [crash.survived_s for crash in crashes if crash.sole]
+    if len(sole_s) < MAX_SOLE_CRASHES:
+        return False
+    early = sum(not is_settled(time_s) for time_s in sole_s)
+    suspect_s = [crash.survived_s for crash in crashes if crash.suspect]
+    return early >= MAX_SOLE_CRASHES or any(
+        sum(_is_like(time_s, other_s) for other_s in suspect_s)
+        >= MAX_LIKE_CRASHES
+        for time_s in sole_s
+    )
+
+
+def _is_like(time_s, other_s):
+    return abs(time_s - other_s) <= max(
+        LIKE_S, LIKE_FRACTION * max(time_s, other_s)
+    )
 
 
 def is_cleared(crashes, survived_s):
--- a/arbutusrock/scheduling/tests/test_crash_attribution.py
+++ b/arbutusrock/scheduling/tests/test_crash_attribution.py
@@ -66,3 +66,34 @@
     assert crash_attribution.is_suspect([record])
     assert not crash_attribution.is_cleared([record], 0.5)
     assert crash_attribution.is_cleared([record], 0.6)
+
+
+def create_sole(*times_s):
+    return [
+        crash_attribution.CrashRecord(
+            run=number, survived_s=time_s, suspect=True, sole=True
+        )
+        for number, time_s in enumerate(times_s)
+    ]
+
+
+def test_sound_task_is_given_up_after_two_crashes_of_its_workers():
+    """Guards against LOST: workers crash for other reasons as well.
+
+    They fall at any time after the start of a run that is alone there.
+    """
+    assert not crash_attribution.should_give_up(create_sole(2.0, 1.0))
+    assert not crash_attribution.should_give_up(create_sole(2.0, 2.0))
+    assert not crash_attribution.should_give_up(create_sole(0.0, 3.0))
+    assert not crash_attribution.should_give_up(create_sole(4.0, 0.6, 2.0))
+
+
+def test_task_that_crashes_its_worker_at_one_point_is_started_for_ever():
+    assert crash_attribution.should_give_up(create_sole(0.0, 0.05))
+    assert crash_attribution.should_give_up(create_sole(2.0, 1.8, 2.1))
+    assert crash_attribution.should_give_up(create_sole(0.4, 0.6, 0.5))
+    # The evidence of any four crashes is enough.
+    assert crash_attribution.should_give_up(create_sole(4.0, 0.6, 2.0, 8.0))
+    assert not crash_attribution.should_give_up(
+        create_sole(2.0, 2.0, 2.0), lasting=True
+    )
