Remove ended jobs as fast as jobs are accepted

Cause: a pass removed 30 jobs each 5 s, 6 a second at most; the sheets bring 11. Rows and the owner's memory grew for as long as it lived. Each pass also went through all jobs. What is estimated of a job was forgotten only when it was completed.

Change: ended jobs are kept in the order of their ends, and a pass looks at the oldest only.

--- a/arbutusrock/engine/jobs/job_registry.py
+++ b/arbutusrock/engine/jobs/job_registry.py
@@ -30,6 +30,10 @@
         # Encoded rows (submission, progress) of jobs that had ended before
         # this node became the owner; decoded only when they are needed.
         self.archived_rows = {}
+        # When each ended job ended (Unix time in ms), the first one first.
+        self.ended_jobs = {}
+        # Those that may still have occurrences in memory.
+        self._recently_ended = {}
         # Steps with waiting tasks: by pool, then by id of the step.
         self.waiting_steps = {}
         # Jobs whose progress row must be written.
@@ -345,6 +349,8 @@
     def _end_job(self, job, status, wall_s):
         job.progress.status = status
         job.progress.ended_ms = wall_s * 1000
+        self.ended_jobs[job.job_id] = job.progress.ended_ms
+        self._recently_ended[job.job_id] = job
         self._mark_job(job)
         self._unschedule(job)
         self.open_jobs.pop(job.job_id, None)
@@ -352,6 +358,45 @@
         for task in job.iterate_tasks():
             self._remove_waiting(task)
 
+    def archive(self, job_id, submission, progress):
+        """Add a job that has ended under an earlier owner.
+
+        :param submission: encoded row of the job.
+        :param progress: encoded row of its progress, or the head of that.
+        """
+        self.archived_rows[job_id] = (submission, progress)
+        self.ended_jobs[job_id] = plans.get_ended_ms(progress)
+
+    def sort_ended_jobs(self):
+        """Restore the order of the ended jobs after they were loaded."""
+        self.ended_jobs = dict(
+            sorted(self.ended_jobs.items(), key=lambda item: item[1])
+        )
+
+    def find_ended_jobs(self, before_ms, most):
+        """Return the ids of jobs that ended before a time, the oldest first.
+
+        :param before_ms: Unix time in ms.
+        :param most: maximum number of jobs.
+        """
+        found = []
+        for job_id, ended_ms in self.ended_jobs.items():
+            if ended_ms >= before_ms or len(found) == most:
+                break
+            found.append(job_id)
+        return found
+
+    def drop_occurrences(self, before_ms):
+        """Drop the occurrences of jobs that ended before a time.
+
+        :param before_ms: Unix time in ms.
+        """
+        for job_id, job in list(self._recently_ended.items()):
+            if job.progress.ended_ms >= before_ms:
+                break
+            job.occurrences.clear()
+            del self._recently_ended[job_id]
+
     def load_job(self, job_id):
         """Return a job, decoding its archived rows if need be, or None."""
         row = self.archived_rows.pop(job_id, None)
@@ -412,6 +457,8 @@
         """Remove a job whose rows were removed from the store."""
         self.jobs.pop(job_id, None)
         self.archived_rows.pop(job_id, None)
+        self.ended_jobs.pop(job_id, None)
+        self._recently_ended.pop(job_id, None)
         self.dirty_jobs.pop(job_id, None)
 
 
--- a/arbutusrock/engine/ownership/leader.py
+++ b/arbutusrock/engine/ownership/leader.py
@@ -282,6 +282,7 @@
         self.state_writer.progress_rows.remove_orphans(
             stored, {row.key for row in job_rows}
         )
+        registry.sort_ended_jobs()
         self.run_controller.crash_tracker.restore()
         self.term.jobs_loaded.set()
         self.term.phases.mark('rows_read')
@@ -361,10 +362,7 @@
         if stored is not None:
             self.state_writer.progress_rows.record_read(row.key, stored)
         if head is not None and plans.has_ended(head.value):
-            self.term.job_registry.archived_rows[row.key] = (
-                row.value,
-                head.value,
-            )
+            self.term.job_registry.archive(row.key, row.value, head.value)
             return
         submission = plans.decode_submission(row.value)
         if stored is not None:
