Hold back what accounts may run on workers that a next owner does not reach

Cause: only runs that workers have reported to this owner count for the limit.

Change: until the leases of a worker that has not answered have ended, the demand of the inherited waiting tasks of its pool counts for their accounts, up to the capacity of these workers. Resources can be added and scaled, in place of five sums written out.

--- a/arbutusrock/engine/dispatch/dispatcher.py
+++ b/arbutusrock/engine/dispatch/dispatcher.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from arbutusrock.engine.dispatch import inherited_usage
 from arbutusrock.engine.dispatch import lookahead
 from arbutusrock.engine.dispatch import placement_requests
 from arbutusrock.engine.dispatch import sound_workers
@@ -15,7 +16,6 @@
 from arbutusrock import logs
 from arbutusrock.scheduling import order_window
 from arbutusrock.scheduling import placement
-from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
 
 __all__ = ['Dispatcher']
@@ -105,6 +105,9 @@
         }
         self.lookahead.forget_pools(waiting)
         self._inherited_versions = term.fleet.find_inherited_versions(now_s)
+        term.inherited_usage = inherited_usage.estimate_inherited_usage(
+            term, now_s
+        )
         workers = {pool: [] for pool in waiting}
         for worker in term.fleet.workers.values():
             pool = worker.entry.pool
@@ -382,15 +385,8 @@
 
     def _fits_account_limit(self, step, count):
         """Return whether ``count`` more tasks fit the account's limit."""
-        demand = step.plan.demand
-        if count > 1:
-            demand = Resources(
-                cpu=demand.cpu * count,
-                memory_mb=demand.memory_mb * count,
-                accelerators=demand.accelerators * count,
-            )
         return self.term.fits_account_limit(
-            step.job.submission.account, demand
+            step.job.submission.account, step.plan.demand * count
         )
 
     def _start_run(self, task, worker, number, now_s, guarded=False):
--- a/arbutusrock/engine/term/term.py
+++ b/arbutusrock/engine/term/term.py
@@ -114,6 +114,9 @@
         # When the last stall of the process was detected; None once the
         # ownership has been confirmed since.
         self._stalled_at_s = None
+        # What accounts may have running on workers that have not answered
+        # yet, by account.
+        self.inherited_usage = {}
 
     @property
     def cordons(self):
@@ -200,9 +203,12 @@
     def fits_account_limit(self, name, demand):
         """Return whether an account may use ``demand`` more."""
         account = self.configuration.current.accounts.get(name)
-        return account is None or quotas.fits_limit(
-            self.fleet.get_usage(name), demand, account.upper_limit
-        )
+        if account is None:
+            return True
+        used = self.fleet.get_usage(name)
+        if name in self.inherited_usage:
+            used += self.inherited_usage[name]
+        return quotas.fits_limit(used, demand, account.upper_limit)
 
     def request_dispatch(self):
         """Have the dispatcher look at waiting tasks soon."""
--- a/arbutusrock/engine/vms/vm_views.py
+++ b/arbutusrock/engine/vms/vm_views.py
@@ -11,7 +11,6 @@
 from arbutusrock.scheduling import consolidation
 from arbutusrock.scheduling import pool_sizing
 from arbutusrock.scheduling import quotas
-from arbutusrock.scheduling import Resources
 from arbutusrock.scheduling import serving_room
 from arbutusrock.scheduling import wave_selection
 from arbutusrock.utils import clocks
@@ -310,11 +309,7 @@
         count = quotas.count_fitting(
             used, demand, account.upper_limit, most=count
         )
-        usage[name] = Resources(
-            cpu=used.cpu + demand.cpu * count,
-            memory_mb=used.memory_mb + demand.memory_mb * count,
-            accelerators=used.accelerators + demand.accelerators * count,
-        )
+        usage[name] = used + demand * count
     if not count:
         return None
     return serving_room.WaitingTasks(
--- a/arbutusrock/engine/workers/fleet.py
+++ b/arbutusrock/engine/workers/fleet.py
@@ -446,11 +446,7 @@
         worker.used_memory_mb += sign * demand.memory_mb
         worker.used_accelerators += sign * demand.accelerators
         used = self.usage_by_account.get(run.account, Resources())
-        self.usage_by_account[run.account] = Resources(
-            cpu=used.cpu + sign * demand.cpu,
-            memory_mb=used.memory_mb + sign * demand.memory_mb,
-            accelerators=used.accelerators + sign * demand.accelerators,
-        )
+        self.usage_by_account[run.account] = used + demand * sign
 
     def get_usage(self, account):
         """Return the resources that the runs of an account use."""
--- a/arbutusrock/scheduling/configuration.py
+++ b/arbutusrock/scheduling/configuration.py
@@ -25,6 +25,32 @@
     memory_mb: int = 0
     accelerators: int = 0
 
+    def __add__(self, other):
+        return Resources(
+            cpu=self.cpu + other.cpu,
+            memory_mb=self.memory_mb + other.memory_mb,
+            accelerators=self.accelerators + other.accelerators,
+        )
+
+    def __mul__(self, count):
+        return Resources(
+            cpu=self.cpu * count,
+            memory_mb=self.memory_mb * count,
+            accelerators=self.accelerators * count,
+        )
+
+    def limit(self, most):
+        """Return the smaller amount of each resource.
+
+        >>> Resources(cpu=3, memory_mb=1).limit(Resources(cpu=2, memory_mb=5))
+        Resources(cpu=2, memory_mb=1, accelerators=0)
+        """
+        return Resources(
+            cpu=min(self.cpu, most.cpu),
+            memory_mb=min(self.memory_mb, most.memory_mb),
+            accelerators=min(self.accelerators, most.accelerators),
+        )
+
 
 class AdviceSettings(msgspec.Struct, kw_only=True, frozen=True):
     """Time costs of a request to the policy service of a queue.
