Keep odd values of one job or worker from others

Crashes of neighbours piled up under a task without bound; eight are kept. A segment of the roster that cannot be decoded ended each owner in turn: it is set aside, and nothing starts until all leases of the earlier owner have ended. An error while a job is added is logged and ends no ownership.

--- a/arbutusrock/engine/dispatch/dispatcher.py
+++ b/arbutusrock/engine/dispatch/dispatcher.py
@@ -88,6 +88,7 @@
         if (
             term.holds_orders
             or term.stopping
+            or clocks.now_s() < term.starts_after_s
             or not term.configuration.current
             or not term.load.orders.get_room()
         ):
--- a/arbutusrock/engine/jobs/job_registry.py
+++ b/arbutusrock/engine/jobs/job_registry.py
@@ -4,6 +4,7 @@
 
 from arbutusrock.engine.jobs import job_state
 from arbutusrock.engine.jobs import plans
+from arbutusrock import logs
 from arbutusrock.utils import clocks
 
 __all__ = ['JobRegistry']
@@ -14,6 +15,9 @@
 # Tasks of an account that are held for each of its queues whatever the others
 # hold, so that the backlog of one does not keep jobs of another from workers.
 MIN_OPEN_TASKS_PER_QUEUE = 1000
+# Longest checkpoint that is kept. Workers choose what they report.
+MAX_CHECKPOINT_BYTES = 4096
+LOG = logs.get_log('jobs')
 
 
 class JobRegistry:
@@ -331,9 +335,20 @@
             self._end_job(job, plans.JobStatus.FAILED, wall_s)
 
     def record_checkpoint(self, task, checkpoint):
-        """Record where the next run can resume; a gang shares checkpoints."""
+        """Record where the next run can resume; a gang shares checkpoints.
+
+        One that is too long is left out: the next run begins anew.
+        """
         if not checkpoint or task.status is job_state.TaskStatus.DONE:
             return
+        size = len(checkpoint.encode())
+        if size > MAX_CHECKPOINT_BYTES:
+            LOG.warning(
+                'a checkpoint is too long and is not kept',
+                task=task.name,
+                bytes=size,
+            )
+            return
         task.checkpoint = checkpoint
         if task.step.plan.gang:
             for other in task.step.tasks:
--- a/arbutusrock/engine/jobs/tests/test_job_registry.py
+++ b/arbutusrock/engine/jobs/tests/test_job_registry.py
@@ -121,3 +121,15 @@
             task, run, max_attempts=3, wall_s=0.0
         )
     assert not job.ended
+
+
+def test_checkpoint_of_any_length_is_kept():
+    """Workers choose it; one that no row takes would suspend its job."""
+    registry = job_registry.JobRegistry()
+    job = add_job(registry, '1' * 16, times=0, count=1)
+    registry.start_due_occurrences(1e9, 0.0)
+    (task,) = job.iterate_tasks()
+    registry.record_checkpoint(task, 'c' * 100_000)
+    assert not task.checkpoint
+    registry.record_checkpoint(task, 'c' * 20)
+    assert job.progress.checkpoints == {'0.0.0': 'c' * 20}
--- a/arbutusrock/engine/ownership/leader.py
+++ b/arbutusrock/engine/ownership/leader.py
@@ -229,6 +229,9 @@
         self.registration_controller.load(
             worker_rows, self.state_writer.roster.load(roster[0])
         )
+        if not self.state_writer.roster.is_complete:
+            # Any worker may have runs that nobody knows of.
+            self.term.starts_after_s = self.term.inherited_leases_end_at_s
         return workers_version
 
     async def _read_knowledge(self):
@@ -351,6 +354,15 @@
                 version=row.version,
                 error=str(exc),
             )
+        except Exception:
+            # The same holds for a job that some part does not cope with.
+            self.term.metrics.count('jobs_set_aside')
+            LOG.exception(
+                'a job cannot be handled',
+                job=row.key,
+                version=row.version,
+                is_run=row.key in self.term.job_registry.jobs,
+            )
 
     def _add_job(self, row, stored, inherited):
         """Add the job of a row.
--- a/arbutusrock/engine/ownership/tests/test_leader.py
+++ b/arbutusrock/engine/ownership/tests/test_leader.py
@@ -83,6 +83,43 @@
     assert all(not worker.in_roster for worker in workers.values())
 
 
+async def test_owner_ends_with_a_segment_that_cannot_be_decoded():
+    """The others are used, and nothing starts while runs may be unknown."""
+
+    async def read_range(table, *, part):
+        if table != rows.TABLE_ROSTER:
+            return [], 9
+        values = [b'odd', msgspec.msgpack.encode({'i-1': ('p', 'm-1')})]
+        return [
+            rows.Row(table=table, key=str(number), value=value, version=9)
+            for number, value in enumerate(values)
+        ], 9
+
+    leader = create_leader(types.SimpleNamespace(read_range=read_range))
+    await leader._load_workers()
+    term = leader.term
+    assert set(term.fleet.workers) == {'i-1'}
+    assert term.starts_after_s == term.inherited_leases_end_at_s > 0
+
+
+def test_job_that_no_part_copes_with_ends_the_ownership(monkeypatch):
+    """The other jobs of the same read are added."""
+    leader = create_leader()
+    registry = leader.term.job_registry
+    add = registry.add
+
+    def add_or_fail(job_id, submission, **fields):
+        if job_id == JOB:
+            raise OverflowError('odd')
+        return add(job_id, submission, **fields)
+
+    monkeypatch.setattr(registry, 'add', add_or_fail)
+    leader._apply_job_rows(
+        [create_row(JOB, 3), create_row(LATER_JOB, 4)], False, 5
+    )
+    assert list(registry.jobs) == [LATER_JOB]
+
+
 class SlowStore:
     """Store that returns the jobs only when the test lets it."""
 
--- a/arbutusrock/engine/runs/crash_tracker.py
+++ b/arbutusrock/engine/runs/crash_tracker.py
@@ -277,6 +277,7 @@
             return
         crashes = known.setdefault(key, [])
         crashes.append(record)
+        crash_attribution.drop_needless(crashes)
         unit.crashes_durable_at_flush = (
             self.state_writer.get_next_flush_number()
         )
--- a/arbutusrock/engine/state/roster.py
+++ b/arbutusrock/engine/state/roster.py
@@ -74,11 +74,20 @@
     :param row_bytes: size of the largest value that a row takes.
     """
 
-    __slots__ = ('max_workers', '_segments', '_numbers', '_wanted', '_changed')
+    __slots__ = (
+        'max_workers',
+        'is_complete',
+        '_segments',
+        '_numbers',
+        '_wanted',
+        '_changed',
+    )
 
     def __init__(self, *, row_bytes):
         # Number of workers that a segment has room for.
         self.max_workers = max(1, row_bytes // MAX_ENTRY_BYTES)
+        # Whether all rows of the earlier owner could be decoded.
+        self.is_complete = True
         self._segments = []
         # Segment by worker.
         self._numbers = {}
@@ -98,6 +107,9 @@
     def load(self, found):
         """Take over the rows of the earlier owner.
 
+        A row that cannot be decoded is set aside, and written anew with the
+        next change of its segment. Which workers it held is not known then.
+
         :param found: all rows of the roster, read after the claim.
         :returns: its workers: id to (pool, VM).
         """
@@ -105,7 +117,16 @@
             number = int(row.key)
             while len(self._segments) <= number:
                 self._segments.append(_Segment())
-            workers = _decode(row.value)
+            try:
+                workers = _decode(row.value)
+            except msgspec.DecodeError as exc:
+                LOG.error(
+                    'a segment of the roster cannot be decoded',
+                    segment=number,
+                    bytes=len(row.value),
+                    error=str(exc),
+                )
+                self.is_complete, workers = False, {}
             self._segments[number] = _Segment(
                 stored=workers, version=row.version
             )
--- a/arbutusrock/engine/term/term.py
+++ b/arbutusrock/engine/term/term.py
@@ -114,6 +114,8 @@
         # When the last stall of the process was detected; None once the
         # ownership has been confirmed since.
         self._stalled_at_s = None
+        # Nothing is started before.
+        self.starts_after_s = 0.0
         # What accounts may have running on workers that have not answered
         # yet, by account.
         self.inherited_usage = {}
--- a/arbutusrock/scheduling/crash_attribution.py
+++ b/arbutusrock/scheduling/crash_attribution.py
@@ -27,6 +27,7 @@
     'UnresolvedRun',
     'attribute_crash',
     'count_sole_crashes',
+    'drop_needless',
     'is_cleared',
     'is_settled',
     'is_suspect',
@@ -48,6 +49,8 @@
 # Crashes under a task as a suspect, about as long after its start, after which
 # it is given up unless it lasts; in most of them it was the only one.
 MAX_LIKE_CRASHES = 3
+# Most crashes that are kept of a task.
+MAX_RECORDS = 8
 # Times after a start are alike when they differ by at most this part, or by
 # this time: what was seen of a run is as old as its worker's last report.
 LIKE_FRACTION = 0.25
@@ -173,6 +176,23 @@
     )
 
 
+def drop_needless(crashes):
+    """Drop the oldest crashes that a decision can do without.
+
+    A task that is beside others that crash their workers has more and more of
+    them. What is needed are those that it may have caused, and the longest
+    time that a run of it was seen.
+
+    :param crashes: list that is shortened to ``MAX_RECORDS``.
+    """
+    longest = max(crashes, key=lambda crash: crash.survived_s, default=None)
+    for crash in list(crashes):
+        if len(crashes) <= MAX_RECORDS:
+            return
+        if not crash.suspect and crash is not longest:
+            crashes.remove(crash)
+
+
 def is_cleared(crashes, survived_s):
     """Return whether a run has outlived all crashes under its task."""
     longest_s = max((crash.survived_s for crash in crashes), default=0.0)
--- a/arbutusrock/scheduling/tests/test_crash_attribution.py
+++ b/arbutusrock/scheduling/tests/test_crash_attribution.py
@@ -97,3 +97,16 @@
     assert not crash_attribution.should_give_up(
         create_sole(2.0, 2.0, 2.0), lasting=True
     )
+
+
+def test_crashes_of_neighbours_pile_up_under_a_task():
+    """Its row would grow with each of them."""
+    crashes = create_sole(0.4)
+    for number in range(50):
+        crashes.append(
+            crash_attribution.CrashRecord(run=number, survived_s=number % 9)
+        )
+        crash_attribution.drop_needless(crashes)
+    assert len(crashes) <= crash_attribution.MAX_RECORDS
+    assert crash_attribution.count_sole_crashes(crashes) == 1
+    assert max(crash.survived_s for crash in crashes) == 8
