--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PYTHON ?= python3.11
 READY = $(VENV)/.ready
 
-.PHONY: env run test lint format bench soak
+.PHONY: env run test lint format bench soak fuzz
 
 env: $(READY)
 
@@ -40,6 +40,9 @@
 soak: $(READY)
 	$(VENV)/bin/python -m soak $(SOAK_FLAGS)
 
+fuzz: $(READY)
+	$(VENV)/bin/python -m soak.fuzz $(FUZZ_FLAGS)
+
 bench: $(READY)
 	$(VENV)/bin/python -m benchmarks.bench_relay
 	$(VENV)/bin/python -m benchmarks.bench_shares
