--- a/arbutusrock/engine/dispatch/dispatcher.py
+++ b/arbutusrock/engine/dispatch/dispatcher.py
@@ -88,7 +88,7 @@
         if (
             term.holds_orders
             or term.stopping
-            or clocks.now_s() < term.starts_after_s
+            or clocks.now_s() < term.inherited_waits.starts_after_s
             or not term.configuration.current
             or not term.load.orders.get_room()
         ):
@@ -106,7 +106,7 @@
         }
         self.lookahead.forget_pools(waiting)
         self._inherited_versions = term.fleet.find_inherited_versions(now_s)
-        term.inherited_usage = inherited_usage.estimate_inherited_usage(
+        term.inherited_waits.usage = inherited_usage.estimate_inherited_usage(
             term, now_s
         )
         workers = {pool: [] for pool in waiting}
--- a/arbutusrock/engine/dispatch/tests/test_inherited_usage.py
+++ b/arbutusrock/engine/dispatch/tests/test_inherited_usage.py
@@ -62,10 +62,11 @@
 
 
 def update(term, after_s=0.0):
-    term.inherited_usage = inherited_usage.estimate_inherited_usage(
+    usage = inherited_usage.estimate_inherited_usage(
         term, clocks.now_s() + after_s
     )
-    return term.inherited_usage
+    term.inherited_waits.usage = usage
+    return usage
 
 
 def test_account_may_run_its_limit_again_beside_a_dark_worker(term):
--- a/arbutusrock/engine/jobs/job_state.py
+++ b/arbutusrock/engine/jobs/job_state.py
@@ -18,6 +18,14 @@
 ]
 
 
+# Delays before a task is ordered again that workers have refused twice and
+# more often in a row.
+MIN_REFUSAL_DELAY_S = 0.05
+MAX_REFUSAL_DELAY_S = 2.0
+# Refusals after which the delay does not grow any more.
+MAX_REFUSALS = 8
+
+
 class TaskStatus(enum.Enum):
     """Whether a task needs a run."""
 
@@ -131,6 +139,23 @@
         self.load = 0.0
         self.pace_percent = 100
 
+    def confirm_start(self, now_s):
+        """Record that its start order was carried out."""
+        if self.state is not RunState.STOPPING:
+            self.state = RunState.RUNNING
+        self.started_at_s = self.confirmed_at_s = now_s
+        if self.task is not None:
+            self.task.step.job.started = True
+            self.task.refused_starts = 0
+
+    def record_percent(self, percent, now_s):
+        """Record the percentage that the worker has reported."""
+        if percent > self.percent:
+            elapsed_s = now_s - self.last_progress_at_s
+            self.rise_s = elapsed_s / (percent - self.percent)
+            self.last_progress_at_s = now_s
+        self.percent = percent
+
     @property
     def survived_s(self):
         """How long its worker's answers have shown it running."""
@@ -205,6 +230,18 @@
         crashes = self.step.job.progress.crashes
         return crashes.get(self.unit.progress_key, ()) if crashes else ()
 
+    def record_refusal(self, now_s):
+        """Have the task wait, but for the first refusal of a start.
+
+        A worker that has refused a start once may do so for ever.
+        """
+        if self.refused_starts:
+            self.not_before_s = now_s + min(
+                MAX_REFUSAL_DELAY_S,
+                MIN_REFUSAL_DELAY_S * 2 ** (self.refused_starts - 1),
+            )
+        self.refused_starts = min(self.refused_starts + 1, MAX_REFUSALS)
+
     def may_adopt(self, number):
         """Return whether a run that an earlier owner started is wanted.
 
@@ -257,6 +294,11 @@
         # How long its tasks waited for their first runs, where recorded.
         self.start_waits_s = []
 
+    def record_bad_ticket(self, worker_id):
+        """Record that a worker has refused a start for its ticket."""
+        if self.tickets.pop(worker_id, None) is None:
+            self.needs_tickets = True
+
     @property
     def job(self):
         """The job that the step belongs to."""
--- a/arbutusrock/engine/ownership/leader.py
+++ b/arbutusrock/engine/ownership/leader.py
@@ -231,7 +231,8 @@
         )
         if not self.state_writer.roster.is_complete:
             # Any worker may have runs that nobody knows of.
-            self.term.starts_after_s = self.term.inherited_leases_end_at_s
+            waits = self.term.inherited_waits
+            waits.starts_after_s = self.term.inherited_leases_end_at_s
         return workers_version
 
     async def _read_knowledge(self):
--- a/arbutusrock/engine/ownership/tests/test_leader.py
+++ b/arbutusrock/engine/ownership/tests/test_leader.py
@@ -99,7 +99,8 @@
     await leader._load_workers()
     term = leader.term
     assert set(term.fleet.workers) == {'i-1'}
-    assert term.starts_after_s == term.inherited_leases_end_at_s > 0
+    starts_after_s = term.inherited_waits.starts_after_s
+    assert starts_after_s == term.inherited_leases_end_at_s > 0
 
 
 def test_job_that_no_part_copes_with_ends_the_ownership(monkeypatch):
--- a/arbutusrock/engine/runs/run_controller.py
+++ b/arbutusrock/engine/runs/run_controller.py
@@ -22,12 +22,6 @@
 COMPLETIONS_PER_PAGE = 500
 # How long a new owner defers reports of a job whose row it has not loaded.
 JOB_LOAD_GRACE_S = 2.0
-# Delays before a task is ordered again that workers have refused twice and
-# more often in a row.
-MIN_REFUSAL_DELAY_S = 0.05
-MAX_REFUSAL_DELAY_S = 2.0
-# Refusals after which the delay does not grow any more.
-MAX_REFUSALS = 8
 LOG = logs.get_log('runs')
 
 
@@ -106,12 +100,7 @@
             return
         match outcome:
             case platform_messages.OrderOutcome.DONE:
-                if run.state is not job_state.RunState.STOPPING:
-                    run.state = job_state.RunState.RUNNING
-                run.started_at_s = run.confirmed_at_s = now_s
-                if run.task is not None:
-                    run.task.step.job.started = True
-                    run.task.refused_starts = 0
+                run.confirm_start(now_s)
                 return
             case platform_messages.OrderOutcome.UNKNOWN:
                 worker.unresponsive = True
@@ -132,32 +121,17 @@
             case platform_messages.OrderOutcome.BAD_TICKET if (
                 run.task is not None
             ):
-                step = run.task.step
-                if step.tickets.pop(worker.worker_id, None) is None:
-                    step.needs_tickets = True
+                run.task.step.record_bad_ticket(worker.worker_id)
             case platform_messages.OrderOutcome.INVALID if (
                 run.task is not None
             ):
                 self._record_failed_attempt(run.task, run)
         self._log_failed_start(run, outcome)
         if run.task is not None and not worker.unresponsive:
-            self._delay_task(run.task, now_s)
+            run.task.record_refusal(now_s)
         self.crash_tracker.drop_run(run)
         self.requeue_run(run)
 
-    @staticmethod
-    def _delay_task(task, now_s):
-        """Have a task wait that workers refuse; the first time it does not.
-
-        A worker that has refused a start once may do so for ever.
-        """
-        if task.refused_starts:
-            task.not_before_s = now_s + min(
-                MAX_REFUSAL_DELAY_S,
-                MIN_REFUSAL_DELAY_S * 2 ** (task.refused_starts - 1),
-            )
-        task.refused_starts = min(task.refused_starts + 1, MAX_REFUSALS)
-
     def _log_failed_start(self, run, outcome):
         self.term.metrics.count(
             'starts_refused', (('outcome', outcome.value),)
@@ -440,12 +414,7 @@
             run.confirmed_at_s = now_s
         if run.task is not None:
             run.task.step.job.started = True
-        if report.percent > run.percent:
-            run.rise_s = (now_s - run.last_progress_at_s) / (
-                report.percent - run.percent
-            )
-            run.last_progress_at_s = now_s
-        run.percent = report.percent
+        run.record_percent(report.percent, now_s)
         run.load = report.load
         if report.checkpoint:
             run.checkpoint = report.checkpoint
--- a/arbutusrock/engine/state/state_writer.py
+++ b/arbutusrock/engine/state/state_writer.py
@@ -9,6 +9,7 @@
 from arbutusrock.engine.state import progress_rows as progress_rows_module
 from arbutusrock.engine.state import refused_rows
 from arbutusrock.engine.state import roster as roster_module
+from arbutusrock.engine.state import write_batch
 from arbutusrock.engine.term import term as term_module
 from arbutusrock import logs
 from arbutusrock.utils import clocks
@@ -64,71 +65,6 @@
     waiting_known: bool = True
 
 
-class _Batch:
-    """Writes of one transaction.
-
-    :param segments: :class:`roster_module.SegmentWrite` of each changed one.
-    :param progress: :class:`progress_rows_module.ProgressWrite` of jobs.
-    :param others: rows that other components have queued.
-    """
-
-    __slots__ = ('segments', 'progress', 'others')
-
-    def __init__(self, *, segments=(), progress=(), others=()):
-        self.segments = segments
-        self.progress = progress
-        self.others = others
-
-    def __len__(self):
-        return len(self.segments) + len(self.progress) + len(self.others)
-
-    @property
-    def progress_rows(self):
-        """Rows of jobs."""
-        return [row for write in self.progress for row in write.rows]
-
-    @property
-    def rows(self):
-        """All rows."""
-        return [
-            *self.progress_rows,
-            *self.others,
-            *(write.row for write in self.segments),
-        ]
-
-    def split(self):
-        """Return batches of each kind, or two halves of a single kind."""
-        kinds = [name for name in self.__slots__ if getattr(self, name)]
-        if len(kinds) > 1:
-            return [_Batch(**{name: getattr(self, name)}) for name in kinds]
-        found = getattr(self, kinds[0])
-        middle = len(found) // 2
-        return [
-            _Batch(**{kinds[0]: half})
-            for half in (found[:middle], found[middle:])
-        ]
-
-    def take_refused(self, refused):
-        """Take out the writes with a row that the store has refused before.
-
-        :param refused: :class:`refused_rows.RefusedRows`.
-        :returns: a batch for each of them.
-        """
-        taken = []
-        if not len(refused):
-            return taken
-        for name in self.__slots__:
-            kept = []
-            for write in getattr(self, name):
-                batch = _Batch(**{name: [write]})
-                if any(row in refused for row in batch.rows):
-                    taken.append(batch)
-                else:
-                    kept.append(write)
-            setattr(self, name, kept)
-        return taken
-
-
 class StateWriter:
     """Writes the owner's rows in one task.
 
@@ -222,7 +158,7 @@
             room = rows.BatchRoom(
                 entries=rows.MAX_BATCH_ENTRIES - OWNER_ENTRIES
             )
-            batch = _Batch()
+            batch = write_batch.WriteBatch()
             batch.segments, segments = room.take(
                 segments, entries_each=2, most=MAX_BATCH_ROWS
             )
@@ -253,7 +189,7 @@
             if self.refused.is_held(*key, now_s)
         }
         queued, self._queued_rows = self._queued_rows, held
-        return _Batch(
+        return write_batch.WriteBatch(
             segments=[
                 write
                 for write in self.roster.create_due_writes()
@@ -374,7 +310,7 @@
         :raises term_module.OwnershipLost: the store rejects that, too.
         """
         try:
-            await self._commit_whole(_Batch(), first=True)
+            await self._commit_whole(write_batch.WriteBatch(), first=True)
         except rows.WriteRejected as exc:
             LOG.error('the store rejects the heartbeat', error=str(exc))
             if clocks.now_s() < self._reduced_until_s:
--- a/arbutusrock/engine/term/inherited_waits.py
+++ b/arbutusrock/engine/term/inherited_waits.py
@@ -1,4 +1,4 @@
-"""Records how long pools wait for workers that may have inherited runs."""
+"""What waits for workers that may have inherited runs, and for how long."""
 
 from arbutusrock import logs
 from arbutusrock.utils import clocks
@@ -13,11 +13,15 @@
 
     :param fleet: :class:`arbutusrock.engine.workers.fleet.Fleet`.
     :param metrics: :class:`arbutusrock.metrics.Metrics`.
+    :ivar starts_after_s: nothing at all is started before.
+    :ivar usage: what accounts may have running on these workers, by account.
     """
 
     __slots__ = (
         'fleet',
         'metrics',
+        'starts_after_s',
+        'usage',
         '_began_at_s',
         '_holders',
         '_named',
@@ -28,6 +32,8 @@
     def __init__(self, *, fleet, metrics):
         self.fleet = fleet
         self.metrics = metrics
+        self.starts_after_s = 0.0
+        self.usage = {}
         self._began_at_s = 0.0
         self._holders = []
         self._named = set()
--- a/arbutusrock/engine/term/term.py
+++ b/arbutusrock/engine/term/term.py
@@ -114,11 +114,6 @@
         # When the last stall of the process was detected; None once the
         # ownership has been confirmed since.
         self._stalled_at_s = None
-        # Nothing is started before.
-        self.starts_after_s = 0.0
-        # What accounts may have running on workers that have not answered
-        # yet, by account.
-        self.inherited_usage = {}
 
     @property
     def cordons(self):
@@ -208,8 +203,8 @@
         if account is None:
             return True
         used = self.fleet.get_usage(name)
-        if name in self.inherited_usage:
-            used += self.inherited_usage[name]
+        if name in self.inherited_waits.usage:
+            used += self.inherited_waits.usage[name]
         return quotas.fits_limit(used, demand, account.upper_limit)
 
     def request_dispatch(self):
