--- a/soak/fuzz.py
+++ b/soak/fuzz.py
@@ -71,12 +71,20 @@
 )
 
 
+# Their last step waits for a label that no worker has, so that what is kept of
+# the others grows.
+stuck_steps = strategies.integers(1, 6).map(
+    lambda count: (
+        [create_step(1, cpu=20) for _ in range(count)]
+        + [create_step(1, requires='none')]
+    )
+)
 jobs = strategies.fixed_dictionaries(
     {
         'pool': strategies.sampled_from(sorted(POOLS)),
-        'steps': steps,
+        'steps': strategies.one_of(steps, stuck_steps),
         'spec': specs,
-        'times': strategies.sampled_from([0, 0, 1, 30, 400]),
+        'times': strategies.sampled_from([0, 0, 1, 60, 400]),
         'odd': strategies.one_of(
             strategies.none(),
             strategies.none(),
