Remove only those parts that the stored head makes needless

Rows of a job that is handed in again while leftovers under its id are removed are kept.

The property test now has workers report ends while transactions are under way; it failed before and passes.

--- a/arbutusrock/engine/state/progress_rows.py
+++ b/arbutusrock/engine/state/progress_rows.py
@@ -26,14 +26,17 @@
     :param job: :class:`arbutusrock.engine.jobs.job_state.Job`.
     :param number: of the part; None for the head or the whole progress.
     :param rows: each with the version that it must have.
+    :param obsolete: numbers of the parts that are not needed any more once
+        this head is stored.
     """
 
-    __slots__ = ('job', 'number', 'rows', 'suspended', 'ended')
+    __slots__ = ('job', 'number', 'rows', 'obsolete', 'suspended', 'ended')
 
-    def __init__(self, *, job, number, rows):
+    def __init__(self, *, job, number, rows, obsolete=frozenset()):
         self.job = job
         self.number = number
         self.rows = rows
+        self.obsolete = obsolete
         # State of the job that the rows tell of.
         self.suspended = job.progress.suspended
         self.ended = job.ended
@@ -120,13 +123,28 @@
             layout.changed.difference_update(due)
             found += [self._create_part(job, number) for number in due]
         if layout.head_changed and not self._is_held(job.job_id, now_s):
-            layout.head_changed = False
-            row = self._create_row(
-                job, job.job_id, layout.encode_head(job.progress)
-            )
-            found.append(ProgressWrite(job=job, number=None, rows=[row]))
+            found.append(self._create_head(job))
         return found
 
+    def _create_head(self, job):
+        layout = job.layout
+        # Parts that become obsolete while it is written go with the next one.
+        obsolete, layout.obsolete = layout.obsolete, set()
+        layout.head_changed = False
+        data = layout.encode_head(job.progress)
+        return ProgressWrite(
+            job=job,
+            number=None,
+            rows=[self._create_row(job, job.job_id, data)],
+            obsolete=obsolete,
+        )
+
+    @staticmethod
+    def _take_back_head(write):
+        """Have a head written anew that was not written."""
+        write.job.layout.head_changed = True
+        write.job.layout.obsolete |= write.obsolete
+
     def _is_held(self, key, now_s):
         return self.refused.is_held(rows.TABLE_PROGRESS, key, now_s)
 
@@ -186,9 +204,10 @@
         """
         job = write.job
         versions = self._versions.setdefault(job.job_id, {})
+        removable = self._removable.get(job.job_id, set())
         for row in write.rows:
             versions[row.key] = version
-            self.refused.clear(row)
+            removable.discard(row.key)
         if write.number is None:
             self._record_head(write, versions)
 
@@ -206,10 +225,9 @@
             if key != job.job_id
             and (
                 write.ended
-                or progress_layout.parse_key(key)[1] in job.layout.obsolete
+                or progress_layout.parse_key(key)[1] in write.obsolete
             )
         }
-        job.layout.obsolete.clear()
         if removable:
             self._removable.setdefault(job.job_id, set()).update(removable)
 
@@ -225,7 +243,7 @@
             self.refused.forget(rows.TABLE_PROGRESS, job.job_id)
             self._divide(job)
         elif write.number is None:
-            job.layout.head_changed = True
+            self._take_back_head(write)
         else:
             job.layout.changed.add(write.number)
         self._suspended[job.job_id] = job
@@ -265,7 +283,7 @@
                 and job.layout is not None
                 and write.suspended != job.progress.suspended
             ):
-                job.layout.head_changed = True
+                self._take_back_head(write)
             else:
                 kept.append(write)
         return kept
--- a/arbutusrock/engine/state/tests/test_progress_rows.py
+++ b/arbutusrock/engine/state/tests/test_progress_rows.py
@@ -29,6 +29,8 @@
         self.rows = {}
         self.version = 10
         self.rejects = lambda row: False
+        # Called while a transaction is under way.
+        self.on_transact = lambda: None
         self.snapshots = []
         self.rejected = 0
         self.written_bytes = 0
@@ -42,6 +44,7 @@
         if any(self.rejects(row) for row in puts):
             self.rejected += 1
             raise rows.WriteRejected('400')
+        self.on_transact()
         self.version += 1
         for row in puts:
             assert len(row.value) * 4 / 3 <= 65536
@@ -246,11 +249,13 @@
     owner_term, writer = create_owner(store, plan, snapshot)
     job = owner_term.job_registry.jobs.get(JOB)
     acknowledged = []
-    for _ in range(data.draw(strategies.integers(1, 4)) if job else 0):
+
+    def change(most):
+        """Have workers report ends, some of them failed."""
         tasks = [
             task for task in job.iterate_tasks() if task.status.value != 'done'
         ]
-        count = data.draw(strategies.integers(0, len(tasks)))
+        count = data.draw(strategies.integers(0, min(most, len(tasks))))
         for number, task in enumerate(tasks[:count]):
             if number % 3 == 2:
                 owner_term.job_registry.record_failed_run(
@@ -258,11 +263,15 @@
                 )
             else:
                 owner_term.job_registry.mark_done(task, 0.0, 0.0)
+
+    for _ in range(data.draw(strategies.integers(1, 4)) if job else 0):
+        change(1000)
+        known = list_done(job), list_failed(job)
+        store.on_transact = lambda: change(20)
         asyncio.run(writer.flush())
+        store.on_transact = lambda: None
         if JOB not in writer.progress_rows.unrecorded:
-            acknowledged.append(
-                (len(store.snapshots), list_done(job), list_failed(job))
-            )
+            acknowledged.append((len(store.snapshots), *known))
     return acknowledged
 
 
