Add crowds of clients that keep no rule, with their bounds

Crowds, sizes and bounds are fixed here, before the product changes. A crowd has 48 connections that send 400 MB in all, or 400 that send little; bounds are 150 MB and 300 sockets for a node (the limits that its settings name), 300 MB and 250 of 300 descriptors for a daemon. Each test runs the real process and checks its life, its memory with what the kernel keeps unread for it, its descriptors, and one ordinary request beside or after the crowd; none checks a time or a share. They run one at a time, after all other tests.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,9 @@
 
 test: $(READY)
 	@echo 'known failures (KNOWN-RED.txt): $(RED)'
-	$(VENV)/bin/python -m pytest -n $(WORKERS) \
+	$(VENV)/bin/python -m pytest -n $(WORKERS) -m 'not alone' \
+		$(addprefix --deselect ,$(RED)) $(PYTEST_FLAGS)
+	$(VENV)/bin/python -m pytest -m alone tests \
 		$(addprefix --deselect ,$(RED)) $(PYTEST_FLAGS)
 
 lint: $(READY)
--- a/examples/standins/fleet.py
+++ b/examples/standins/fleet.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import resource
 import shutil
 import signal
 import sys
@@ -69,6 +70,7 @@
         self.name = name
         self.process = process
         self.log = log
+        self.ports = {}
         self.caller_url = ''
         self.operator_url = ''
         self.member = ''
@@ -88,6 +90,10 @@
             return None
 
         event = await wait_for(find_serving_event, START_TIMEOUT_S)
+        self.ports = {
+            purpose: event[purpose]
+            for purpose in ('callers', 'operators', 'peers')
+        }
         self.caller_url = f'http://127.0.0.1:{event["callers"]}'
         self.operator_url = f'http://127.0.0.1:{event["operators"]}'
         self.member = event['member']
@@ -211,10 +217,13 @@
             return self.proxies[name].port
         return self.workers[name]
 
-    async def start_daemon(self, name, *, wait=True, **overrides):
+    async def start_daemon(
+        self, name, *, wait=True, max_descriptors=None, **overrides
+    ):
         """Start a daemon with short intervals and time-outs for tests.
 
         :param wait: whether to wait until it serves.
+        :param max_descriptors: how many descriptors it may open.
         :param overrides: sections of settings, each a dict of the keys to
             replace.
         """
@@ -252,6 +261,13 @@
         path = self.folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(settings))
         log = self.folder / f'{name}.log'
+
+        def limit_descriptors():
+            if max_descriptors is not None:
+                resource.setrlimit(
+                    resource.RLIMIT_NOFILE, (max_descriptors, max_descriptors)
+                )
+
         with log.open('w') as stream:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -264,6 +280,7 @@
                 cwd=self.root,
                 env={**os.environ, 'PYTHONPATH': str(self.root)},
                 stderr=stream,
+                preexec_fn=limit_descriptors,
             )
         self._processes.append(process)
         daemon = Daemon(name=name, process=process, log=log)
