Parse no more of a connection than the next whole request

What callers saw: 48 connections that send heads without end, noise, upgrades or bodies behind one another take a process from 52 to over 800 MB; on a machine of 300 MB it is ended. Cause: behind an error of its parser, the HTTP server gives the parser each further read of 256 KB, and keeps up to 32 errors with texts several times as long; behind a request that is served, it parses up to 32 more with their bodies. It has no bound on a head as a whole or on its time, on empty lines, or on the time in which an answer is read. Mend: one listener for both programs, on top of that server and its limits. It is given pieces of 16 KB, only up to the next whole request and nothing after an error; heads are bounded as a whole and in time, answers in time, the body of a refused request in size, unread bytes in the kernel by the receive buffer. An error is told without the client's bytes.

--- a/arbutusrock/daemon.py
+++ b/arbutusrock/daemon.py
@@ -31,6 +31,7 @@
 from arbutusrock.machines import health as health_module
 from arbutusrock.machines import members as members_module
 from arbutusrock import metrics as metrics_module
+from arbutusrock import serving
 from arbutusrock import settings as settings_module
 from arbutusrock.utils import bounded_steps
 from arbutusrock.utils import clocks
@@ -42,7 +43,13 @@
 EXIT_EXPELLED = 75
 LISTEN_BACKLOG = 1024
 DIVISION_DELAY_S = 0.05
-MAX_OPERATOR_HEAD_BYTES = 16384
+# A head may have this many times the size of its longest line.
+HEAD_LINES = 4
+# Shares of the connections in the settings, and of the descriptors of the
+# process, that each kind of client may have. The other descriptors are for the
+# platform, the upstreams and files.
+CONNECTION_SHARES = {'callers': 1.0, 'operators': 0.25}
+DESCRIPTOR_SHARES = {'callers': 0.4, 'operators': 0.1}
 # A step of a shutdown that calls the platform makes at most this many calls
 # one after the other, which give up while the platform is away.
 PLATFORM_STEP_CALLS = 2
@@ -70,7 +77,7 @@
         self._create_job_services()
         self.caller_port = 0
         self.operator_port = 0
-        self._app_runners = []
+        self._listeners = []
         self.shutdown_steps = bounded_steps.BoundedSteps()
         self._division_due = asyncio.Event()
         self._connect_callbacks()
@@ -85,7 +92,9 @@
             platform=self.platform, delay_s=settings.platform.batch_delay_s
         )
         self.peers = peers_module.Peers(
-            address=listen.address, port=listen.port, metrics=self.metrics
+            address=listen.address,
+            port=listen.port,
+            metrics=self.metrics,
         )
         self.upstreams = upstream_client.UpstreamClient(
             settings=settings.upstreams,
@@ -204,14 +213,14 @@
         self.peers.start()
         listen = self.settings.listen
         self.operator_port = await self._listen(
+            'operators',
             operator_api.OperatorAPI(node=self).create_app(),
             listen.operators,
-            MAX_OPERATOR_HEAD_BYTES,
         )
         self.caller_port = await self._listen(
+            'callers',
             caller_api.CallerAPI(node=self).create_app(),
             listen.callers,
-            self.settings.limits.head_bytes,
         )
         self.audit_trail.member_id = self.members.member_id
         self.add_future(self.batcher.run())
@@ -230,24 +239,48 @@
         ):
             await self.add_runtime_dependency(service)
 
-    async def _listen(self, app, address, head_bytes):
-        runner = web.AppRunner(
-            app,
-            access_log=None,
-            handler_cancellation=True,
-            auto_decompress=False,
-            max_line_size=head_bytes,
-            max_field_size=head_bytes,
-            keepalive_timeout=75,
-            shutdown_timeout=CLOSE_STEP_S / 2,
-        )
-        await runner.setup()
-        site = web.TCPSite(
-            runner, address.address, address.port, backlog=LISTEN_BACKLOG
-        )
-        await site.start()
-        self._app_runners.append(runner)
-        return runner.addresses[0][1]
+    async def _listen(self, purpose, app, address):
+        listener = serving.Listener(
+            runner=web.AppRunner(
+                app,
+                handler_cancellation=True,
+                shutdown_timeout=CLOSE_STEP_S / 2,
+            ),
+            table=serving.ConnectionTable(
+                listener=purpose,
+                limits=self._get_connection_limits(purpose),
+                metrics=self.metrics,
+            ),
+        )
+        self._listeners.append(listener)
+        await listener.start(
+            serving.open_socket(address.address, address.port),
+            backlog=LISTEN_BACKLOG,
+        )
+        return listener.address[1]
+
+    def _get_connection_limits(self, purpose):
+        limits = self.settings.limits
+        return serving.ConnectionLimits(
+            connections=self._count_connections(purpose),
+            line_bytes=limits.head_bytes,
+            head_bytes=limits.head_bytes * HEAD_LINES,
+            head_timeout_s=limits.head_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+            answer_timeout_s=limits.answer_timeout_s,
+            discarded_bytes=limits.body_bytes,
+            held_bytes=max(limits.held_bytes, limits.body_bytes),
+        )
+
+    def _count_connections(self, purpose):
+        """Return how many connections one kind of client may have."""
+        max_descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        return int(
+            min(
+                self.settings.limits.connections * CONNECTION_SHARES[purpose],
+                max_descriptors * DESCRIPTOR_SHARES[purpose],
+            )
+        )
 
     @mode.Service.task
     async def _divide_slots(self):
@@ -354,7 +387,7 @@
 
     async def _close_listeners(self):
         await asyncio.gather(
-            *(runner.cleanup() for runner in self._app_runners)
+            *(listener.cleanup() for listener in self._listeners)
         )
 
     def collect_metrics(self):
--- a/arbutusrock/engine/node_settings.py
+++ b/arbutusrock/engine/node_settings.py
@@ -28,6 +28,15 @@
     :param maintenance_s: time that the maintenance of a VM takes.
     :param vm_calls_per_s: orders that the VM service accepts per second.
     :param worker_report_s: how often workers renew their registration.
+    :param max_descriptors: descriptors that this process may open.
+    :param held_bytes: size of all requests that callers have not completed
+        and of all answers that they have not read.
+    :param head_bytes: size of the largest head of a request.
+    :param head_timeout_s: time in which a caller sends a head.
+    :param idle_timeout_s: time between an answer and the next head.
+    :param answer_timeout_s: time in which a caller reads an answer.
+    :param discarded_bytes: how much of the body of a refused request is read.
+    :param longest_deadline_s: longest deadline of a caller that counts.
     """
 
     name: str
@@ -48,3 +57,11 @@
     maintenance_s: float = 2.0
     vm_calls_per_s: float = 64.0
     worker_report_s: float = 1.5
+    max_descriptors: int = 4096
+    held_bytes: int = 16 << 20
+    head_bytes: int = 65_536
+    head_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
+    answer_timeout_s: float = 30.0
+    discarded_bytes: int = 1 << 20
+    longest_deadline_s: float = 60.0
--- a/arbutusrock/platform/server.py
+++ b/arbutusrock/platform/server.py
@@ -17,9 +17,10 @@
 from arbutusrock.platform import internal_api
 from arbutusrock.platform import listeners as listeners_module
 from arbutusrock.platform import settings_file
+from arbutusrock import serving
 from arbutusrock.utils import clocks
 
-__all__ = ['check', 'run']
+__all__ = ['check', 'create_listener', 'run']
 
 # The load balancer probes each node once a second and stops sending requests
 # after two failed probes.
@@ -29,38 +30,66 @@
 # Callers that came early wait in the backlog until the first configuration is
 # read, as no call can be served without one, but no longer than this.
 FIRST_CONFIGURATION_WAIT_S = 1.0
+# Connections that each listener may have in any case.
+MIN_CONNECTIONS = 8
+# Shares of the descriptors that the connections of each listener may take. The
+# others are for calls to the store, workers and other nodes, and for files.
+DESCRIPTOR_SHARES = {'callers': 0.4, 'readiness': 0.02, 'metrics': 0.15}
+# Descriptors of a process that are kept for files.
+FILE_DESCRIPTORS = 200
 LOG = logs.get_log('daemon')
 
 
-async def _serve_socket(handler, listener, runners):
-    runner = web.ServerRunner(
-        web.Server(handler, access_log=None, keepalive_timeout=75)
+def create_listener(
+    purpose, handler, *, settings, metrics, shutdown_timeout_s=60.0
+):
+    """Return a listener for the requests of one kind of client.
+
+    :param purpose: key of :data:`DESCRIPTOR_SHARES`.
+    :param handler: coroutine function that answers a request.
+    :param settings: :class:`arbutusrock.engine.node_settings.NodeSettings`.
+    :param metrics: :class:`arbutusrock.metrics.Metrics`.
+    :param shutdown_timeout_s: bound of the wait for open requests at the end.
+    """
+    sockets = settings.max_descriptors - FILE_DESCRIPTORS
+    table = serving.ConnectionTable(
+        listener=purpose,
+        limits=serving.ConnectionLimits(
+            connections=max(
+                MIN_CONNECTIONS, int(sockets * DESCRIPTOR_SHARES[purpose])
+            ),
+            line_bytes=settings.head_bytes // 2,
+            head_bytes=settings.head_bytes,
+            head_timeout_s=settings.head_timeout_s,
+            idle_timeout_s=settings.idle_timeout_s,
+            answer_timeout_s=settings.answer_timeout_s,
+            discarded_bytes=settings.discarded_bytes,
+            held_bytes=settings.held_bytes,
+        ),
+        metrics=metrics,
     )
-    await runner.setup()
-    site = web.SockSite(
-        runner, listener, backlog=listeners_module.LISTEN_BACKLOG
+    return serving.Listener(
+        runner=web.ServerRunner(
+            web.Server(handler), shutdown_timeout=shutdown_timeout_s
+        ),
+        table=table,
+        auto_decompress=True,
     )
-    await site.start()
-    runners.append(runner)
-    host, port = listener.getsockname()
-    return f'{host}:{port}'
 
 
-def _open_missing(listeners, settings):
+def _open_missing(sockets, settings):
     """Open the sockets that were not opened before the imports."""
     for purpose, address in (
         ('callers', settings.callers),
         ('readiness', settings.readiness),
         ('metrics', settings.metrics),
     ):
-        if purpose not in listeners:
+        if purpose not in sockets:
             host, _, port = address.rpartition(':')
-            listeners[purpose] = listeners_module.open_listener(
-                host, int(port)
-            )
+            sockets[purpose] = listeners_module.open_listener(host, int(port))
 
 
-async def _serve(settings, listeners, listening_cpu_s):
+async def _serve(settings, sockets, listening_cpu_s):
     metrics = metrics_module.Metrics()
     adapter = adapter_module.PlatformAdapter(
         settings=settings, metrics=metrics
@@ -69,7 +98,7 @@
         settings=settings, adapter=adapter, metrics=metrics
     )
     ingress = ingress_module.Ingress(node=node)
-    runners = []
+    listeners = []
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -77,23 +106,27 @@
     loop.add_signal_handler(signal.SIGHUP, _handle_sighup)
 
     await node.start()
-    _open_missing(listeners, settings)
+    _open_missing(sockets, settings)
     addresses = {}
-    internal_handler = internal_api.InternalAPI(ingress=ingress).handle
-    addresses['metrics'] = await _serve_socket(
-        internal_handler, listeners['metrics'], runners
-    )
+
+    async def listen(purpose, handler):
+        listener = create_listener(
+            purpose, handler, settings=settings, metrics=metrics
+        )
+        listeners.append(listener)
+        await listener.start(
+            sockets[purpose], backlog=listeners_module.LISTEN_BACKLOG
+        )
+        host, port = listener.address
+        addresses[purpose] = f'{host}:{port}'
+
+    await listen('metrics', internal_api.InternalAPI(ingress=ingress).handle)
     node.peers.announce(addresses['metrics'])
     configured = await node.configuration.wait_until_read(
         FIRST_CONFIGURATION_WAIT_S
     )
-    for purpose, handler in (
-        ('callers', ingress.handle),
-        ('readiness', ingress.handle_readiness),
-    ):
-        addresses[purpose] = await _serve_socket(
-            handler, listeners[purpose], runners
-        )
+    await listen('callers', ingress.handle)
+    await listen('readiness', ingress.handle_readiness)
     LOG.info(
         'serving',
         node=settings.name,
@@ -110,8 +143,8 @@
         LOG.error('the node has failed', exc_info=node.crash_reason)
         return errors.ArbutusrockError.code.exit_status
     await _shut_down(node, ingress, settings)
-    for runner in runners:
-        await runner.cleanup()
+    for listener in listeners:
+        await listener.cleanup()
     await node.stop()
     await adapter.close()
     LOG.info('stopped', node=settings.name)
@@ -152,10 +185,10 @@
     return 0
 
 
-def run(listeners, *, listening_cpu_s):
+def run(sockets, *, listening_cpu_s):
     """Run the node until a signal stops it.
 
-    :param listeners: sockets that listen already, by their purpose.
+    :param sockets: sockets that listen already, by their purpose.
     :param listening_cpu_s: processor time until they listened (s).
     :returns: exit status.
     """
@@ -163,7 +196,7 @@
     if settings is None:
         return errors.InvalidSettings.code.exit_status
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(_serve(settings, listeners, listening_cpu_s))
+        return runner.run(_serve(settings, sockets, listening_cpu_s))
 
 
 def _load_settings():
--- a/arbutusrock/platform/settings_file.py
+++ b/arbutusrock/platform/settings_file.py
@@ -8,6 +8,13 @@
 
 __all__ = ['load_node_settings']
 
+# Of the memory of the process, the share that callers may hold. A request
+# takes several times the size of its bytes while it is decoded.
+HELD_SHARE = 1 / 16
+DEFAULT_MEMORY_MB = 256
+# Those of the process itself, and a few for callers.
+MIN_DESCRIPTORS = 256
+
 
 class _Fields:
     """Fields of a settings file of lines ``a.b=value``.
@@ -44,6 +51,9 @@
             )
         return value
 
+    def get_count(self, name, default, min_value):
+        return int(self.get_number(name, default, min_value))
+
     def get_ports(self, name, default):
         text = self.get_text(name, default)
         first, separator, last = text.partition(',')
@@ -75,6 +85,11 @@
     return int(row_bytes) // 4 * 3
 
 
+def _get_held_bytes(fields):
+    memory_mb = fields.get_number('limits.memoryMb', DEFAULT_MEMORY_MB, 16)
+    return int(memory_mb * 2**20 * HELD_SHARE)
+
+
 def load_node_settings(path=None):
     """Read the settings of this process.
 
@@ -116,4 +131,19 @@
         maintenance_s=get_number('bounds.maintenanceS', 2),
         vm_calls_per_s=get_number('cloudApi.dutyRateS', 64.0),
         worker_report_s=get_number('heartbeatMs', 1500) / 1000,
+        max_descriptors=fields.get_count(
+            'limits.maxFds', 4096, MIN_DESCRIPTORS
+        ),
+        # As for the speeds of VMs, a deployment may add these.
+        held_bytes=fields.get_count(
+            'callers.heldBytes', _get_held_bytes(fields), 1 << 20
+        ),
+        head_bytes=fields.get_count('callers.headBytes', 65_536, 1024),
+        head_timeout_s=get_number('callers.headTimeoutS', 10.0, 0.1),
+        idle_timeout_s=get_number('callers.idleTimeoutS', 75.0, 0.1),
+        answer_timeout_s=get_number('callers.answerTimeoutS', 30.0, 0.1),
+        discarded_bytes=fields.get_count(
+            'callers.discardedBytes', 1 << 20, 1024
+        ),
+        longest_deadline_s=get_number('callers.longestDeadlineS', 60.0, 0.1),
     )
--- a/arbutusrock/settings.py
+++ b/arbutusrock/settings.py
@@ -88,7 +88,18 @@
     :param buffered_bytes: request bodies up to this size are buffered, larger
         ones streamed, unless the whole body is needed (jobs, Idempotency-Key).
     :param answer_buffer_bytes: answers up to this size are buffered.
-    :param head_bytes: maximum size of the request line and of a header.
+    :param head_bytes: maximum size of the request line and of a header; a
+        whole head may have four times as much.
+    :param head_timeout_s: maximum time from the first byte of a head to its
+        last.
+    :param idle_timeout_s: maximum time between an answer and the next head.
+    :param answer_timeout_s: maximum time in which a client reads an answer.
+    :param held_bytes: maximum size of all requests that are not complete and
+        of all answers that are not read, for each kind of client; at least
+        ``body_bytes`` in any case.
+    :param connections: maximum number of connections of callers; those of
+        operators and of peers may be a quarter of it. Fewer, where the
+        process may not open so many descriptors.
     :param body_timeout_s: maximum wait for the next part of a body.
     :param default_timeout_s: time-out of a request that states none.
     :param longest_timeout_s: maximum time-out that a request may state.
@@ -98,6 +109,11 @@
     buffered_bytes: Bytes = 1 << 20
     answer_buffer_bytes: Bytes = 1 << 20
     head_bytes: Bytes = 16384
+    head_timeout_s: Seconds = 10.0
+    idle_timeout_s: Seconds = 75.0
+    answer_timeout_s: Seconds = 60.0
+    held_bytes: Bytes = 64 << 20
+    connections: Annotated[int, msgspec.Meta(ge=16, le=1 << 20)] = 4096
     body_timeout_s: Seconds = 30.0
     default_timeout_s: Seconds = 30.0
     longest_timeout_s: Seconds = 600.0
--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -15,6 +15,8 @@
 from arbutusrock.platform import adapter as adapter_module
 from arbutusrock.platform import ingress as ingress_module
 from arbutusrock.platform import internal_api
+from arbutusrock.platform import server
+from arbutusrock import serving
 from examples.standins.site import site_node as site_node_module
 from examples.standins.site import store as store_module
 from examples.standins.site import vm_service
@@ -405,24 +407,27 @@
         )
         ingress = ingress_module.Ingress(node=node)
         await node.start()
-        runners, addresses = [], []
-        for handler in (
-            ingress.handle,
-            ingress.handle_readiness,
-            internal_api.InternalAPI(ingress=ingress).handle,
+        listeners, addresses = [], []
+        for purpose, handler in (
+            ('callers', ingress.handle),
+            ('readiness', ingress.handle_readiness),
+            ('metrics', internal_api.InternalAPI(ingress=ingress).handle),
         ):
-            runner = web.ServerRunner(
-                web.Server(handler, access_log=None), shutdown_timeout=0.05
+            listener = server.create_listener(
+                purpose,
+                handler,
+                settings=settings,
+                metrics=metrics,
+                shutdown_timeout_s=0.05,
             )
-            await runner.setup()
-            await web.TCPSite(runner, HOST, 0).start()
-            runners.append(runner)
-            addresses.append(f'{HOST}:{runner.addresses[0][1]}')
+            await listener.start(serving.open_socket(HOST, 0))
+            listeners.append(listener)
+            addresses.append(f'{HOST}:{listener.address[1]}')
         node.peers.announce(addresses[2])
         site_node = site_node_module.SiteNode(
             node=node,
             adapter=adapter,
-            runners=runners,
+            listeners=listeners,
             address=addresses[0],
             readiness_address=addresses[1],
             internal_address=addresses[2],
--- a/examples/standins/site/site_node.py
+++ b/examples/standins/site/site_node.py
@@ -11,14 +11,14 @@
         *,
         node,
         adapter,
-        runners,
+        listeners,
         address,
         readiness_address,
         internal_address,
     ):
         self.node = node
         self.adapter = adapter
-        self.runners = runners
+        self.listeners = listeners
         self.address = address
         self.readiness_address = readiness_address
         # Address for the calls of operators and other nodes.
@@ -32,7 +32,7 @@
 
     async def kill(self):
         """Stop without handing the unit over, as a killed process does."""
-        for runner in self.runners:
-            await runner.cleanup()
+        for listener in self.listeners:
+            await listener.cleanup()
         await self.node.stop()
         await self.adapter.close()
