Let the connection worth least give way when there are too many

What callers saw: 400 connections that send nothing, a byte or most of a head take all descriptors of a process; a daemon with 300 answers nobody, as it can connect to no upstream. Cause: no listener bounded its connections, and none was closed before 75 s. Mend: each listener has a share of the descriptors. At the bound, the connection that has waited longest without a request is closed, first one that was never answered; one with a request at work never is.

--- a/arbutusrock/serving/connection_table.py
+++ b/arbutusrock/serving/connection_table.py
@@ -50,10 +50,17 @@
         return len(self._connections)
 
     def add(self, connection):
-        """Add a new connection.
+        """Add a new connection; end the one worth least if there is no room.
 
         :returns: whether the new connection may stay.
         """
+        if len(self._connections) >= self.limits.connections:
+            victim = self._order.choose()
+            if victim is None:
+                self.record(Ending.TOO_MANY)
+                return False
+            victim.end(Ending.TOO_MANY)
+            self.discard(victim)
         self._connections.add(connection)
         self._order.add(connection, answered=False)
         if self._sweep_timer is None:
--- a/arbutusrock/serving/tests/test_listener.py
+++ b/arbutusrock/serving/tests/test_listener.py
@@ -201,3 +201,35 @@
     await read_until_closed(reader)
     assert served.count_ended(serving.Ending.BODY_AFTER_REFUSAL) == 1
     writer.close()
+
+
+async def test_oldest_connection_without_request_gives_way(served, work):
+    """Connections at work, and then those that were answered, stay."""
+    at_work = await served.connect()
+    at_work[1].write(b'GET /work HTTP/1.1\r\nHost: a\r\n\r\n')
+    answered = await served.connect()
+    answered[1].write(GET % 1)
+    assert (await read_answer(answered[0]))[0] == 200
+    idle = [await served.connect() for _ in range(6)]
+    for reader, _ in idle[:4]:
+        assert not await read_until_closed(reader)
+    work.set()
+    for reader, writer in (at_work, answered, *idle[4:]):
+        writer.write(GET % 2)
+        assert (await read_answer(reader))[0] == 200
+    assert served.count_ended(serving.Ending.TOO_MANY) == 4
+    for _, writer in (at_work, answered, *idle):
+        writer.close()
+
+
+async def test_requests_at_work_refuse_further_connections(served, work):
+    writers = []
+    for _ in range(LIMITS.connections):
+        _, writer = await served.connect()
+        writer.write(b'GET /work HTTP/1.1\r\nHost: a\r\n\r\n')
+        writers.append(writer)
+    await asyncio.sleep(0.1)
+    reader, writer = await served.connect()
+    assert not await read_until_closed(reader)
+    for item in (*writers, writer):
+        item.close()
