Bound what all callers together hold in requests that are not complete

What callers saw: 400 bodies inside their limit whose last byte never comes take a node over 150 MB; 48 of 8 MB take a daemon over 300 MB. Cause: each body had a bound, all together had none, and on a node the body of a call had no time; what came in small parts was kept as a list that is many times as large. Mend: a budget for each listener. Over it, the request that has come in for the longest time is closed; an answer only after its client had 2 s to read it. A body has to be complete by the deadline of its call (daemon: by the longest time-out). Bodies are kept as one piece.

--- a/arbutusrock/links/caller_api.py
+++ b/arbutusrock/links/caller_api.py
@@ -216,7 +216,13 @@
             if needs_whole
             else self.limits.buffered_bytes
         )
-        prefix, ended = await self._read_prefix(request, max_bytes)
+        try:
+            async with asyncio.timeout(self.limits.longest_timeout_s):
+                prefix, ended = await self._read_prefix(request, max_bytes)
+        except TimeoutError:
+            raise errors.BodyTimeout(
+                f'no whole body within {self.limits.longest_timeout_s} s'
+            ) from None
         if ended:
             return prefix
         if needs_whole:
@@ -231,15 +237,14 @@
 
         It stops with the chunk that exceeds ``max_bytes``.
         """
-        chunks = []
-        size = 0
-        while size <= max_bytes:
+        prefix = bytearray()
+        while len(prefix) <= max_bytes:
             chunk = await self._read_chunk(request)
             if not chunk:
-                return b''.join(chunks), True
-            chunks.append(chunk)
-            size += len(chunk)
-        return b''.join(chunks), False
+                return bytes(prefix), True
+            prefix += chunk
+            request.protocol.hold(len(prefix))
+        return bytes(prefix), False
 
     async def _read_chunk(self, request):
         """Return the next bytes of the body; ``b''`` at its end."""
--- a/arbutusrock/platform/ingress.py
+++ b/arbutusrock/platform/ingress.py
@@ -9,6 +9,7 @@
 from arbutusrock import errors
 from arbutusrock import logs
 from arbutusrock.platform import job_bodies
+from arbutusrock import serving
 from arbutusrock.utils import clocks
 
 __all__ = ['Ingress']
@@ -31,6 +32,7 @@
     (errors.KeyRefused, 401),
     (errors.NotFound, 404),
     (errors.BodyTooLarge, 413),
+    (errors.BodyTimeout, 408),
     (errors.InvalidRequest, 400),
     (errors.StoreOutcomeUnknown, 504),
     (errors.Unavailable, 503),
@@ -158,7 +160,7 @@
 
     async def _submit(self, request, queue, account, job_id, deadline_at_s):
         limit = self.node.configuration.current.limits.body_bytes
-        data = await _read_body(request, limit)
+        data = await _read_body(request, limit, deadline_at_s)
         plan = job_bodies.decode_job(data)
         await self.gateway.submit(
             queue, account, job_id, plan, deadline_at_s=deadline_at_s
@@ -195,13 +197,11 @@
     return web.Response(body=body, content_type=JSON_CONTENT_TYPE)
 
 
-async def _read_body(request, limit):
-    if (request.content_length or 0) > limit:
-        raise errors.BodyTooLarge(f'over {limit} bytes')
-    parts, size = [], 0
-    async for part in request.content.iter_any():
-        size += len(part)
-        if size > limit:
-            raise errors.BodyTooLarge(f'over {limit} bytes')
-        parts.append(part)
-    return b''.join(parts)
+async def _read_body(request, limit, deadline_at_s):
+    try:
+        async with asyncio.timeout(max(0.0, deadline_at_s - clocks.now_s())):
+            return await serving.read_body(request, limit)
+    except serving.BodyOverLimit:
+        raise errors.BodyTooLarge(f'over {limit} bytes') from None
+    except TimeoutError:
+        raise errors.BodyTimeout('the body came too late') from None
--- a/arbutusrock/scheduling/connections.py
+++ b/arbutusrock/scheduling/connections.py
@@ -8,7 +8,10 @@
 from collections import OrderedDict
 import enum
 
-__all__ = ['ConnectionOrder', 'Stage']
+__all__ = ['ConnectionOrder', 'Stage', 'choose_largest_burden']
+
+# Time that a client has to read an answer, however much others hold (s).
+MIN_ANSWER_TIME_S = 2.0
 
 
 class Stage(enum.IntEnum):
@@ -54,3 +57,35 @@
             if waiting:
                 return next(iter(waiting))
         return None
+
+
+def choose_largest_burden(burdens, now_s):
+    """Return the connection to end when clients hold too much memory.
+
+    :param burdens: ``(connection, stage, bytes, since when)`` of each one.
+    :param now_s: the present instant.
+    :returns: the one that has been in the lowest stage for the longest time;
+        None when all that hold anything are at work, or have just begun to
+        read their answer.
+
+    >>> choose_largest_burden(
+    ...     [
+    ...         ('a', Stage.BODY, 9000, 4.0),
+    ...         ('b', Stage.BODY, 10, 3.0),
+    ...         ('c', Stage.WORK, 90_000, 1.0),
+    ...         ('d', Stage.HEAD, 0, 2.0),
+    ...     ],
+    ...     now_s=5.0,
+    ... )
+    'b'
+    """
+    found = [
+        (stage, since_s, number)
+        for number, (_, stage, size, since_s) in enumerate(burdens)
+        if size
+        and (
+            stage < Stage.ANSWER
+            or (stage is Stage.ANSWER and now_s - since_s > MIN_ANSWER_TIME_S)
+        )
+    ]
+    return burdens[min(found)[2]][0] if found else None
--- a/arbutusrock/serving/connection_table.py
+++ b/arbutusrock/serving/connection_table.py
@@ -84,9 +84,24 @@
         self._order.discard(connection)
 
     def hold(self, connection, size):
-        """Record how much a connection holds now (bytes)."""
+        """Record how much a connection holds now (bytes).
+
+        While all of them hold too much, the one worth least is ended.
+        """
         self.held_bytes += size - connection.held_bytes
         connection.held_bytes = size
+        while self.held_bytes > self.limits.held_bytes:
+            victim = connections_module.choose_largest_burden(
+                [
+                    (item, item.stage, item.held_bytes, item.stage_began_at_s)
+                    for item in self._connections
+                ],
+                asyncio.get_running_loop().time(),
+            )
+            if victim is None:
+                return
+            victim.end(Ending.MEMORY)
+            self.discard(victim)
 
     def record(self, cause):
         """Count a connection that was ended, and log it with others."""
--- a/arbutusrock/serving/tests/test_listener.py
+++ b/arbutusrock/serving/tests/test_listener.py
@@ -233,3 +233,20 @@
     assert not await read_until_closed(reader)
     for item in (*writers, writer):
         item.close()
+
+
+async def test_bodies_without_end_give_way_to_others(served):
+    """The body that has come in for the longest time is given up first."""
+    held = []
+    for _ in range(3):
+        reader, writer = await served.connect()
+        writer.write(create_post('/held', 600_000) + b'b' * 500_000)
+        held.append((reader, writer))
+        await asyncio.sleep(0.05)
+    await read_until_closed(held[0][0])
+    assert served.count_ended(serving.Ending.MEMORY) >= 1
+    reader, writer = await served.connect()
+    writer.write(create_post('/other', 1000) + b'b' * 1000)
+    assert await read_answer(reader) == (200, '/other 1000')
+    for _, item in (*held, (reader, writer)):
+        item.close()
