Keep connections to the store for a node's own calls beside relayed ones

What callers saw: 48 relayed waits of an hour, which anyone may send, and the node answers no job any more, as all its connections to the store wait. Cause: relayed calls were made without a bound on their number or wait. Mend: 16 at a time, waits of 30 s as the store allows, 1 MiB a call; others are refused before they run, and their node turns to another.

--- a/arbutusrock/engine/callers/relay.py
+++ b/arbutusrock/engine/callers/relay.py
@@ -40,6 +40,11 @@
 # Time-out of a relayed call, beyond the wait that it asks the store for:
 # shorter than callers wait, longer than a slow store takes (0.5 s).
 RELAY_TIMEOUT_S = 1.2
+# Calls that are made for other nodes at a time, so that those of this node
+# find a connection to the store. A node has up to three watch calls open.
+MAX_SERVED_CALLS = 16
+# The store takes no longer wait of a watch call.
+MAX_WATCH_S = 30.0
 LOG = logs.get_log('relay')
 
 
@@ -118,6 +123,8 @@
         self._unreachable_at_s = None
         self._probe = None
         self._failed_at_s = 0.0
+        # Calls of other nodes that are being made.
+        self._served_calls = 0
         # When the store last answered this node directly.
         self._answered_at_s = 0.0
         # Since when the store has answered only 429 (too many calls); None
@@ -355,14 +362,19 @@
         down serves none.
 
         :returns: the encoded :class:`Answer`, or None when this node does
-            not reach the store directly.
+            not reach the store directly, or makes as many calls for others
+            as it can.
         :raises msgspec.DecodeError: the body is not a valid call.
         """
         call = _decode_call(body)
-        if self.direct_path_down:
+        if self.direct_path_down or self._served_calls >= MAX_SERVED_CALLS:
             return None
         began_at_s = clocks.now_s()
-        answer = await _execute(self.direct, call)
+        self._served_calls += 1
+        try:
+            answer = await _execute(self.direct, call)
+        finally:
+            self._served_calls -= 1
         if answer.outcome == 'StoreRefused':
             self._record_failure(answer.text, began_at_s)
             return None
@@ -396,7 +408,9 @@
                 )
             case Watch():
                 found, version = await store.watch(
-                    call.table, after=call.after, wait_s=call.wait_s
+                    call.table,
+                    after=call.after,
+                    wait_s=min(MAX_WATCH_S, max(0.0, call.wait_s)),
                 )
     except rows.Conflicted as exc:
         return Answer(
--- a/arbutusrock/platform/internal_api.py
+++ b/arbutusrock/platform/internal_api.py
@@ -10,9 +10,12 @@
 from arbutusrock.engine.callers import status
 from arbutusrock import logs
 from arbutusrock.platform import operator_rows
+from arbutusrock import serving
 
 __all__ = ['InternalAPI']
 
+# A transaction of the store has at most 1 MB.
+MAX_RELAYED_BYTES = 1 << 20
 LOG = logs.get_log('inside')
 
 
@@ -62,7 +65,10 @@
         either.
         """
         try:
-            answer = await self.node.store.serve(await request.read())
+            body = await serving.read_body(request, MAX_RELAYED_BYTES)
+            answer = await self.node.store.serve(body)
+        except serving.BodyOverLimit:
+            return web.Response(status=413)
         except msgspec.DecodeError as exc:
             LOG.warning('a relayed call cannot be decoded', error=str(exc))
             return web.Response(status=400)
