Take a call that the store rejects for an answer of the store

What callers saw: one relayed read of a table with a name that the store does not take, sent by anyone, and the node counts its path to the store as down; it relays its own calls and serves those of no other node. Cause: statuses 400, 403 and 413 of reads, and 403 of writes, were taken for a store that does not serve the node. Mend: they are rejections of that call. The client of the store has as many connections for relayed calls as for its own.

--- a/arbutusrock/engine/ports/rows.py
+++ b/arbutusrock/engine/ports/rows.py
@@ -15,6 +15,7 @@
     'BatchRoom',
     'Conflicted',
     'HistoryLost',
+    'ReadRejected',
     'Row',
     'StoreBusy',
     'StoreRefused',
@@ -141,6 +142,10 @@
     """The store never takes a transaction with these rows."""
 
 
+class ReadRejected(StoreRefused):
+    """The store never makes such a call."""
+
+
 class StoreBusy(StoreRefused):
     """The store refused the call as all nodes together send too many."""
 
--- a/arbutusrock/platform/store.py
+++ b/arbutusrock/platform/store.py
@@ -21,6 +21,8 @@
     rows.TABLE_REPORTS: 'status',
 }
 _ENGINE_NAMES = {name: table for table, name in _PLATFORM_NAMES.items()}
+# To the store: as many for calls of this node as for those that it relays.
+MAX_CONNECTIONS = 32
 # The store returns at most 500 rows in one page.
 MAX_PAGE_ROWS = 500
 # How long the answer to a watch may take beyond the wait requested of the
@@ -78,7 +80,7 @@
         self.timeout_s = timeout_s
         self.metrics = metrics
         self._http = http.HTTPClient(
-            base_url=f'http://{address}', max_connections=16
+            base_url=f'http://{address}', max_connections=MAX_CONNECTIONS
         )
 
     async def close(self):
@@ -192,8 +194,10 @@
         match answer.status:
             case 429:
                 error_class = rows.StoreBusy
-            case 400 | 413 if path == TX_PATH:
+            case 400 | 403 | 413 if path == TX_PATH:
                 error_class = rows.WriteRejected
+            case 400 | 403 | 413:
+                error_class = rows.ReadRejected
             case _:
                 error_class = rows.StoreRefused
         raise error_class(
