Bound deadlines, log fields and series that callers choose

What callers saw: a deadline of 5,000 digits, or of a digit that is no decimal one, is answered 500; a deadline of hours keeps a call open as long. What they write fills log lines of 16 KB, and each method has series of its own.

--- a/arbutusrock/platform/ingress.py
+++ b/arbutusrock/platform/ingress.py
@@ -23,6 +23,11 @@
 ANSWER_MARGIN_S = 0.15
 MAX_MARGIN_SHARE = 0.4
 JOB_ID = re.compile(r'[0-9a-f]{16}')
+TIMEOUT_MS = re.compile(r'[0-9]{1,15}')
+# Methods with a series of their own in the metrics.
+METHODS = frozenset({'DELETE', 'GET', 'POST'})
+# Length of what a caller has written in a log line.
+MAX_LOGGED_TEXT = 200
 JSON_CONTENT_TYPE = 'application/json'
 LOG = logs.get_log('callers')
 
@@ -71,7 +76,7 @@
             response.force_close()
         metrics = self.node.metrics
         labels = (
-            ('method', request.method),
+            ('method', request.method if request.method in METHODS else ''),
             ('status', str(response.status)),
         )
         metrics.count('calls', labels)
@@ -101,11 +106,13 @@
         LOG.info(
             'a call was refused',
             method=request.method,
-            path=request.path,
+            path=request.path[:MAX_LOGGED_TEXT],
             status=status,
-            reason=str(exc),
+            reason=str(exc)[:MAX_LOGGED_TEXT],
             retry_after_s=exc.retry_after,
-            timeout_ms=request.headers.get(DEADLINE_HEADER, ''),
+            timeout_ms=request.headers.get(DEADLINE_HEADER, '')[
+                :MAX_LOGGED_TEXT
+            ],
             configuration_age_s=round(self.node.configuration.age_s, 2),
         )
         headers = {}
@@ -122,7 +129,9 @@
     async def _dispatch(self, request):
         path = request.path
         host = request.headers.get('Host', '').partition(':')[0]
-        timeout_s = self._get_timeout_s(request)
+        timeout_s = min(
+            self._get_timeout_s(request), self.node.settings.longest_deadline_s
+        )
         queue, account = self.gateway.find_queue(
             host,
             path,
@@ -154,7 +163,9 @@
     @staticmethod
     def _get_timeout_s(request):
         text = request.headers.get(DEADLINE_HEADER, '')
-        timeout_s = int(text) / 1000 if text.isdigit() else DEFAULT_TIMEOUT_S
+        timeout_s = DEFAULT_TIMEOUT_S
+        if TIMEOUT_MS.fullmatch(text):
+            timeout_s = int(text) / 1000
         margin_s = min(ANSWER_MARGIN_S, timeout_s * MAX_MARGIN_SHARE)
         return max(0.0, timeout_s - margin_s)
 
