Accept connections of peers in bounded number

What callers saw: 48 strangers that send messages of 8 MB to the address of the peers, whole or but for the last byte, take a daemon over 300 MB; 400 idle ones take all its descriptors. Cause: the message library accepts all connections, keeps 512 messages, and has no bound on their number or on the part of a message that has come. Mend: connections are accepted here and handed to the library with their greeting; it takes sockets that others have accepted. There may be one for each known peer and 16 more; the oldest without a greeting, then without a message of a known peer, gives way. Four messages wait, and each connection holds one more.

--- a/arbutusrock/daemon.py
+++ b/arbutusrock/daemon.py
@@ -48,8 +48,8 @@
 # Shares of the connections in the settings, and of the descriptors of the
 # process, that each kind of client may have. The other descriptors are for the
 # platform, the upstreams and files.
-CONNECTION_SHARES = {'callers': 1.0, 'operators': 0.25}
-DESCRIPTOR_SHARES = {'callers': 0.4, 'operators': 0.1}
+CONNECTION_SHARES = {'callers': 1.0, 'operators': 0.25, 'peers': 0.25}
+DESCRIPTOR_SHARES = {'callers': 0.4, 'operators': 0.1, 'peers': 0.1}
 # A step of a shutdown that calls the platform makes at most this many calls
 # one after the other, which give up while the platform is away.
 PLATFORM_STEP_CALLS = 2
@@ -94,6 +94,7 @@
         self.peers = peers_module.Peers(
             address=listen.address,
             port=listen.port,
+            max_connections=self._count_connections('peers'),
             metrics=self.metrics,
         )
         self.upstreams = upstream_client.UpstreamClient(
--- a/arbutusrock/links/peers.py
+++ b/arbutusrock/links/peers.py
@@ -8,12 +8,12 @@
 
 import asyncio
 from collections import deque
-import socket
 
 import msgspec
 import pynng
 
 from arbutusrock.links import messages
+from arbutusrock.links import peer_listener
 from arbutusrock import logs
 from arbutusrock.utils import clocks
 from arbutusrock.utils import decoders
@@ -21,10 +21,14 @@
 __all__ = ['PeerLink', 'Peers']
 
 SEND_BUFFER_MESSAGES = 128
-RECEIVE_BUFFER_MESSAGES = 512
+# Each connection holds one more message, and is read no further meanwhile.
+RECEIVE_BUFFER_MESSAGES = 4
 MAX_MESSAGE_BYTES = 8 << 20
 REDIAL_AFTER_DIGESTS = 5
 MAX_TRACKED_DIGESTS = 64
+# Connections beyond one for each known peer. A peer that redials has a second
+# one for a moment, and one that joins is not known yet.
+SPARE_CONNECTIONS = 16
 LOG = logs.get_log('peers')
 
 InboundMessage = (
@@ -186,6 +190,7 @@
 
     :param address: IP address to listen on.
     :param port: port to listen on; 0 lets the system choose one.
+    :param max_connections: connections that others may have to this member.
     :param metrics: :class:`arbutusrock.metrics.Metrics`.
     :ivar member_id: id of this member.
     :ivar links: mapping of member id to :class:`PeerLink`.
@@ -193,14 +198,18 @@
         its messages.
     """
 
-    def __init__(self, *, address, port, metrics):
+    def __init__(self, *, address, port, max_connections, metrics):
         self.address = address
         self.port = port
+        self.max_connections = max_connections
         self.metrics = metrics
         self.member_id = ''
         self.links = {}
         self.handlers = {}
+        # Whether the list of peers was read.
+        self._has_peers = False
         self._socket = None
+        self._listener = None
         self._encode = msgspec.msgpack.Encoder().encode
         self._decode = decoders.create_msgpack_decoder(InboundMessage)
 
@@ -210,15 +219,25 @@
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
             recv_max_size=MAX_MESSAGE_BYTES,
         )
-        listener = self._socket.listen(f'tcp://{self.address}:{self.port}')
-        # nng holds ports in network byte order.
-        self.port = socket.ntohs(listener.local_address.port)
+        self._listener = peer_listener.PeerListener(
+            receiver=self._socket,
+            choose_limit=self._choose_connection_limit,
+            metrics=self.metrics,
+        )
+        self.port = self._listener.start(self.address, self.port)
+
+    def _choose_connection_limit(self):
+        if not self._has_peers:
+            # Peers may know this member before it knows them.
+            return self.max_connections
+        return min(self.max_connections, len(self.links) + SPARE_CONNECTIONS)
 
     def stop(self):
         """Close all links and stop listening."""
         for link in self.links.values():
             link.close()
         if self._socket is not None:
+            self._listener.stop()
             self._socket.close()
 
     def set_peers(self, addresses):
@@ -226,6 +245,7 @@
 
         :param addresses: mapping of member id to ``(address, port)``.
         """
+        self._has_peers = True
         for member_id in list(self.links):
             if member_id not in addresses:
                 self.links.pop(member_id).close()
@@ -260,7 +280,8 @@
         task = asyncio.current_task()
         # A call that has received a message swallows its cancellation.
         while not task.cancelling():
-            data = await self._socket.arecv()
+            received = await self._socket.arecv_msg()
+            data = received.bytes
             self.metrics.count('peer_received_bytes', amount=len(data))
             try:
                 message = self._decode(data)
@@ -270,6 +291,7 @@
             link = self.links.get(message.sender)
             if link is not None:
                 link.last_heard_at_s = clocks.now_s()
+                self._listener.record_known(received.pipe)
             try:
                 self.handlers[type(message)](message)
             except Exception:
--- a/arbutusrock/links/tests/test_peers.py
+++ b/arbutusrock/links/tests/test_peers.py
@@ -16,7 +16,10 @@
     """
     receiver, sender = (
         peers_module.Peers(
-            address='127.0.0.1', port=0, metrics=metrics.Metrics()
+            address='127.0.0.1',
+            port=0,
+            max_connections=8,
+            metrics=metrics.Metrics(),
         )
         for _ in range(2)
     )
