Let connections whose body does not go on give way to others

What callers saw: 400 connections that begin a body and send no more take all connections of a listener, for as long as the deadline of their call lets them; on the address for other nodes, for ever. Cause: a connection counted as at work once its head was complete; the body of a relayed call had no time. A relayed call has 10 s.

--- a/arbutusrock/platform/internal_api.py
+++ b/arbutusrock/platform/internal_api.py
@@ -3,6 +3,8 @@
 The relay makes store calls for nodes whose direct path to the store is down.
 """
 
+import asyncio
+
 from aiohttp import web
 import msgspec
 
@@ -16,6 +18,8 @@
 
 # A transaction of the store has at most 1 MB.
 MAX_RELAYED_BYTES = 1 << 20
+# Time in which the body of a relayed call comes; its node waits less.
+BODY_TIMEOUT_S = 10.0
 LOG = logs.get_log('inside')
 
 
@@ -65,10 +69,14 @@
         either.
         """
         try:
-            body = await serving.read_body(request, MAX_RELAYED_BYTES)
-            answer = await self.node.store.serve(body)
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                body = await serving.read_body(request, MAX_RELAYED_BYTES)
         except serving.BodyOverLimit:
             return web.Response(status=413)
+        except TimeoutError:
+            return web.Response(status=408)
+        try:
+            answer = await self.node.store.serve(body)
         except msgspec.DecodeError as exc:
             LOG.warning('a relayed call cannot be decoded', error=str(exc))
             return web.Response(status=400)
--- a/arbutusrock/scheduling/connections.py
+++ b/arbutusrock/scheduling/connections.py
@@ -28,7 +28,7 @@
 
 
 class ConnectionOrder:
-    """Order in which connections without a request give way to new ones.
+    """Order in which connections without a whole request give way to new ones.
 
     Those that never had an answer come first, and of these the one that has
     waited longest: a client that keeps to its time-outs sends its request
@@ -42,7 +42,7 @@
         self._answered = OrderedDict()
 
     def add(self, connection, *, answered):
-        """Record that a connection waits for a request from now on."""
+        """Record that a connection waits for its client from now on."""
         waiting = self._answered if answered else self._never_answered
         waiting[connection] = None
 
--- a/arbutusrock/serving/connection.py
+++ b/arbutusrock/serving/connection.py
@@ -173,6 +173,7 @@
                 self._await_head()
             else:
                 self._set_stage(connections.Stage.BODY)
+                self.table.record_waiting(self)
 
     def handle_error(self, request, status=500, exc=None, message=None):
         """Answer an error without what the client has sent."""
@@ -187,6 +188,10 @@
         if self._unparsed:
             self._loop.call_soon(self._feed)
 
+    def _begin_work(self):
+        self._set_stage(connections.Stage.WORK)
+        self.table.record_work(self)
+
     def _set_stage(self, stage):
         self.stage = stage
         self.stage_began_at_s = self._loop.time()
@@ -227,7 +232,7 @@
             self._begin_requests(added)
         elif self._open_requests:
             if self._body.is_eof():
-                self._set_stage(connections.Stage.WORK)
+                self._begin_work()
         elif had_head:
             self._count_discarded(len(piece))
         elif piece:
@@ -237,12 +242,10 @@
         message, self._body = self._messages[-1]
         self._open_requests += count
         self._head_bytes = self._discarded_bytes = 0
-        self._set_stage(
-            connections.Stage.WORK
-            if self._body.is_eof()
-            else connections.Stage.BODY
-        )
-        self.table.record_request(self)
+        if self._body.is_eof():
+            self._begin_work()
+        else:
+            self._set_stage(connections.Stage.BODY)
         if not isinstance(message, http.RawRequestMessage):
             # Behind an error, the parser finds an error in each piece.
             self._is_reading = False
--- a/arbutusrock/serving/connection_table.py
+++ b/arbutusrock/serving/connection_table.py
@@ -55,7 +55,7 @@
         :returns: whether the new connection may stay.
         """
         if len(self._connections) >= self.limits.connections:
-            victim = self._order.choose()
+            victim = self._order.choose() or self._choose_burden()
             if victim is None:
                 self.record(Ending.TOO_MANY)
                 return False
@@ -74,13 +74,13 @@
         self.hold(connection, 0)
 
     def record_waiting(self, connection):
-        """Record that a connection waits for its next request."""
+        """Record that a connection was answered and waits for its client."""
         if connection in self._connections:
             self._order.discard(connection)
             self._order.add(connection, answered=True)
 
-    def record_request(self, connection):
-        """Record that a connection has sent the head of a request."""
+    def record_work(self, connection):
+        """Record that a connection has sent a whole request."""
         self._order.discard(connection)
 
     def hold(self, connection, size):
@@ -91,18 +91,21 @@
         self.held_bytes += size - connection.held_bytes
         connection.held_bytes = size
         while self.held_bytes > self.limits.held_bytes:
-            victim = connections_module.choose_largest_burden(
-                [
-                    (item, item.stage, item.held_bytes, item.stage_began_at_s)
-                    for item in self._connections
-                ],
-                asyncio.get_running_loop().time(),
-            )
+            victim = self._choose_burden()
             if victim is None:
                 return
             victim.end(Ending.MEMORY)
             self.discard(victim)
 
+    def _choose_burden(self):
+        return connections_module.choose_largest_burden(
+            [
+                (item, item.stage, item.held_bytes, item.stage_began_at_s)
+                for item in self._connections
+            ],
+            asyncio.get_running_loop().time(),
+        )
+
     def record(self, cause):
         """Count a connection that was ended, and log it with others."""
         self.metrics.count(
--- a/arbutusrock/serving/tests/test_listener.py
+++ b/arbutusrock/serving/tests/test_listener.py
@@ -235,6 +235,21 @@
         item.close()
 
 
+async def test_body_that_does_not_go_on_gives_way(served):
+    held = []
+    for _ in range(LIMITS.connections):
+        reader, writer = await served.connect()
+        writer.write(create_post('/held', 100) + b'b')
+        held.append((reader, writer))
+    await asyncio.sleep(0.1)
+    reader, writer = await served.connect()
+    writer.write(GET % 1)
+    assert (await read_answer(reader))[0] == 200
+    await read_until_closed(held[0][0])
+    for _, item in (*held, (reader, writer)):
+        item.close()
+
+
 async def test_bodies_without_end_give_way_to_others(served):
     """The body that has come in for the longest time is given up first."""
     held = []
--- a/tests/test_site_hostile_clients.py
+++ b/tests/test_site_hostile_clients.py
@@ -110,6 +110,26 @@
         await serve_ordinary_request(site, node)
 
 
+@pytest.mark.parametrize('listener', ['callers', 'metrics'])
+async def test_bodies_begun_take_all_descriptors(site, tmp_path, listener):
+    """Bodies that do not go on leave room for the requests of others."""
+    path = b'/relay' if listener == 'metrics' else b'/jobs/00000000000000c3'
+    beginning = b'POST %b HTTP/1.1\r\n' % path + (
+        b'Host: alpha.example\r\n'
+        b'Arbutusrock-Key: key-1\r\n'
+        b'Arbutusrock-Deadline-Ms: 3000000\r\n'
+        b'Content-Length: 100\r\n\r\n{'
+    )
+    async with run_beside_crowd(
+        site,
+        tmp_path,
+        listener,
+        crowds.send_once(beginning),
+        connections=MANY_CONNECTIONS,
+    ) as node:
+        await serve_ordinary_request(site, node)
+
+
 async def test_bodies_held_back_outgrow_memory(site, tmp_path):
     """Bodies inside their limit whose last byte never comes."""
     head = (
