Read all ends that a worker keeps before starts under a next owner

Cause: a worker reports 500 of the ends that were not acknowledged, and the next 500 once those are. The next owner took the first report for the answer that its pool waits for, and started tasks whose ends were in later ones. Mend: a worker has answered once a report was not full.

--- a/arbutusrock/engine/runs/run_controller.py
+++ b/arbutusrock/engine/runs/run_controller.py
@@ -245,12 +245,23 @@
             return
         if not worker.has_answered and self._has_unloaded_job(reply, now_s):
             return
-        if not worker.has_answered or worker.unresponsive:
+        # Further reports may show as done what would be started again now.
+        has_all_ends = len(reply.ended) < COMPLETIONS_PER_PAGE
+        if has_all_ends and not worker.has_answered or worker.unresponsive:
             self.term.request_dispatch()
-        self.term.phases.record_answer(worker)
+        if has_all_ends:
+            self.term.phases.record_answer(worker)
+        elif not worker.has_answered:
+            LOG.info(
+                'a worker has more ends of earlier runs than it reported',
+                worker=worker.worker_id,
+                pool=worker.entry.pool,
+                reported=len(reply.ended),
+                first=reply.ended[0].number,
+            )
         for rival in worker.take_rivals():
             self.end_incarnation(rival, fleet.IncarnationEnd.REPLACED)
-        worker.has_answered = True
+        worker.has_answered = worker.has_answered or has_all_ends
         worker.unresponsive = False
         for completion in sorted(reply.ended, key=lambda item: item.number):
             if completion.number > worker.last_completion:
@@ -263,7 +274,7 @@
         for report in reply.running:
             reported.add((report.task, report.run))
             self._handle_run_report(worker, report, now_s)
-        if len(reply.ended) < COMPLETIONS_PER_PAGE:
+        if has_all_ends:
             self._handle_missing_runs(worker, reported, sent_at_s)
         self.crash_tracker.record_answer(worker)
 
--- a/arbutusrock/engine/workers/fleet.py
+++ b/arbutusrock/engine/workers/fleet.py
@@ -100,7 +100,8 @@
         self.used_millicores = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
-        # Whether it has answered this owner.
+        # Whether it has answered this owner, and has reported all the ends of
+        # runs that it keeps.
         self.has_answered = False
         self.unresponsive = False
         self.last_reply_at_s = now_s
@@ -349,16 +350,23 @@
         ]
 
     def find_possible_run_holders(self, now_s):
-        """Return the workers that may have runs of an earlier owner.
+        """Return the workers that may have runs or ends of an earlier owner.
 
-        These have not answered this owner yet.
+        These have not answered this owner yet, or have not reported all of
+        the ends that they keep.
         """
         return [
             worker
             for worker in self.workers.values()
             if not worker.has_answered
             and not worker.ended
-            and now_s < worker.inherited_lease.end_at_s
+            and (
+                now_s < worker.inherited_lease.end_at_s
+                or (
+                    worker.last_completion
+                    and not worker.is_lease_expired(now_s)
+                )
+            )
         ]
 
     def find_silent(self, now_s):
--- a/examples/standins/site/workers.py
+++ b/examples/standins/site/workers.py
@@ -81,6 +81,8 @@
         self.running = {}
         self.completions = []
         self.completion_count = 0
+        # Most completions that one report holds.
+        self.reported_ends = 500
         # Completion number to the run record, until it is acknowledged.
         self.unacknowledged = {}
         # Rate of the worker's steady clock; 1 is the true rate.
@@ -266,7 +268,7 @@
         ]
         return self._create_response(
             running=running,
-            ended=self.completions[:500],
+            ended=self.completions[: self.reported_ends],
             born=self.started_unix_ms,
         )
 
