Wait before accepting peers again when descriptors have run out

What would be seen: the loop is woken without end while the process may open no descriptor, as the listening socket stays readable. Found by reading; no run shows it. Also counts an error behind a refused upgrade once.

--- a/arbutusrock/links/peer_listener.py
+++ b/arbutusrock/links/peer_listener.py
@@ -13,6 +13,7 @@
 
 import pynng
 
+from arbutusrock import logs
 from arbutusrock import serving
 from arbutusrock.utils import clocks
 
@@ -24,6 +25,9 @@
 GREETING_TIMEOUT_S = 5.0
 # Time in which the library reads a greeting that is there.
 HAND_OVER_S = 1.0
+# Delay after a connection could not be accepted, for want of descriptors.
+RETRY_S = 0.5
+LOG = logs.get_log('peers')
 
 
 class PeerListener:
@@ -40,6 +44,7 @@
         self.metrics = metrics
         self._socket = None
         self._target = None
+        self._retry = None
         # Connections without a greeting, the oldest first, with their timers.
         self._waiting = OrderedDict()
         # Until when each connection that was handed over may not be known to
@@ -62,12 +67,14 @@
         )
         self._socket.setblocking(False)
         self._socket.listen(LISTEN_BACKLOG)
-        loop.add_reader(self._socket, self._accept)
+        self._listen()
         return self._socket.getsockname()[1]
 
     def stop(self):
         """Stop listening; connections that were handed over stay."""
         asyncio.get_running_loop().remove_reader(self._socket)
+        if self._retry is not None:
+            self._retry.cancel()
         self._socket.close()
         for connection in list(self._waiting):
             self._close(connection)
@@ -77,6 +84,9 @@
         if pipe is not None:
             self._known.add(pipe.id)
 
+    def _listen(self):
+        asyncio.get_running_loop().add_reader(self._socket, self._accept)
+
     def _record_taken(self):
         if self._handed_over:
             self._handed_over.pop(0)
@@ -86,8 +96,12 @@
         for _ in range(MAX_ACCEPTS):
             try:
                 connection, _ = self._socket.accept()
-            except OSError:
-                # None is left, or no descriptor; it is tried again.
+            except BlockingIOError:
+                return
+            except OSError as exc:
+                LOG.warning('peers cannot connect', error=str(exc))
+                loop.remove_reader(self._socket)
+                self._retry = loop.call_later(RETRY_S, self._listen)
                 return
             connection.setblocking(False)
             if not self._make_room():
--- a/arbutusrock/serving/connection.py
+++ b/arbutusrock/serving/connection.py
@@ -246,7 +246,8 @@
             self._begin_work()
         else:
             self._set_stage(connections.Stage.BODY)
-        if not isinstance(message, http.RawRequestMessage):
+        is_error = not isinstance(message, http.RawRequestMessage)
+        if is_error and self._is_reading:
             # Behind an error, the parser finds an error in each piece.
             self._is_reading = False
             self._unparsed = b''
