--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -61,10 +61,17 @@
     :param map_address: coroutine function that is called with a VM and the
         address of its worker and returns the address to register, for
         example that of a proxy.
+    :param reported_ends: most ends of runs that one report of a worker holds.
     """
 
     def __init__(
-        self, *, pools, cores=8, map_address=None, data_centres=('z1',)
+        self,
+        *,
+        pools,
+        cores=8,
+        map_address=None,
+        data_centres=('z1',),
+        reported_ends=workers.REPORTED_ENDS,
     ):
         self.pools = {**pools, SPARE_POOL: pools.get(SPARE_POOL, 0)}
         self.cores = cores
@@ -87,6 +94,7 @@
         # Run record of each run that has crashed its worker.
         self.crashes = []
         self.crash_recovery_s = CRASH_RECOVERY_S
+        self.reported_ends = reported_ends
         # VM to the capacity of its workers in millicores, where it is not that
         # of ``cores``; and (instant, worker, millicores) of each change.
         self.millicores = {}
@@ -261,6 +269,7 @@
             ),
         )
         worker.clock_rate = self.clock_rates.get(vm, 1.0)
+        worker.reported_ends = self.reported_ends
         runner, address = await _serve(worker.create_app(), port)
         if self.map_address is not None:
             address = await self.map_address(vm, address)
--- a/examples/standins/site/workers.py
+++ b/examples/standins/site/workers.py
@@ -23,6 +23,9 @@
 # Key under which the middleware stores the decoded body in the request.
 BODY_KEY = web.RequestKey('body', dict)
 
+# Most ends of runs that one report holds.
+REPORTED_ENDS = 500
+
 
 class RunRecord:
     """Ledger entry of a run.
@@ -81,8 +84,7 @@
         self.running = {}
         self.completions = []
         self.completion_count = 0
-        # Most completions that one report holds.
-        self.reported_ends = 500
+        self.reported_ends = REPORTED_ENDS
         # Completion number to the run record, until it is acknowledged.
         self.unacknowledged = {}
         # Rate of the worker's steady clock; 1 is the true rate.
--- a/tests/test_site_done_twice.py
+++ b/tests/test_site_done_twice.py
@@ -24,9 +24,9 @@
 async def site(monkeypatch):
     """One pool with one VM; the ledger is checked at the end."""
     monkeypatch.setattr(run_controller, 'COMPLETIONS_PER_PAGE', REPORTED_ENDS)
-    async with site_checks.open_site({'alpha': 1}) as stand_in:
-        for worker in stand_in.workers.values():
-            worker.reported_ends = REPORTED_ENDS
+    async with site_checks.open_site(
+        {'alpha': 1}, reported_ends=REPORTED_ENDS
+    ) as stand_in:
         yield stand_in
 
 
