--- a/examples/standins/fleet.py
+++ b/examples/standins/fleet.py
@@ -9,27 +9,25 @@
 import os
 import pathlib
 import resource
-import shutil
 import signal
 import sys
-import tempfile
 
 import aiohttp
 import msgspec
 import yaml
 
+from examples.standins.daemon import Daemon
+from examples.standins.daemon import START_TIMEOUT_S
+from examples.standins.daemon import STOP_TIMEOUT_S
+from examples.standins.daemon import wait_for
+from examples.standins.daemon import WAIT_TIMEOUT_S
 from examples.standins import proxy
 from examples.standins import worker as worker_module
 
-__all__ = ['Daemon', 'Fleet', 'Reply']
+__all__ = ['Daemon', 'Fleet', 'Reply', 'wait_for']
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 OPERATOR_TOKEN = 'operator-token-of-the-examples'
-START_TIMEOUT_S = 60
-WAIT_TIMEOUT_S = 60
-# Longest time of a graceful shutdown with the settings below: notice, deadline
-# of the tasks, and the bounds of all other steps.
-STOP_TIMEOUT_S = 75
 
 
 class Reply(msgspec.Struct, kw_only=True):
@@ -58,75 +56,6 @@
         return msgspec.json.decode(self.body)
 
 
-class Daemon:
-    """One daemon process.
-
-    :param name: node name.
-    :param process: :class:`asyncio.subprocess.Process` of the daemon.
-    :param log: path of its log file.
-    """
-
-    def __init__(self, *, name, process, log):
-        self.name = name
-        self.process = process
-        self.log = log
-        self.ports = {}
-        self.caller_url = ''
-        self.operator_url = ''
-        self.member = ''
-        self.killed = False
-
-    async def wait_serving(self):
-        """Wait for the ``serving`` event of the log, which has the ports."""
-
-        def find_serving_event():
-            for line in self.log.read_text().splitlines():
-                if '"event": "serving"' in line:
-                    return json.loads(line)
-            if self.process.returncode is not None:
-                raise RuntimeError(
-                    f'{self.name} ended: {self.log.read_text()[-3000:]}'
-                )
-            return None
-
-        event = await wait_for(find_serving_event, START_TIMEOUT_S)
-        self.ports = {
-            purpose: event[purpose]
-            for purpose in ('callers', 'operators', 'peers')
-        }
-        self.caller_url = f'http://127.0.0.1:{event["callers"]}'
-        self.operator_url = f'http://127.0.0.1:{event["operators"]}'
-        self.member = event['member']
-        return self
-
-    def kill(self, signal_number=signal.SIGKILL):
-        """Send a signal to the process, by default SIGKILL."""
-        self.killed |= signal_number == signal.SIGKILL
-        self.process.send_signal(signal_number)
-
-    async def terminate(self):
-        """Stop the daemon with SIGTERM and return its exit status."""
-        self.kill(signal.SIGTERM)
-        return await self.wait_ended()
-
-    async def wait_ended(self, timeout_s=STOP_TIMEOUT_S):
-        """Wait until the process has ended; return its exit status.
-
-        :raises RuntimeError: it has not; its log is kept.
-        """
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self.process.wait()
-        except TimeoutError:
-            kept = pathlib.Path(tempfile.mkdtemp(prefix='daemon-log-'))
-            shutil.copy(self.log, kept)
-            raise RuntimeError(
-                f'{self.name} has not ended within {timeout_s} s after'
-                f' SIGTERM; its log is in {kept}:'
-                f' {self.log.read_text()[-3000:]}'
-            ) from None
-
-
 class Fleet:
     """A whole deployment on loopback; an async context manager.
 
@@ -217,16 +146,8 @@
             return self.proxies[name].port
         return self.workers[name]
 
-    async def start_daemon(
-        self, name, *, wait=True, max_descriptors=None, **overrides
-    ):
-        """Start a daemon with short intervals and time-outs for tests.
-
-        :param wait: whether to wait until it serves.
-        :param max_descriptors: how many descriptors it may open.
-        :param overrides: sections of settings, each a dict of the keys to
-            replace.
-        """
+    def _create_settings(self, name, overrides):
+        """Return the settings of a daemon, with short intervals."""
         settings = {
             'node': {'name': name, 'data_centre': 'dc-1'},
             'platform': {
@@ -258,6 +179,19 @@
         }
         for section, values in overrides.items():
             settings.setdefault(section, {}).update(values)
+        return settings
+
+    async def start_daemon(
+        self, name, *, wait=True, max_descriptors=None, **overrides
+    ):
+        """Start a daemon with short intervals and time-outs for tests.
+
+        :param wait: whether to wait until it serves.
+        :param max_descriptors: how many descriptors it may open.
+        :param overrides: sections of settings, each a dict of the keys to
+            replace.
+        """
+        settings = self._create_settings(name, overrides)
         path = self.folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(settings))
         log = self.folder / f'{name}.log'
@@ -485,21 +419,6 @@
         return sorted(entries, key=lambda entry: entry.start_s)
 
 
-async def wait_for(condition, timeout_s=WAIT_TIMEOUT_S):
-    """Wait until ``condition`` returns a true value, and return that.
-
-    :param condition: function or coroutine function without arguments.
-    """
-    async with asyncio.timeout(timeout_s):
-        while True:
-            result = condition()
-            if asyncio.iscoroutine(result):
-                result = await result
-            if result:
-                return result
-            await asyncio.sleep(0.05)
-
-
 def read_cpu_s(process):
     """Return the CPU time of a process in seconds, user and system."""
     fields = pathlib.Path(f'/proc/{process.pid}/stat').read_text()
