--- /dev/null
+++ b/review/lab3/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the scripts of the third review."""
