Revoke late start orders at each later incarnation of a worker

Cause: the owner kept such an order as the state of a run, and dropped both together.

With the owner killed in between it holds, as the fencing token of the next one is higher.

Now orders are kept by the id of the worker until they are answered, reported to have begun, or 60 s old, 10,000 in all. Each later incarnation that is registered is told to stop them, which makes a worker reject an order that arrives after it. Nothing waits for a worker that is gone. A run that is revoked is not blamed for a crash.

--- a/arbutusrock/engine/jobs/job_state.py
+++ b/arbutusrock/engine/jobs/job_state.py
@@ -95,6 +95,7 @@
         'survived_before_s',
         'stop_answered_at_s',
         'stop_reason',
+        'revoked',
         'percent',
         'last_progress_at_s',
         'rise_s',
@@ -126,6 +127,8 @@
         self.survived_before_s = 0.0
         self.stop_answered_at_s = None
         self.stop_reason = ''
+        # Whether its start order went to an earlier incarnation of its worker.
+        self.revoked = False
         self.percent = 0.0
         # When its reported percentage last rose.
         self.last_progress_at_s = now_s
--- a/arbutusrock/engine/runs/crash_tracker.py
+++ b/arbutusrock/engine/runs/crash_tracker.py
@@ -323,14 +323,16 @@
 def _find_live_runs(worker):
     """Return the runs of a worker that may be why it does not answer.
 
-    Those whose start order was not sent are left out, and those that were
-    ordered after another one that has no answer: the worker was dark then.
+    Those whose start order was not sent to this incarnation are left out, and
+    those that were ordered after another one that has no answer: the worker
+    was dark then.
     """
     live = [
         run
         for run in worker.runs.values()
         if run.task is not None
         and run.state is not job_state.RunState.RESERVED
+        and not run.revoked
     ]
     unanswered_at_s = [
         run.ordered_at_s
--- a/arbutusrock/engine/runs/run_controller.py
+++ b/arbutusrock/engine/runs/run_controller.py
@@ -111,8 +111,6 @@
                 return
             case _ if outcome in fleet.END_BY_OUTCOME:
                 self.end_incarnation(worker, fleet.END_BY_OUTCOME[outcome])
-                # This order was refused.
-                self.unanswered_orders.resolve(run, reply)
                 return
             case platform_messages.OrderOutcome.UNREACHABLE:
                 worker.unresponsive = True
@@ -304,6 +302,9 @@
         one is still pending.
         """
         worker.last_completion = completion.number
+        self.unanswered_orders.record_seen(
+            worker, completion.task, completion.run
+        )
         run = worker.runs.get((completion.task, completion.run))
         task = self.term.job_registry.find_task(completion.task)
         job = None if task is None else task.step.job
@@ -414,6 +415,7 @@
             )
 
     def _handle_run_report(self, worker, report, now_s):
+        self.unanswered_orders.record_seen(worker, report.task, report.run)
         run = worker.runs.get((report.task, report.run))
         if run is None:
             run = self._adopt_or_stop(worker, report, now_s)
@@ -436,38 +438,19 @@
     def _adopt_or_stop(self, worker, report, now_s):
         """Adopt a run that an earlier owner started, or stop an unwanted one.
 
-        Either way the run counts on its worker until it has ended; one of an
-        unknown job counts as using all of it.
+        Either way the run counts on its worker until it has ended.
         """
-        task = self.term.job_registry.find_task(report.task)
-        adopted = (
-            task is not None
-            and not task.step.job.ended
-            and task.may_adopt(report.run)
-        )
-        parts = job_state.parse_task_name(report.task)
-        job = self.term.job_registry.load_job(parts[0]) if parts else None
-        run = job_state.Run(
-            number=report.run,
-            name=report.task,
-            task=task if adopted else None,
-            account=job.submission.account if job else '',
-            worker=worker,
-            demand=job.plan.get_demand(parts[2]) if job else worker.capacity,
-            now_s=now_s,
-        )
-        self.term.fleet.add_run(run)
-        if adopted:
+        run = self.add_found_run(worker, report.task, report.run)
+        if run.task is not None:
             run.state = job_state.RunState.RUNNING
             run.confirmed_at_s = now_s
             # It has outlived the change of the owner; one that lasts may have
             # been running for long.
             run.survived_before_s = (
                 crash_attribution.MAX_SUSPECT_AGE_S
-                if task.step.plan.long_running
+                if run.task.step.plan.long_running
                 else crash_attribution.SETTLED_S
             )
-            self.term.job_registry.mark_active(task)
         else:
             LOG.info(
                 'an unwanted run is stopped',
@@ -478,6 +461,37 @@
             self.stop_run(run, 'unwanted run')
         return run
 
+    def add_found_run(self, worker, name, number):
+        """Add a run to a worker that has, or may have, begun there.
+
+        It belongs to its task if that has no other run, and is unwanted
+        otherwise. One of an unknown job counts as using all of the worker.
+
+        :param name: of its task.
+        :returns: :class:`job_state.Run`.
+        """
+        task = self.term.job_registry.find_task(name)
+        adopted = (
+            task is not None
+            and not task.step.job.ended
+            and task.may_adopt(number)
+        )
+        parts = job_state.parse_task_name(name)
+        job = self.term.job_registry.load_job(parts[0]) if parts else None
+        run = job_state.Run(
+            number=number,
+            name=name,
+            task=task if adopted else None,
+            account=job.submission.account if job else '',
+            worker=worker,
+            demand=job.plan.get_demand(parts[2]) if job else worker.capacity,
+            now_s=clocks.now_s(),
+        )
+        self.term.fleet.add_run(run)
+        if adopted:
+            self.term.job_registry.mark_active(task)
+        return run
+
     def _handle_missing_runs(self, worker, reported, sent_at_s):
         """Stop or remove runs that the worker does not report.
 
--- a/arbutusrock/engine/runs/worker_link.py
+++ b/arbutusrock/engine/runs/worker_link.py
@@ -307,9 +307,12 @@
             if self._has_run(run):
                 self.run_controller.release_reservation(run)
             return
+        unanswered = self.run_controller.unanswered_orders
+        unanswered.record_sent(run)
         reply = await self.client.start_run(order)
+        unanswered.record_reply(run, reply)
         if self.worker.ended:
-            self.run_controller.unanswered_orders.resolve(run, reply)
+            unanswered.resolve(run, reply)
             return
         self.run_controller.handle_start_reply(run, reply)
 
@@ -334,8 +337,7 @@
 
     async def _stop(self, run):
         worker = self.worker
-        key = (run.name, run.number)
-        while worker.runs.get(key) is run and not worker.ended:
+        while self._needs_stop(run):
             reply = await self.client.stop_run(
                 run.name, run.number, self.term.epoch
             )
@@ -353,6 +355,20 @@
                 case _:
                     await asyncio.sleep(RETRY_DELAY_S)
 
+    def _needs_stop(self, run):
+        """Return whether a stop order that has no answer is repeated.
+
+        The start order of a revoked run may arrive after the owner has given
+        a silent worker up, as no lease of this incarnation bounds it.
+        """
+        return not self.worker.ended and (
+            self._has_run(run)
+            or (
+                run.revoked
+                and self.run_controller.unanswered_orders.is_pending(run)
+            )
+        )
+
     def send_pace(self, run, percent):
         """Order a run to work at a percentage of its full speed."""
         run.pace_percent = percent
--- a/arbutusrock/engine/workers/registration_controller.py
+++ b/arbutusrock/engine/workers/registration_controller.py
@@ -203,8 +203,7 @@
         rivals = self._find_rivals(entry)
         successor = self._add(entry)
         successor.rivals = rivals
-        if worker is not None:
-            self.run_controller.unanswered_orders.revoke(worker, successor)
+        self.run_controller.unanswered_orders.revoke(worker, successor)
 
     def _is_of_incarnation(self, worker, entry):
         """Return whether an entry is a report of a known incarnation.
@@ -283,6 +282,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now_s = clocks.now_s()
+            self.run_controller.unanswered_orders.drop_expired(now_s)
             for worker_id, worker in list(self.term.fleet.workers.items()):
                 self._sweep_worker(worker_id, worker, now_s)
 
--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -355,15 +355,32 @@
         :param silent_s: time from then until the worker registers; the entry
             of its former incarnation is there until then.
         """
-        worker, port = await self._kill_worker(vm)
+        power_on = await self.power_off(vm)
         await asyncio.sleep(down_s)
-        await self._start_worker(
-            vm,
-            self.vm_service.vms[vm]['pool'],
-            worker_id=worker.worker_id,
-            port=port,
-            silent_s=silent_s,
-        )
+        await power_on(silent_s)
+
+    async def power_off(self, vm, *, unregister=False):
+        """Turn a VM off.
+
+        :param unregister: whether the entry of its worker is removed.
+        :returns: coroutine function that turns it on; its worker returns
+            under its id and address, and registers after the time (s) that is
+            passed.
+        """
+        worker, port = await self._kill_worker(vm)
+        if unregister:
+            await self.store.put('servers', worker.worker_id, None)
+
+        async def power_on(silent_s=0.0):
+            await self._start_worker(
+                vm,
+                self.vm_service.vms[vm]['pool'],
+                worker_id=worker.worker_id,
+                port=port,
+                silent_s=silent_s,
+            )
+
+        return power_on
 
     async def crash_worker(self, vm):
         """Kill a worker; its runs are lost and its registration is removed."""
