Send one pace order of a run at a time

A pace order whose channel was slow could reach the worker after the order of the next pass, half a second later on another channel. The owner took the newer share for the one in force: a filling task went on at the older, higher pace beside a serving task over its target (HARM), or at a lower one for good. Not seen by callers.

--- a/arbutusrock/engine/jobs/job_state.py
+++ b/arbutusrock/engine/jobs/job_state.py
@@ -104,6 +104,7 @@
         'checkpoint',
         'load',
         'pace_percent',
+        'pace_in_flight',
     )
 
     def __init__(self, *, number, name, task, account, worker, demand, now_s):
@@ -140,7 +141,10 @@
         self.ready_at_s = None
         self.checkpoint = ''
         self.load = 0.0
+        # Share of its full speed at which it works; None when not known.
         self.pace_percent = 100
+        # Whether a pace order has been sent whose outcome is not known yet.
+        self.pace_in_flight = False
 
     def confirm_start(self, now_s):
         """Record that its start order was carried out."""
--- a/arbutusrock/engine/runs/pace_controller.py
+++ b/arbutusrock/engine/runs/pace_controller.py
@@ -30,20 +30,24 @@
         """Make passes until the ownership ends."""
         while True:
             await asyncio.sleep(PASS_INTERVAL_S)
-            workers = self.term.fleet.workers
-            self._shares = {
-                worker_id: share
-                for worker_id, share in self._shares.items()
-                if worker_id in workers
-            }
-            for worker_id, worker in workers.items():
-                link = self.links.get(worker_id)
-                if (
-                    link is not None
-                    and worker.has_answered
-                    and not worker.unresponsive
-                ):
-                    self._pace_worker(worker_id, worker, link)
+            self.make_pass()
+
+    def make_pass(self):
+        """Choose the share of each worker, and order what differs from it."""
+        workers = self.term.fleet.workers
+        self._shares = {
+            worker_id: share
+            for worker_id, share in self._shares.items()
+            if worker_id in workers
+        }
+        for worker_id, worker in workers.items():
+            link = self.links.get(worker_id)
+            if (
+                link is not None
+                and worker.has_answered
+                and not worker.unresponsive
+            ):
+                self._pace_worker(worker_id, worker, link)
 
     def _pace_worker(self, worker_id, worker, link):
         filling, tail_latencies = [], []
@@ -71,5 +75,6 @@
                 filling=len(filling),
             )
         for run in filling:
-            if run.pace_percent != share:
+            # Orders on two channels may overtake each other.
+            if run.pace_percent != share and not run.pace_in_flight:
                 link.send_pace(run, share)
--- a/arbutusrock/engine/runs/worker_link.py
+++ b/arbutusrock/engine/runs/worker_link.py
@@ -371,22 +371,28 @@
 
     def send_pace(self, run, percent):
         """Order a run to work at a percentage of its full speed."""
-        run.pace_percent = percent
+        run.pace_in_flight = True
         self.spawn(self._pace(run, percent))
 
     async def _pace(self, run, percent):
-        reply = await self.client.set_run_pace(
-            run.name, run.number, percent, self.term.epoch
-        )
-        if reply.outcome is platform_messages.OrderOutcome.FENCED:
-            raise term_module.OwnershipLost(self.worker.worker_id)
-        if reply.outcome is not platform_messages.OrderOutcome.DONE:
-            LOG.info(
-                'a pace order was not carried out',
-                task=run.name,
-                run=run.number,
-                outcome=reply.outcome.value,
+        try:
+            reply = await self.client.set_run_pace(
+                run.name, run.number, percent, self.term.epoch
             )
-            # The pace of the run is unknown; None makes the next pass of the
-            # pace controller send the order again.
-            run.pace_percent = None
+        finally:
+            run.pace_in_flight = False
+        match reply.outcome:
+            case platform_messages.OrderOutcome.FENCED:
+                raise term_module.OwnershipLost(self.worker.worker_id)
+            case platform_messages.OrderOutcome.DONE:
+                run.pace_percent = percent
+                return
+            case _:
+                LOG.info(
+                    'a pace order was not carried out',
+                    task=run.name,
+                    run=run.number,
+                    outcome=reply.outcome.value,
+                )
+                # The next pass of the pace controller sends it again.
+                run.pace_percent = None
