Claim nothing on a node that is about to stop

Rolling restarts: a node that had got its stop signal still claimed the unit, saw then that it was stopping and released it.

The tests failed before (`OwnerElector` had no `stop`); the test of the hand-over has a stand-in of the elector, which got that method and a check that it is called.

--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -86,7 +86,10 @@
     async def _run_elections(self):
         """Claim the unit whenever it is unowned, and run the leader."""
         while not self.stopping:
-            epoch, version = await self.elector.acquire()
+            ownership = await self.elector.acquire()
+            if ownership is None:
+                return
+            epoch, version = ownership
             if self.stopping:
                 await self.elector.release(version)
                 return
@@ -142,6 +145,7 @@
     async def hand_over(self):
         """Give the unit up before a planned stop."""
         self.stopping = True
+        self.elector.stop()
         leader = self.leader
         if leader is None:
             return
--- a/arbutusrock/engine/ownership/ownership.py
+++ b/arbutusrock/engine/ownership/ownership.py
@@ -109,6 +109,7 @@
         # When the last claim of this node was sent.
         self.claim_sent_at_s = 0.0
         self._claim = None
+        self._stopped = False
         # Versions of the owner's rows; 0 stands for an absent row.
         self._versions = dict.fromkeys(OWNER_KEYS, 0)
 
@@ -122,17 +123,25 @@
         self.heartbeat = heartbeat
         self.heartbeat_at_s = clocks.now_s()
 
+    def stop(self):
+        """Send no claim any more, as this node is about to stop.
+
+        One that is under way may still be accepted.
+        """
+        self._stopped = True
+
     async def acquire(self):
         """Wait until this node owns the unit.
 
-        :returns: ``(epoch, claim_version)``.
+        :returns: ``(epoch, claim_version)``; None once :meth:`stop` was
+            called.
         """
         version = await self._read()
         threshold_s = self.claim_delay_s + random.uniform(  # noqa: S311
             HEARTBEAT_TIMEOUT_S, HEARTBEAT_TIMEOUT_S + CLAIM_JITTER_S
         )
         unresponsive_s = 0.0
-        while True:
+        while not self._stopped:
             if self._claim is None or self._claim.released:
                 await self._delay_claim()
                 reason = 'nobody owns the unit'
@@ -145,6 +154,9 @@
                 reason = 'the owner is unresponsive'
             else:
                 reason = ''
+            if self._stopped:
+                # Told so while it delayed its claim.
+                return None
             if reason:
                 if await self._try_claim(reason, unresponsive_s):
                     return self._get_ownership()
@@ -168,6 +180,7 @@
                 if no_heartbeat
                 else 0.0
             )
+        return None
 
     def _has_loaded(self, claim):
         """Return whether the owner of a claim has loaded its jobs."""
--- a/arbutusrock/engine/ownership/tests/test_ownership.py
+++ b/arbutusrock/engine/ownership/tests/test_ownership.py
@@ -1,5 +1,7 @@
 """Tests of claims: when a node claims the unit and what it reads before."""
 
+import asyncio
+
 import msgspec
 import pytest
 
@@ -306,3 +308,24 @@
     assert await elector.acquire()
     assert store.claim_calls == 4
     assert not store.waits_s
+
+
+@pytest.mark.parametrize('delayed', [False, True])
+async def test_acquire_claims_nothing_once_the_node_stops(
+    monkeypatch, delayed
+):
+    """Guards against owners that last for a moment in a rolling restart.
+
+    :param delayed: the node is told to stop while it delays its claim.
+    """
+    clock = Clock()
+    monkeypatch.setattr(ownership.clocks, 'now_s', clock.now_s)
+    store = ReleasedStore(clock, claims=0)
+    elector = ownership.OwnerElector(store=store, node='n1')
+    if delayed:
+        asyncio.get_running_loop().call_later(0.01, elector.stop)
+    else:
+        elector.stop()
+    async with asyncio.timeout(1.0):
+        assert await elector.acquire() is None
+    assert not store.claim_calls
--- a/arbutusrock/engine/tests/test_node.py
+++ b/arbutusrock/engine/tests/test_node.py
@@ -20,6 +20,7 @@
         stopping=False, claim_version=7, request_flush=lambda: None
     )
     knowledge = types.SimpleNamespace(request_write=lambda: None)
+    claims_stopped = []
     stopped = types.SimpleNamespace(
         leader=types.SimpleNamespace(
             term=term,
@@ -27,9 +28,12 @@
                 knowledge=knowledge, wait_until_durable=_wait_forever
             ),
         ),
-        elector=types.SimpleNamespace(release=_wait_forever),
+        elector=types.SimpleNamespace(
+            release=_wait_forever, stop=lambda: claims_stopped.append(True)
+        ),
     )
     async with asyncio.timeout(1.0):
         await node.Node.hand_over(stopped)
     assert stopped.stopping
     assert term.stopping
+    assert claims_stopped
