Pass on the wait for workers that no owner has reached

Rolling restarts beside draining workers: each owner waited anew, up to 7.05 s, for workers of the roster that had left before it claimed, and was stopped before that was over.

A wait that an owner only assumes was passed on to nobody: an earlier owner, cut off from the store alone, could extend leases without a bound. So that instant is named to the next one. Workers that are not registered are named at once, and by the last heartbeat before a planned stop all that are silent: owners may last for less than the second that others are silent before they are named.

--- a/arbutusrock/engine/state/state_writer.py
+++ b/arbutusrock/engine/state/state_writer.py
@@ -235,7 +235,9 @@
     def _create_owner_rows(self):
         self._heartbeat_count += 1
         now_s = clocks.now_s()
-        names = self.term.dark_workers.name(self.term.fleet.find_silent(now_s))
+        names = self.term.dark_workers.name(
+            self.term.fleet.find_silent(now_s), last=self.term.stopping
+        )
         heartbeat = OwnerHeartbeat(
             node=self.term.settings.name,
             number=self._heartbeat_count,
@@ -406,6 +408,9 @@
         """
         if now_s - self._heartbeat_sent_at_s > HEARTBEAT_INTERVAL_S / 2:
             return True
+        if self.term.stopping:
+            # The last ones name for the next owner who is silent now.
+            return first
         if not first:
             return False
         # Between heartbeats a flush writes only progress, unless the roster
--- a/arbutusrock/engine/state/tests/test_state_writer.py
+++ b/arbutusrock/engine/state/tests/test_state_writer.py
@@ -11,6 +11,7 @@
 from arbutusrock.engine.tests import samples
 from arbutusrock.engine.workers import fleet
 from arbutusrock.scheduling import Resources
+from arbutusrock.utils import clocks
 
 
 class RecordingStore:
@@ -464,3 +465,24 @@
     owner_term.fleet.workers['i-1'].runs['t', 1] = object()
     await writer.flush()
     assert set(store.roster['0']) == {'i-1'}
+
+
+@pytest.mark.parametrize('stopping', [False, True])
+async def test_last_heartbeat_names_workers_that_are_silent_for_a_moment(
+    stopping,
+):
+    """Guards against a wait of the next owner for their longest lease.
+
+    It is written beside rows that are written between heartbeats, too.
+    """
+    owner_term, store, writer = create_state_writer()
+    await writer.flush()
+    add_worker(owner_term, 'i-1')
+    owner_term.fleet.workers['i-1'].last_reply_at_s = clocks.now_s()
+    await writer.flush()
+    add_dirty_job(owner_term, '0' * 16)
+    owner_term.stopping = stopping
+    await writer.flush()
+    named = state_writer.KEY_HEARTBEAT in store.written_keys[-1]
+    assert named is stopping
+    assert ('i-1' in owner_term.dark_workers) is stopping
--- a/arbutusrock/engine/workers/fleet.py
+++ b/arbutusrock/engine/workers/fleet.py
@@ -303,16 +303,16 @@
             ),
         )
 
-    def is_lease_assumed(self, now_s):
-        """Return whether the end of its lease is only assumed.
+    @property
+    def is_loading(self):
+        """Whether it answers, and this owner does not use its reports yet.
 
-        An earlier owner that has not named it may still extend its lease, if
-        it is cut off from the store alone; the next owner waits anew.
+        Its lease is extended meanwhile.
         """
         return (
             not self.has_answered
-            and self.inherited_lease.before_version == math.inf
-            and now_s < self.inherited_lease.end_at_s
+            and not self.unresponsive
+            and self.clock_ms is not None
         )
 
     def is_lease_expired(self, now_s):
@@ -370,18 +370,24 @@
         ]
 
     def find_silent(self, now_s):
-        """Return the workers that do not answer, with a proven bound.
+        """Return the workers that do not answer, for the next owner.
+
+        The bound of one that has not answered this owner holds for the leases
+        of all earlier ones (:mod:`arbutusrock.scheduling.lease_bounds`).
 
         :returns: ``(worker_id, silent_s, lease_left_s)`` of each.
         """
         return [
             (
                 worker.worker_id,
-                now_s - worker.last_reply_at_s,
+                now_s - worker.last_reply_at_s
+                if worker.entry.address
+                # It is not registered, and cannot be asked.
+                else math.inf,
                 worker.get_lease_left_s(now_s),
             )
             for worker in self.workers.values()
-            if worker.is_silent and not worker.is_lease_assumed(now_s)
+            if worker.is_silent and not worker.is_loading
         ]
 
     def has_withheld(self):
--- a/arbutusrock/scheduling/dark_workers.py
+++ b/arbutusrock/scheduling/dark_workers.py
@@ -75,7 +75,7 @@
     def __len__(self):
         return len(self._sent | self._since_versions.keys())
 
-    def name(self, silent):
+    def name(self, silent, *, last=False):
         """Choose the workers that the next heartbeat names.
 
         It must have the condition that the last heartbeat is unchanged, so
@@ -83,10 +83,12 @@
 
         :param silent: ``(worker_id, silent_s, lease_left_s)`` of each worker
             that does not answer.
+        :param last: the owner is about to give the unit up, and would extend
+            no lease there in any case.
         :returns: plain data for :func:`decode_names`; empty without names.
         """
         chosen = sorted(
-            (item for item in silent if item[1] >= MIN_SILENT_S),
+            (item for item in silent if last or item[1] >= MIN_SILENT_S),
             key=lambda item: (-item[1], item[0]),
         )[:MAX_NAMED]
         self._sent = frozenset(worker_id for worker_id, _, _ in chosen)
