Pass on which tasks may run where at a planned change of owner

Rolling restarts beside workers that drain and leave: a next owner knew of each such worker only that its leases may last, and started no accepted job in its whole pool until then.

The owner that stops knows better. It now starts nothing more, writes the tasks of its runs by worker with its last flush, and releases the claim with the number of these rows. The next owner holds back just the listed tasks of workers that do not answer. Without a whole list it waits as before. A claim that was under way when its node was told to stop is given back with what was found.

--- a/arbutusrock/engine/dispatch/dispatcher.py
+++ b/arbutusrock/engine/dispatch/dispatcher.py
@@ -56,6 +56,8 @@
         # Only jobs stored before this version of the store, by pool, may have
         # runs of an earlier owner that this one has not heard of.
         self._inherited_versions = {}
+        # Names of the tasks that may run on workers out of reach.
+        self._inherited_tasks = frozenset()
         # How many more start orders a pass may send for its present pool.
         self._order_room = 0
         # Passes in which a pool had more to start than that.
@@ -106,6 +108,7 @@
         }
         self.lookahead.forget_pools(waiting)
         self._inherited_versions = term.fleet.find_inherited_versions(now_s)
+        self._inherited_tasks = term.fleet.find_inherited_tasks(now_s)
         term.inherited_waits.usage = inherited_usage.estimate_inherited_usage(
             term, now_s
         )
@@ -257,11 +260,10 @@
             return True
         # Workers that were found to have no room, when others were left out.
         full = None
-        unwanted_runs = self.term.fleet.unwanted_runs
         for task in list(step.waiting.values()):
             if self._order_room <= 0:
                 return True
-            if task.name in unwanted_runs and not step.plan.speculative:
+            if self._may_run(task) and not step.plan.speculative:
                 continue
             if task.not_before_s > now_s:
                 continue
@@ -290,12 +292,18 @@
             self._start_run(task, worker, number, now_s)
         return True
 
+    def _may_run(self, task):
+        """Return whether a waiting task may have a run all the same."""
+        return (
+            task.name in self.term.fleet.unwanted_runs
+            or task.name in self._inherited_tasks
+        )
+
     def _start_gang(self, step, workers, suspect_vms, allowed, now_s):
         """Start all tasks of a gang under one run number, or none."""
         count = len(step.waiting)
-        unwanted_runs = self.term.fleet.unwanted_runs
         if any(
-            task.name in unwanted_runs
+            self._may_run(task)
             or task.not_before_s > now_s
             or self.guarded_starter.must_isolate(task, now_s)
             for task in step.tasks
@@ -370,18 +378,17 @@
             if task.not_before_s <= now_s
             and self.guarded_starter.must_isolate(task, now_s)
         ]
-        unwanted_runs = self.term.fleet.unwanted_runs
         if step.plan.gang:
             complete = len(step.waiting) == step.plan.count
             free = not any(
-                task.name in unwanted_runs or task.not_before_s > now_s
+                self._may_run(task) or task.not_before_s > now_s
                 for task in step.tasks
             )
             return [step.tasks] if suspects and complete and free else []
         return [
             [task]
             for task in suspects
-            if task.name not in unwanted_runs or step.plan.speculative
+            if not self._may_run(task) or step.plan.speculative
         ]
 
     def _fits_account_limit(self, step, count):
@@ -488,7 +495,11 @@
         A task that may crash its worker gets no extra runs, and a job that is
         suspended none at all.
         """
-        if guarded_starts.is_suspect(task) or task.step.job.progress.suspended:
+        if (
+            self.term.stopping
+            or guarded_starts.is_suspect(task)
+            or task.step.job.progress.suspended
+        ):
             return False
         worker = self._find_worker(task)
         if worker is None or not self._fits_account_limit(task.step, 1):
--- a/arbutusrock/engine/dispatch/inherited_usage.py
+++ b/arbutusrock/engine/dispatch/inherited_usage.py
@@ -18,11 +18,11 @@
 
     :param term: :class:`arbutusrock.engine.term.term.Term`.
     """
+    held = _collect_listed(term, now_s)
     versions = term.fleet.find_inherited_versions(now_s)
     if not versions:
-        return {}
+        return held
     rooms = _find_rooms(term, now_s)
-    held = {}
     for pool, version in versions.items():
         demands = _collect_demands(term, pool, version)
         for account, demand in demands.items():
@@ -32,6 +32,18 @@
     return held
 
 
+def _collect_listed(term, now_s):
+    """Return what the listed tasks of workers out of reach take."""
+    held = {}
+    for name in term.fleet.find_inherited_tasks(now_s):
+        task = term.job_registry.find_task(name)
+        if task is None or task.runs:
+            continue
+        account = task.step.job.submission.account
+        held[account] = held.get(account, Resources()) + task.step.plan.demand
+    return held
+
+
 def _find_rooms(term, now_s):
     """Return what the workers in question have room for, by pool.
 
@@ -39,6 +51,8 @@
     """
     rooms, unknown = {}, set()
     for worker in term.fleet.find_possible_run_holders(now_s):
+        if worker.inherited_tasks is not None:
+            continue
         entry = worker.entry
         if not entry.capacity.cpu:
             unknown.add(entry.pool)
--- a/arbutusrock/engine/dispatch/tests/test_dispatcher.py
+++ b/arbutusrock/engine/dispatch/tests/test_dispatcher.py
@@ -5,12 +5,14 @@
 from hypothesis import given
 from hypothesis import strategies
 import msgspec
+import pytest
 
 from arbutusrock.engine.dispatch import dispatcher
 from arbutusrock.engine.dispatch.tests import test_share_ledger as samples
 from arbutusrock.engine.jobs import plans
 from arbutusrock.scheduling import configuration
 from arbutusrock.scheduling import crash_attribution
+from arbutusrock.scheduling import dark_workers
 from arbutusrock.scheduling import placement
 from arbutusrock.scheduling import Resources
 from arbutusrock.utils import clocks
@@ -27,6 +29,7 @@
     waited_s=0.0,
     culprits=(),
     max_orders=1000,
+    silent=None,
 ):
     """Make one pass with waiting steps; return the term and the workers.
 
@@ -34,6 +37,7 @@
     :param culprits: names of tasks of the account ``large`` that have just
         crashed a worker.
     :param max_orders: how many orders may be in flight.
+    :param silent: a worker that has not answered.
     """
     term = samples.create_ledger(WEIGHTS).term
     term.configuration.current = configuration.FleetConfiguration(
@@ -52,6 +56,8 @@
     for worker in workers:
         worker.has_answered = worker.in_roster = True
         term.fleet.workers[worker.worker_id] = worker
+    if silent is not None:
+        term.fleet.workers[silent.worker_id] = silent
     now_s = clocks.now_s()
     term.confirmed_at_s = now_s
     term.load.orders.limit = max_orders
@@ -103,6 +109,38 @@
     worker.entry = msgspec.structs.replace(worker.entry, pool=pool)
 
 
+@pytest.mark.parametrize('gang', [False, True])
+def test_listed_task_waits_for_its_worker_and_others_do_not(gang):
+    """Guards against TWICE, and against pools that wait as a whole."""
+    now_s = clocks.now_s()
+    plan = plans.StepPlan(count=3, demand=Resources(cpu=1000), gang=gang)
+    step = samples.create_step('large', 1, plan=plan)
+    other = samples.create_step('small', 2, tasks=2)
+    for item in (step, other):
+        item.job.inherited = True
+    silent = samples.create_worker('w9')
+    silent.inherited_lease = dark_workers.InheritedLease(end_at_s=now_s + 5.0)
+    silent.inherited_tasks = frozenset({step.tasks[1].name})
+    workers = [samples.create_worker(f'w{number}') for number in range(3)]
+    dispatch([step, other], workers, silent=silent)
+    assert count_runs(other) == 2
+    assert [len(task.runs) for task in step.tasks] == (
+        [0, 0, 0] if gang else [1, 0, 1]
+    )
+
+
+def test_owner_that_is_stopping_starts_no_extra_run():
+    """The list of possible runs is made; the run would not be in it."""
+    step = samples.create_step('large', 1)
+    term, workers = dispatch([step], max_orders=0)
+    controller = dispatcher.Dispatcher(
+        term=term, links={}, ticket_cache=mock.Mock(), crash_tracker=None
+    )
+    term.stopping = True
+    assert not controller.start_extra_run(step.tasks[0])
+    assert not count_runs(step)
+
+
 def test_saturated_owner_orders_all_waiting_tasks_at_once():
     """All those orders were answered after their time-outs."""
     step = samples.create_step('large', 1, tasks=12)
--- a/arbutusrock/engine/dispatch/tests/test_inherited_usage.py
+++ b/arbutusrock/engine/dispatch/tests/test_inherited_usage.py
@@ -82,6 +82,16 @@
     assert update(term) == {}
 
 
+def test_only_listed_tasks_are_held_back(term):
+    """The earlier owner has passed on what may run there."""
+    add_job(term, 1, 4)
+    term.fleet.workers['i-1'].inherited_tasks = frozenset(
+        {f'{1:016x}.0.0.2', 'unknown.0.0.0'}
+    )
+    assert update(term) == {'a': Resources(cpu=1000)}
+    assert update(term, LEASE_S + 0.1) == {}
+
+
 def test_no_more_is_held_back_than_may_be_running(term):
     add_job(term, 1, 2)
     assert update(term) == {'a': Resources(cpu=2000)}
--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -8,8 +8,10 @@
 from arbutusrock.engine.callers import peers as peers_module
 from arbutusrock.engine.callers import relay
 from arbutusrock.engine import configuration_watcher
+from arbutusrock.engine.ownership import inheritance
 from arbutusrock.engine.ownership import leader as leader_module
 from arbutusrock.engine.ownership import ownership as ownership_module
+from arbutusrock.engine.state import possible_runs
 from arbutusrock.engine.term import term as term_module
 from arbutusrock import logs
 
@@ -91,7 +93,7 @@
                 return
             epoch, version = ownership
             if self.stopping:
-                await self.elector.release(version)
+                await self.elector.release_unused(version)
                 return
             try:
                 await self._run_leader(epoch, version)
@@ -119,6 +121,7 @@
             heartbeat_at_s=self.elector.heartbeat_at_s,
             heartbeat_version=self.elector.heartbeat_version,
             named_leases=self.elector.named_leases,
+            handover=self.elector.handover,
         )
         if self.elector.heartbeat is not None:
             term.inherited_waiting = self.elector.heartbeat.waiting
@@ -151,6 +154,7 @@
             return
         term = leader.term
         term.stopping = True
+        handover = inheritance.pass_on_runs(term, leader.state_writer)
         leader.state_writer.knowledge.request_write()
         term.request_flush()
         try:
@@ -158,11 +162,17 @@
                 await leader.state_writer.wait_until_durable()
         except TimeoutError:
             LOG.warning('rows were not written before the hand-over')
+            handover = possible_runs.Handover()
+        if leader.state_writer.progress_rows.unrecorded:
+            # Ends whose rows the store refuses are in neither row.
+            handover = possible_runs.Handover()
         # No lease may be extended once a next owner can claim the unit.
         term.released = True
         try:
             async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
-                term.released = await self.elector.release(term.claim_version)
+                term.released = await self.elector.release(
+                    term.claim_version, handover=handover
+                )
         except TimeoutError:
             # Other nodes take over once this process has ended.
             LOG.warning('the unit was not released before the stop')
--- a/arbutusrock/engine/ownership/leader.py
+++ b/arbutusrock/engine/ownership/leader.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import collections
+import functools
 import math
 
 import msgspec
@@ -12,13 +13,14 @@
 from arbutusrock.engine.dispatch import dispatcher
 from arbutusrock.engine.jobs import occurrence_estimates
 from arbutusrock.engine.jobs import plans
+from arbutusrock.engine.ownership import inheritance
 from arbutusrock.engine.ports import feeds
 from arbutusrock.engine.ports import rows
 from arbutusrock.engine.runs import pace_controller
 from arbutusrock.engine.runs import run_controller
 from arbutusrock.engine.runs import straggler_controller
 from arbutusrock.engine.runs import worker_link
-from arbutusrock.engine.state import owner_knowledge
+from arbutusrock.engine.state import possible_runs
 from arbutusrock.engine.state import progress_layout
 from arbutusrock.engine.state import retention
 from arbutusrock.engine.state import state_writer
@@ -38,9 +40,6 @@
 CANCEL_SUFFIX = '.c'
 # How long the store may hold a watch call for jobs before it answers.
 WATCH_TIMEOUT_S = 1.0
-# The knowledge of an earlier owner is done without when the store has not
-# returned it within this time.
-KNOWLEDGE_TIMEOUT_S = 0.5
 # Jobs are loaded in slices of this length. Each is followed by a pause of the
 # same length, in which heartbeats, renewals and calls are served.
 MAX_SLICE_S = 0.01
@@ -216,18 +215,21 @@
 
         :returns: version of the table of workers.
         """
-        workers, roster, knowledge = await asyncio.gather(
+        workers, roster, knowledge, tasks = await asyncio.gather(
             feeds.read_with_retries(self.store, rows.TABLE_WORKERS, ('',)),
             feeds.read_with_retries(
                 self.store, rows.TABLE_ROSTER, (rows.OWNER_PART,)
             ),
-            self._read_knowledge(),
+            inheritance.read_knowledge(self.store),
+            inheritance.read_possible_runs(self.store, self.term.handover),
         )
         self.state_writer.knowledge.restore(knowledge)
         worker_rows, workers_version = workers
         # Workers of the earlier owner, which may have runs.
         self.registration_controller.load(
-            worker_rows, self.state_writer.roster.load(roster[0])
+            worker_rows,
+            self.state_writer.roster.load(roster[0]),
+            functools.partial(possible_runs.find_tasks, tasks=tasks),
         )
         if not self.state_writer.roster.is_complete:
             # Any worker may have runs that nobody knows of.
@@ -235,21 +237,6 @@
             waits.starts_after_s = self.term.inherited_leases_end_at_s
         return workers_version
 
-    async def _read_knowledge(self):
-        """Return the bytes of the knowledge of an earlier owner, or None."""
-        try:
-            async with asyncio.timeout(KNOWLEDGE_TIMEOUT_S):
-                found, _ = await self.store.read_range(
-                    rows.TABLE_KNOWLEDGE, part=rows.OWNER_PART
-                )
-        except (rows.StoreRefused, rows.StoreSilent, TimeoutError) as exc:
-            LOG.info('the knowledge cannot be read', error=repr(exc))
-            return None
-        return next(
-            (row.value for row in found if row.key == owner_knowledge.KEY),
-            None,
-        )
-
     async def _load_jobs(self, jobs, progress):
         """Add all jobs with their progress, in slices.
 
--- a/arbutusrock/engine/ownership/ownership.py
+++ b/arbutusrock/engine/ownership/ownership.py
@@ -12,6 +12,7 @@
 from arbutusrock.engine.ownership import owner_monitor as owner_monitor_module
 from arbutusrock.engine.ports import feeds
 from arbutusrock.engine.ports import rows
+from arbutusrock.engine.state import possible_runs
 from arbutusrock.engine.state import state_writer
 from arbutusrock import logs
 from arbutusrock.scheduling import dark_workers
@@ -60,6 +61,10 @@
         have not loaded their jobs.
     :param released: the owner gave the unit up and no other node has claimed
         it yet.
+    :param heartbeat_epoch: epoch of the last owner that acted, if this one has
+        given the unit up before it did anything; 0 otherwise. The names in the
+        heartbeat of that one hold.
+    :param handover: list of possible runs that holds for the next owner.
     """
 
     epoch: int
@@ -67,6 +72,8 @@
     nonce: int
     unfinished: int = 0
     released: bool = False
+    heartbeat_epoch: int = 0
+    handover: possible_runs.Handover = possible_runs.Handover()
 
 
 _decode_claim = decoders.create_msgpack_decoder(Claim)
@@ -103,6 +110,10 @@
         # Leases of the workers that the last heartbeat before the last claim
         # of this node names, by id.
         self.named_leases = {}
+        # Which list of possible runs holds for this node, as of that claim.
+        self.handover = possible_runs.Handover()
+        # The claim that it has replaced.
+        self._previous_claim = None
         # Newest stored heartbeat, and when it was read first.
         self._stored_heartbeat = None
         self._stored_heartbeat_at_s = 0.0
@@ -294,7 +305,9 @@
     async def _try_claim(self, reason, unresponsive_s):
         previous = self._claim
         unfinished = 0
-        if previous is not None and not self._has_loaded(previous):
+        if previous is not None and previous.heartbeat_epoch:
+            unfinished = previous.unfinished
+        elif previous is not None and not self._has_loaded(previous):
             unfinished = previous.unfinished + 1
         claim = Claim(
             epoch=(previous.epoch if previous else 0) + 1,
@@ -314,6 +327,10 @@
         if not await self._write_claim(claim, expected=OWNER_KEYS):
             return False
         self.named_leases = self._find_named_leases(previous)
+        self.handover = possible_runs.Handover()
+        if previous is not None and previous.released:
+            self.handover = previous.handover
+        self._previous_claim = previous
         return True
 
     def _find_named_leases(self, claim):
@@ -325,7 +342,7 @@
             return {}
         return dark_workers.decode_names(
             self._stored_heartbeat.dark,
-            epoch=claim.epoch,
+            epoch=claim.heartbeat_epoch or claim.epoch,
             version=self.heartbeat_version,
             read_at_s=self._stored_heartbeat_at_s,
         )
@@ -367,15 +384,33 @@
         self._record_claim(claim)
         self._versions[state_writer.KEY_CLAIM] = version
 
-    async def release(self, claim_version):
+    async def release_unused(self, claim_version):
+        """Give the unit up before this node has acted as its owner.
+
+        What the owner before has left for the next one still holds.
+
+        :returns: as :meth:`release`.
+        """
+        previous = self._previous_claim
+        if previous is None:
+            return await self.release(claim_version)
+        return await self.release(
+            claim_version,
+            heartbeat_epoch=previous.heartbeat_epoch or previous.epoch,
+            handover=self.handover,
+        )
+
+    async def release(self, claim_version, **fields):
         """Give the unit up, so that another node can claim it at once.
 
+        :param fields: fields of the released claim that tell the next owner
+            what holds for it.
         :returns: whether another node may own it now or later. A release
             without an answer may still take effect.
         """
         if claim_version != self._versions[state_writer.KEY_CLAIM]:
             return True
-        claim = msgspec.structs.replace(self._claim, released=True)
+        claim = msgspec.structs.replace(self._claim, released=True, **fields)
         try:
             await self._send_claim(claim, (state_writer.KEY_CLAIM,))
         except rows.StoreRefused as exc:
--- a/arbutusrock/engine/ownership/tests/test_ownership.py
+++ b/arbutusrock/engine/ownership/tests/test_ownership.py
@@ -7,6 +7,7 @@
 
 from arbutusrock.engine.ownership import ownership
 from arbutusrock.engine.ports import rows
+from arbutusrock.engine.state import possible_runs
 from arbutusrock.engine.state import state_writer
 
 
@@ -260,6 +261,73 @@
     assert await elector.release(version) is given_up
 
 
+class ClaimStore:
+    """A store that keeps the owner's rows."""
+
+    def __init__(self, *, claim, heartbeat):
+        self.version = 9
+        self.rows = {
+            state_writer.KEY_CLAIM: (msgspec.msgpack.encode(claim), 7),
+            state_writer.KEY_HEARTBEAT: (msgspec.msgpack.encode(heartbeat), 5),
+        }
+
+    async def read_range(self, table, **_options):
+        return [
+            rows.Row(table=table, key=key, value=value, version=version)
+            for key, (value, version) in self.rows.items()
+        ], self.version
+
+    async def transact(self, *, expected, puts):
+        assert all(self.rows[row.key][1] == row.version for row in expected)
+        self.version += 1
+        for put in puts:
+            self.rows[put.key] = (put.value, self.version)
+        return self.version
+
+
+@pytest.mark.parametrize('released', [False, True])
+@pytest.mark.parametrize('unused', [0, 1, 2])
+async def test_owner_that_does_nothing_leaves_what_it_found(unused, released):
+    """Guards against waits that begin anew.
+
+    Nodes were told to stop while their claims were under way.
+    """
+    handover = possible_runs.Handover(epoch=4, row_count=2)
+    store = ClaimStore(
+        claim=ownership.Claim(
+            epoch=4,
+            node='n1',
+            nonce=1,
+            unfinished=1,
+            released=released,
+            handover=handover,
+        ),
+        heartbeat=state_writer.OwnerHeartbeat(
+            node='n1', number=1, dark=[4, {'i-1': [2000, 3]}], loaded_epoch=4
+        ),
+    )
+    for _ in range(unused):
+        elector = ownership.OwnerElector(store=store, node='n1')
+        _, version = await elector.acquire()
+        await elector.release_unused(version)
+    elector = ownership.OwnerElector(store=store, node='n1')
+    epoch, version = await elector.acquire()
+    assert epoch == 5 + unused
+    assert set(elector.named_leases) == {'i-1'}
+    claim = msgspec.msgpack.decode(store.rows[state_writer.KEY_CLAIM][0])
+    assert claim['unfinished'] == 0
+    # A list of an owner that has not released the unit is not whole.
+    assert elector.handover == (
+        handover if released else possible_runs.Handover()
+    )
+    # One that has acted vouches for nothing that it has found.
+    await elector.release(version)
+    elector = ownership.OwnerElector(store=store, node='n1')
+    await elector.acquire()
+    assert not elector.named_leases
+    assert not elector.handover.row_count
+
+
 class ReleasedStore(UnresponsiveOwnerStore):
     """A store in which other nodes claim the unit and release it at once.
 
--- a/arbutusrock/engine/ports/rows.py
+++ b/arbutusrock/engine/ports/rows.py
@@ -25,6 +25,7 @@
     'TABLE_NODES',
     'TABLE_OPERATOR',
     'TABLE_OWNER',
+    'TABLE_POSSIBLE_RUNS',
     'TABLE_PROGRESS',
     'TABLE_REPORTS',
     'TABLE_ROSTER',
@@ -47,6 +48,7 @@
 TABLE_OWNER = 'arbutusrock-owner'
 TABLE_ROSTER = 'arbutusrock-roster'
 TABLE_KNOWLEDGE = 'arbutusrock-knowledge'
+TABLE_POSSIBLE_RUNS = 'arbutusrock-possible-runs'
 TABLE_WAVES = 'arbutusrock-waves'
 TABLE_NODES = 'arbutusrock-nodes'
 # Tables shared with other writers; the platform adapter maps these to the
--- a/arbutusrock/engine/term/inherited_waits.py
+++ b/arbutusrock/engine/term/inherited_waits.py
@@ -50,7 +50,7 @@
         self._began_at_s = clocks.now_s()
         self._named = named
         self._holders = self.fleet.find_possible_run_holders(self._began_at_s)
-        self._waiting = {worker.entry.pool for worker in self._holders}
+        self._waiting = self._find_pools(self._began_at_s)
         skipped = named - {worker.worker_id for worker in self._holders}
         for name, value in (
             ('takeover_workers_waited_for', len(self._holders)),
@@ -60,15 +60,15 @@
             self.metrics.count(name, amount=value)
         return len(self._holders)
 
+    def _find_pools(self, now_s):
+        return set(self.fleet.find_inherited_versions(now_s))
+
     def update(self):
         """Record the pools that do not wait any more; log when none does."""
         if not self._waiting:
             return
         now_s = clocks.now_s()
-        waiting = {
-            worker.entry.pool
-            for worker in self.fleet.find_possible_run_holders(now_s)
-        }
+        waiting = self._find_pools(now_s)
         for pool in self._waiting - waiting:
             waited_s = round(now_s - self._began_at_s, 2)
             self._waits_s[pool] = waited_s
--- a/arbutusrock/engine/term/term.py
+++ b/arbutusrock/engine/term/term.py
@@ -52,6 +52,9 @@
         when there was none.
     :param named_leases: :class:`dark_workers.InheritedLease` by id of the
         workers that the last heartbeat of the earlier owner names.
+    :param handover: says which list of possible runs the earlier owner has
+        left: :class:`arbutusrock.engine.state.possible_runs.Handover`, or
+        None.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         heartbeat_at_s=0.0,
         heartbeat_version=0,
         named_leases=None,
+        handover=None,
     ):
         self.epoch = epoch
         # When the newest request that confirmed the ownership was sent.
@@ -73,6 +77,7 @@
         self.claim_version = claim_version
         self.heartbeat_version = heartbeat_version
         self.named_leases = named_leases or {}
+        self.handover = handover
         # Waiting jobs by queue, reported until the jobs are loaded.
         self.inherited_waiting = {}
         self.dark_workers = dark_workers.DarkWorkers(epoch=epoch)
--- a/arbutusrock/engine/tests/samples.py
+++ b/arbutusrock/engine/tests/samples.py
@@ -5,6 +5,7 @@
 from arbutusrock.engine.jobs import job_state
 from arbutusrock.engine.jobs import plans
 from arbutusrock.engine import node_settings
+from arbutusrock.engine.ports import platform_messages
 from arbutusrock.engine.runs import run_controller
 from arbutusrock.engine.term import term as term_module
 from arbutusrock.engine.vms import data_centre_cordons
@@ -15,6 +16,7 @@
 
 __all__ = [
     'add_run',
+    'create_entry',
     'create_run_controller',
     'create_submission',
     'create_term',
@@ -31,6 +33,13 @@
 )
 
 
+def create_entry(worker_id, **fields):
+    """Return the entry of a worker of the pool ``p``."""
+    return platform_messages.WorkerEntry(
+        worker_id=worker_id, **{'pool': 'p', 'address': 'h:1', **fields}
+    )
+
+
 def create_submission():
     """Return a submission of one step with one task, for the pool ``p``."""
     return plans.Submission(
--- a/arbutusrock/engine/tests/test_node.py
+++ b/arbutusrock/engine/tests/test_node.py
@@ -9,7 +9,7 @@
 from arbutusrock.engine import node
 
 
-async def _wait_forever(*_arguments):
+async def _wait_forever(*_arguments, **_fields):
     await asyncio.Event().wait()
 
 
@@ -17,7 +17,11 @@
     """The stop waited for the store, and the process was killed at last."""
     monkeypatch.setattr(node, 'HAND_OVER_TIMEOUT_S', 0.05)
     term = types.SimpleNamespace(
-        stopping=False, claim_version=7, request_flush=lambda: None
+        stopping=False,
+        claim_version=7,
+        request_flush=lambda: None,
+        jobs_loaded=asyncio.Event(),
+        handover=None,
     )
     knowledge = types.SimpleNamespace(request_write=lambda: None)
     claims_stopped = []
@@ -25,7 +29,9 @@
         leader=types.SimpleNamespace(
             term=term,
             state_writer=types.SimpleNamespace(
-                knowledge=knowledge, wait_until_durable=_wait_forever
+                knowledge=knowledge,
+                wait_until_durable=_wait_forever,
+                progress_rows=types.SimpleNamespace(unrecorded=set()),
             ),
         ),
         elector=types.SimpleNamespace(
--- a/arbutusrock/engine/workers/fleet.py
+++ b/arbutusrock/engine/workers/fleet.py
@@ -38,6 +38,8 @@
     :param inherited_lease: :class:`dark_workers.InheritedLease`: until when
         an earlier owner's runs may be there although the worker has not
         answered yet; None when there are none.
+    :param inherited_tasks: names of the tasks that it may run then; None when
+        it may run any.
     :param cordons: container of the data centres that are evacuated now.
     :param withheld: container of the ids of the workers that get neither a
         longer lease nor runs now.
@@ -63,6 +65,7 @@
         'clock_read_at_s',
         'lease_until_ms',
         'inherited_lease',
+        'inherited_tasks',
         'ack_cursor',
         'last_completion',
         'pending_acks',
@@ -84,6 +87,7 @@
         entry,
         now_s,
         inherited_lease=None,
+        inherited_tasks=None,
         cordons=(),
         withheld=(),
     ):
@@ -114,6 +118,7 @@
         # Latest end of a lease that was ever sent, on its clock.
         self.lease_until_ms = None
         self.inherited_lease = inherited_lease or dark_workers.InheritedLease()
+        self.inherited_tasks = inherited_tasks
         # Completions up to this number are durable and may be forgotten.
         self.ack_cursor = 0
         self.last_completion = 0
@@ -405,12 +410,42 @@
         """
         versions = {}
         for worker in self.find_possible_run_holders(now_s):
+            if worker.inherited_tasks is not None:
+                continue
             pool = worker.entry.pool
             versions[pool] = max(
                 versions.get(pool, 0), worker.inherited_lease.before_version
             )
         return versions
 
+    def find_inherited_tasks(self, now_s):
+        """Return the names of tasks that may run on workers out of reach.
+
+        These are the ones that an earlier owner has listed; workers that it
+        has not listed count for their pools.
+        """
+        found = set()
+        for worker in self.find_possible_run_holders(now_s):
+            found.update(worker.inherited_tasks or ())
+        return found
+
+    def list_possible_tasks(self, now_s):
+        """Return which tasks may run where, for the next owner.
+
+        :returns: names of tasks by worker; None where any may run.
+        """
+        holders = set(self.find_possible_run_holders(now_s))
+        listed = {}
+        for worker_id, worker in self.workers.items():
+            names = {run.name for run in worker.runs.values()}
+            if worker not in holders:
+                listed[worker_id] = names
+            elif worker.inherited_tasks is None:
+                listed[worker_id] = None
+            else:
+                listed[worker_id] = names | worker.inherited_tasks
+        return listed
+
     def add_run(self, run):
         """Add a run to its worker, and its demand to what its account uses."""
         worker = run.worker
--- a/arbutusrock/engine/workers/registration_controller.py
+++ b/arbutusrock/engine/workers/registration_controller.py
@@ -61,11 +61,13 @@
             REVIVAL_INTERVALS * term.settings.worker_report_s
         )
 
-    def load(self, listed, roster):
+    def load(self, listed, roster, find_tasks=lambda _worker_ids: None):
         """Add all registered workers and those that the earlier owner used.
 
         :param listed: rows of all registrations, read after the claim.
         :param roster: workers that the earlier owner used: id to (pool, VM).
+        :param find_tasks: returns the names of the tasks that may run on
+            workers of the roster, or None for any.
         """
         entries = [self.decode(row.key, row.value) for row in listed]
         entries = [entry for entry in entries if entry is not None]
@@ -75,9 +77,10 @@
             self._add(
                 entry,
                 inherited_lease=self._find_inherited_lease(holders),
+                inherited_tasks=find_tasks(holders),
                 loaded=True,
             )
-        self._add_unregistered(roster)
+        self._add_unregistered(roster, find_tasks)
         self.term.phases.expect_workers(len(may_hold_runs))
         named = self.term.named_leases.keys() & roster.keys()
         LOG.info(
@@ -87,6 +90,9 @@
             may_hold_runs=len(may_hold_runs),
             named=len(named),
             waited_for=self.term.inherited_waits.begin(named),
+            possible_tasks=len(
+                self.term.fleet.find_inherited_tasks(clocks.now_s())
+            ),
             unregistered=len(self.term.fleet.workers) - len(entries),
         )
 
@@ -97,7 +103,7 @@
             self.term.inherited_leases_end_at_s,
         )
 
-    def _add_unregistered(self, roster):
+    def _add_unregistered(self, roster, find_tasks):
         """Add workers of the earlier owner that are not registered.
 
         The runs that it started there may go on until their lease expires.
@@ -114,6 +120,7 @@
                 entry=entry,
                 now_s=clocks.now_s(),
                 inherited_lease=self._find_inherited_lease([worker_id]),
+                inherited_tasks=find_tasks([worker_id]),
                 cordons=self.term.cordons,
                 withheld=self.term.dark_workers,
             )
@@ -121,11 +128,19 @@
             unregistered.unresponsive = True
             workers[worker_id] = unregistered
 
-    def _add(self, entry, *, inherited_lease=None, loaded=False):
+    def _add(
+        self,
+        entry,
+        *,
+        inherited_lease=None,
+        inherited_tasks=None,
+        loaded=False,
+    ):
         worker = fleet_module.WorkerState(
             entry=entry,
             now_s=clocks.now_s(),
             inherited_lease=inherited_lease,
+            inherited_tasks=inherited_tasks,
             cordons=self.term.cordons,
             withheld=self.term.dark_workers,
         )
@@ -178,7 +193,9 @@
             # runs of an earlier owner may still be there.
             del self.term.fleet.workers[entry.worker_id]
             successor = self._add(
-                entry, inherited_lease=worker.inherited_lease
+                entry,
+                inherited_lease=worker.inherited_lease,
+                inherited_tasks=worker.inherited_tasks,
             )
             self.run_controller.crash_tracker.replace_worker(worker, successor)
             return
