Have an owner that stops choose the next one, and go on until there is one

Overlapping rolling restarts: the unit was released to anybody.

The owner now asks the others whether they can own the unit. It names the one that was started last in the released claim, which claims at once. While there is none it goes on as the owner, for up to 2 s.

--- a/arbutusrock/engine/callers/peers.py
+++ b/arbutusrock/engine/callers/peers.py
@@ -3,16 +3,23 @@
 import asyncio
 import random
 
+import msgspec
+
 from arbutusrock.engine.ports import feeds
 from arbutusrock.engine.ports import rows
 from arbutusrock import logs
+from arbutusrock.scheduling import successors
 from arbutusrock.utils import decoders
 from arbutusrock.utils import http
 
-__all__ = ['RELAY_PATH', 'Peers']
+__all__ = ['CANDIDATE_PATH', 'RELAY_PATH', 'CandidateView', 'Peers']
 
 # Path on which nodes take calls from each other, at their metrics address.
 RELAY_PATH = '/relay'
+# Path at which a node says whether it can own the unit.
+CANDIDATE_PATH = '/candidate'
+# Time for that answer.
+CANDIDATE_TIMEOUT_S = 0.3
 # How often the list of nodes is read; new nodes are known within seconds.
 REFRESH_INTERVAL_S = 5.0
 RETRY_DELAY_S = 0.5
@@ -22,6 +29,19 @@
 LOG = logs.get_log('peers')
 
 
+class CandidateView(msgspec.Struct, kw_only=True):
+    """Answer of a node that is asked whether it can own the unit.
+
+    :param up_s: how long it has been serving (s).
+    """
+
+    can_own: bool
+    up_s: decoders.Figure
+
+
+_decode_candidate = decoders.create_json_decoder(CandidateView)
+
+
 class Peers:
     """Addresses of the other nodes, read from the row that each node writes.
 
@@ -85,6 +105,12 @@
         :raises http.NotSent: the call did not reach the node.
         :raises http.NoAnswer: the node may have executed the call.
         """
+        answer = await self._get_client(name).call(
+            'POST', RELAY_PATH, body=body, timeout_s=timeout_s
+        )
+        return answer.body if answer.status == 200 else None
+
+    def _get_client(self, name):
         address = self.addresses.get(name)
         if address is None:
             raise http.NotSent(f'{name} is not known any more')
@@ -93,10 +119,30 @@
             client = self._clients[address] = http.HTTPClient(
                 base_url=f'http://{address}', max_connections=MAX_CONNECTIONS
             )
-        answer = await client.call(
-            'POST', RELAY_PATH, body=body, timeout_s=timeout_s
+        return client
+
+    async def find_candidates(self):
+        """Ask all other nodes whether they can own the unit.
+
+        :returns: :class:`successors.Candidate` of each that has answered.
+        """
+        found = await asyncio.gather(
+            *(self._ask_candidate(name) for name in self.addresses)
+        )
+        return [item for item in found if item is not None]
+
+    async def _ask_candidate(self, name):
+        try:
+            answer = await self._get_client(name).call(
+                'GET', CANDIDATE_PATH, timeout_s=CANDIDATE_TIMEOUT_S
+            )
+            view = _decode_candidate(answer.body)
+        except (http.NotSent, http.NoAnswer, msgspec.DecodeError) as exc:
+            LOG.debug('a node is no candidate', node=name, error=str(exc))
+            return None
+        return successors.Candidate(
+            name=name, up_s=view.up_s, can_own=view.can_own
         )
-        return answer.body if answer.status == 200 else None
 
     async def close(self):
         """Close the connections to all peers."""
--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -14,6 +14,8 @@
 from arbutusrock.engine.state import possible_runs
 from arbutusrock.engine.term import term as term_module
 from arbutusrock import logs
+from arbutusrock.scheduling import successors
+from arbutusrock.utils import clocks
 
 __all__ = ['Node']
 
@@ -22,6 +24,10 @@
 # Time-out for writing the last rows before a planned hand-over, and for the
 # hand-over itself: longer than a slow store takes (0.6 s).
 HAND_OVER_TIMEOUT_S = 1.0
+# How long a node that is to stop goes on as the owner while no other node can
+# own the unit: less than the load balancer takes to send it no more callers.
+MAX_SUCCESSOR_WAIT_S = 2.0
+SUCCESSOR_POLL_S = 0.1
 LOG = logs.get_log('node')
 
 
@@ -66,6 +72,7 @@
             max_row_bytes=settings.store_row_bytes,
         )
         self.stopping = False
+        self._began_at_s = clocks.now_s()
         self.leader = None
 
     @mode.Service.task
@@ -145,10 +152,47 @@
         """Raise unless the load balancer should send callers to this node."""
         self.gateway.check_ready()
 
+    def describe_candidate(self):
+        """Return whether this node can own the unit, for its owner."""
+        return peers_module.CandidateView(
+            can_own=not self.stopping
+            and self.leader is None
+            and self.configuration.current is not None,
+            up_s=clocks.now_s() - self._began_at_s,
+        )
+
+    async def _choose_successor(self):
+        """Return the node that is to own the unit next.
+
+        While there is none, this node goes on. Without one in time any node
+        may claim the unit.
+        """
+        until_s = clocks.now_s() + MAX_SUCCESSOR_WAIT_S
+        while True:
+            candidates = await self.peers.find_candidates()
+            name = successors.choose_successor(candidates)
+            if name or self.leader is None or clocks.now_s() > until_s:
+                break
+            await asyncio.sleep(SUCCESSOR_POLL_S)
+        LOG.info(
+            'the next owner is chosen',
+            successor=name,
+            candidates={
+                item.name: round(item.up_s, 1)
+                for item in candidates
+                if item.can_own
+            },
+            waited_s=round(clocks.now_s() + MAX_SUCCESSOR_WAIT_S - until_s, 3),
+        )
+        return name
+
     async def hand_over(self):
         """Give the unit up before a planned stop."""
         self.stopping = True
         self.elector.stop()
+        if self.leader is None:
+            return
+        successor = await self._choose_successor()
         leader = self.leader
         if leader is None:
             return
@@ -171,7 +215,9 @@
         try:
             async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
                 term.released = await self.elector.release(
-                    term.claim_version, handover=handover
+                    term.claim_version,
+                    handover=handover,
+                    successor=successor,
                 )
         except TimeoutError:
             # Other nodes take over once this process has ended.
--- a/arbutusrock/engine/ownership/ownership.py
+++ b/arbutusrock/engine/ownership/ownership.py
@@ -41,6 +41,9 @@
 # takes whole milliseconds, so that call must not be shorter than this.
 MIN_WATCH_TIMEOUT_S = 0.01
 RETRY_DELAY_S = 0.2
+# How long the others leave a unit that was released to the node that its owner
+# has chosen.
+SUCCESSOR_WAIT_S = 0.4
 # Random delay before an unowned unit is claimed. At the first start all
 # nodes claim at once, and one of them wins.
 UNOWNED_CLAIM_JITTER_S = 0.05
@@ -65,6 +68,8 @@
         given the unit up before it did anything; 0 otherwise. The names in the
         heartbeat of that one hold.
     :param handover: list of possible runs that holds for the next owner.
+    :param successor: node that the owner has chosen to be the next one; empty
+        when any may claim a released unit.
     """
 
     epoch: int
@@ -74,6 +79,7 @@
     released: bool = False
     heartbeat_epoch: int = 0
     handover: possible_runs.Handover = possible_runs.Handover()
+    successor: str = ''
 
 
 _decode_claim = decoders.create_msgpack_decoder(Claim)
@@ -120,6 +126,7 @@
         # When the last claim of this node was sent.
         self.claim_sent_at_s = 0.0
         self._claim = None
+        self._claim_read_at_s = 0.0
         self._stopped = False
         # Versions of the owner's rows; 0 stands for an absent row.
         self._versions = dict.fromkeys(OWNER_KEYS, 0)
@@ -153,7 +160,10 @@
         )
         unresponsive_s = 0.0
         while not self._stopped:
-            if self._claim is None or self._claim.released:
+            awaited_s = self._get_successor_wait_s()
+            if awaited_s:
+                reason = ''
+            elif self._claim is None or self._claim.released:
                 await self._delay_claim()
                 reason = 'nobody owns the unit'
             elif self._claim.node == self.node:
@@ -178,7 +188,7 @@
                     continue
             began_at_s = clocks.now_s()
             wait_s = min(
-                WATCH_TIMEOUT_S,
+                awaited_s or WATCH_TIMEOUT_S,
                 max(
                     MIN_WATCH_TIMEOUT_S,
                     threshold_s * self._compute_patience() - unresponsive_s,
@@ -208,8 +218,22 @@
             return 1
         return 2 ** min(self._claim.unfinished, MAX_DOUBLINGS)
 
+    def _get_successor_wait_s(self):
+        """Return for how long the claim of a chosen successor is awaited."""
+        claim = self._claim
+        if (
+            claim is None
+            or not claim.released
+            or claim.successor in {'', self.node}
+        ):
+            return 0.0
+        until_s = self._claim_read_at_s + SUCCESSOR_WAIT_S
+        return max(0.0, until_s - clocks.now_s())
+
     async def _delay_claim(self):
         """Wait so that the nodes claim one after another."""
+        if self._claim is not None and self._claim.successor == self.node:
+            return
         jitter_s = random.uniform(0, UNOWNED_CLAIM_JITTER_S)  # noqa: S311
         await asyncio.sleep(self.claim_delay_s + jitter_s)
 
@@ -280,6 +304,8 @@
                 return False
 
     def _record_claim(self, claim):
+        if claim != self._claim:
+            self._claim_read_at_s = clocks.now_s()
         self._claim = claim
         other = not claim.released and claim.node != self.node
         self.monitor.follow(claim.node if other else None, claim.epoch)
--- a/arbutusrock/engine/ownership/tests/test_ownership.py
+++ b/arbutusrock/engine/ownership/tests/test_ownership.py
@@ -328,6 +328,51 @@
     assert not elector.handover.row_count
 
 
+@pytest.mark.parametrize('successor', ['n1', 'n2', ''])
+async def test_unit_is_left_to_the_chosen_successor_for_a_while(
+    monkeypatch, successor
+):
+    clock = Clock()
+    delays_s = []
+
+    async def sleep(delay_s):
+        delays_s.append(delay_s)
+        clock.now += delay_s
+
+    monkeypatch.setattr(ownership.clocks, 'now_s', clock.now_s)
+    monkeypatch.setattr(ownership.asyncio, 'sleep', sleep)
+    store = UnresponsiveOwnerStore(clock)
+    claim = ownership.Claim(
+        epoch=4, node='n0', nonce=1, released=True, successor=successor
+    )
+
+    async def read_range(table, **_options):
+        row = rows.Row(
+            table=table,
+            key=state_writer.KEY_CLAIM,
+            value=msgspec.msgpack.encode(claim),
+            version=7,
+        )
+        return [row], 7
+
+    store.read_range = read_range
+    elector = ownership.OwnerElector(store=store, node='n1')
+    began_at_s = clock.now
+    await elector.acquire()
+    elapsed_s = clock.now - began_at_s
+    match successor:
+        case 'n1':
+            assert elapsed_s == 0.0
+        case 'n2':
+            assert sum(store.waits_s) == pytest.approx(
+                ownership.SUCCESSOR_WAIT_S
+            )
+            assert elapsed_s > ownership.SUCCESSOR_WAIT_S
+        case _:
+            assert not store.waits_s
+            assert elapsed_s >= elector.claim_delay_s
+
+
 class ReleasedStore(UnresponsiveOwnerStore):
     """A store in which other nodes claim the unit and release it at once.
 
--- a/arbutusrock/platform/internal_api.py
+++ b/arbutusrock/platform/internal_api.py
@@ -38,6 +38,9 @@
         match request.path:
             case peers.RELAY_PATH:
                 return await self._relay(request)
+            case peers.CANDIDATE_PATH:
+                view = self.node.describe_candidate()
+                return web.Response(body=msgspec.json.encode(view))
             case '/status':
                 view = status.describe_node(
                     self.node, ready=self.ingress.is_ready()
--- a/tests/test_site_handover.py
+++ b/tests/test_site_handover.py
@@ -1,5 +1,6 @@
 """Planned changes of owner, one and in series, beside workers out of reach."""
 
+import asyncio
 import json
 
 import pytest
@@ -18,6 +19,9 @@
 TASKS = 4
 # An owner that does not know what may run waits for 7 s.
 MAX_WAIT_S = 1.5
+# Time from the release to the next owner's first start.
+MAX_FIRST_START_S = 0.5
+THIRD_JOB = '00000000000000c3'
 
 
 @pytest.fixture
@@ -84,3 +88,38 @@
         what='the task that was out of reach is started again',
     )
     assert held.outcome == 'lapsed'
+
+
+async def test_planned_change_passes_over_nodes_that_stop(site):
+    """Guards against a unit that is released to nobody, or to such nodes.
+
+    The next owner's first start follows the release within half a second.
+    """
+    owner = await wait_owner(site)
+    others = [node for node in site.nodes if node is not owner]
+    await wait_until(
+        lambda: len(owner.node.peers.addresses) == NODES - 1,
+        what='the owner knows the other nodes',
+    )
+    chosen = others.pop()
+    for node in others:
+        await node.node.hand_over()
+    chosen.node.stopping = True
+    handing_over = asyncio.ensure_future(owner.node.hand_over())
+    await asyncio.sleep(0.5)
+    assert owner.is_owner
+    assert not handing_over.done()
+    # The owner goes on meanwhile.
+    await site.submit('alpha', JOB, [create_step(TASKS)], node=chosen)
+    await wait_until(
+        lambda: count_starts(site, JOB) == TASKS, what='all tasks start'
+    )
+    chosen.node.stopping = False
+    await handing_over
+    released_at_s = clocks.now_s()
+    await site.submit('alpha', THIRD_JOB, [create_step(1)], node=chosen)
+    await wait_until(
+        lambda: count_starts(site, THIRD_JOB) == 1, what='the task starts'
+    )
+    assert clocks.now_s() - released_at_s < MAX_FIRST_START_S
+    assert chosen.is_owner
