Stop no task on a draining worker that could not be started elsewhere

After a change of owner that was not planned, tasks of accepted jobs wait in a pool with a worker out of reach. A task that was moved off a draining worker in that time waited, too, up to 7 s, while its worker would have gone on for 4 s; an owner that is about to stop moved tasks that only the next one could start.

Such a task now goes on until its worker leaves in less than 1.5 s, when it is stopped with its checkpoint, and an owner that is stopping moves none.

--- a/arbutusrock/engine/vms/evacuation.py
+++ b/arbutusrock/engine/vms/evacuation.py
@@ -40,6 +40,9 @@
         self.term = term
         self.run_controller = run_controller
         self._leaving_since_s = {}
+        # By pool, which jobs may have runs out of reach, so that their tasks
+        # cannot be started now.
+        self._inherited_versions = {}
 
     async def run(self):
         """Reconcile in each interval until the ownership ends."""
@@ -49,6 +52,12 @@
 
     def reconcile(self, now_s):
         """Stop the runs that have to leave their worker now."""
+        if self.term.stopping:
+            # Nothing is started any more; the next owner decides.
+            return
+        self._inherited_versions = self.term.fleet.find_inherited_versions(
+            now_s
+        )
         leaving = [
             worker
             for worker in self.term.fleet.workers.values()
@@ -82,10 +91,7 @@
                 self.run_controller.stop_run(run, 'its worker is evacuated')
 
     def _move_serving_run(self, run, worker, now_s):
-        forced = worker.entry.draining and (
-            worker.entry.leaves_in_ms is not None
-            and worker.entry.leaves_in_ms < FORCED_MOVE_MS
-        )
+        forced = _leaves_soon(worker)
         step = run.task.step
         away = sum(
             1
@@ -95,7 +101,11 @@
         allowed = disruption.may_disrupt(
             unavailable=away, may_miss=step.plan.may_miss
         )
-        if not (allowed or forced) or not self._fits_elsewhere(run):
+        if not (allowed or forced):
+            return
+        if not self._fits_elsewhere(run):
+            return
+        if self._waits_if_stopped(run) and not forced:
             return
         LOG.info(
             'a serving task moves',
@@ -136,7 +146,24 @@
         if leaves_ms is None:
             return False
         left_ms = run.task.step.plan.estimate_ms * (1 - run.percent / 100)
-        return left_ms > leaves_ms
+        if left_ms <= leaves_ms:
+            return False
+        return _leaves_soon(worker) or not self._waits_if_stopped(run)
+
+    def _waits_if_stopped(self, run):
+        """Return whether the task of a run could not be started again now."""
+        job = run.task.step.job
+        version = self._inherited_versions.get(run.worker.entry.pool, 0)
+        return job.inherited and job.stored_version < version
+
+
+def _leaves_soon(worker):
+    leaves_ms = worker.entry.leaves_in_ms
+    return (
+        worker.entry.draining
+        and leaves_ms is not None
+        and leaves_ms < FORCED_MOVE_MS
+    )
 
 
 def is_ready(task, now_s):
--- a/arbutusrock/engine/vms/tests/test_evacuation.py
+++ b/arbutusrock/engine/vms/tests/test_evacuation.py
@@ -2,11 +2,15 @@
 
 import types
 
+import msgspec
+import pytest
+
 from arbutusrock.engine.jobs import job_state
 from arbutusrock.engine.jobs import plans
 from arbutusrock.engine.ports import platform_messages
 from arbutusrock.engine.vms import evacuation
 from arbutusrock.engine.workers import fleet
+from arbutusrock.scheduling import dark_workers
 from arbutusrock.scheduling import Resources
 
 DEMAND = Resources(cpu=1000, memory_mb=100)
@@ -46,13 +50,16 @@
     return job_state.Occurrence(job=job, number=0, due_unix_s=0.0).steps[0]
 
 
-def run_pass(placement, may_miss):
+def run_pass(placement, may_miss, *, stopping=False, step=None):
     """Place tasks on workers and return the tasks that one pass stops.
 
     :param placement: list of (worker, number of tasks).
+    :param stopping: whether the owner is about to stop.
+    :param step: its tasks; None for some that last.
     """
     known = fleet.Fleet()
-    step = create_step(sum(count for _, count in placement), may_miss)
+    if step is None:
+        step = create_step(sum(count for _, count in placement), may_miss)
     tasks = iter(step.tasks)
     for worker, count in placement:
         known.workers[worker.worker_id] = worker
@@ -67,7 +74,8 @@
                 demand=DEMAND,
                 now_s=0.0,
             )
-            run.state, run.percent = job_state.RunState.RUNNING, 100
+            run.state = job_state.RunState.RUNNING
+            run.percent = 100 if step.plan.long_running else 0
             known.add_run(run)
     stopped = []
 
@@ -76,7 +84,7 @@
         stopped.append((run.worker.vm, run.task.index))
 
     evacuator = evacuation.EvacuationController(
-        term=types.SimpleNamespace(fleet=known),
+        term=types.SimpleNamespace(fleet=known, stopping=stopping),
         run_controller=types.SimpleNamespace(stop_run=stop_run),
     )
     evacuator.reconcile(1.0)
@@ -117,3 +125,36 @@
     late = create_worker('d')
     late.last_reply_at_s = 1.0 - evacuation.UNRESPONSIVE_S - 0.1
     assert not run_pass([(cordoned, 1), (free, 0), (late, 2)], 1)
+
+
+@pytest.mark.parametrize('long_running', [False, True])
+@pytest.mark.parametrize(
+    ('leaves_in_ms', 'silent', 'stopping', 'stops'),
+    [
+        (4000.0, False, False, True),
+        # It could not be started again: its pool waits for a worker.
+        (4000.0, True, False, False),
+        # The next owner decides.
+        (4000.0, False, True, False),
+        # Its worker's time is ending: the checkpoint is saved.
+        (1000.0, True, False, True),
+    ],
+)
+def test_task_of_draining_worker_goes_on_while_it_can_start_nowhere_else(
+    long_running, leaves_in_ms, silent, stopping, stops
+):
+    """Guards against LOST: it was stopped, and waited for the lease."""
+    step = create_step(1, 1)
+    step.plan = msgspec.structs.replace(
+        step.plan, long_running=long_running, estimate_ms=9000
+    )
+    step.job.inherited = True
+    draining = create_worker('a', draining=True, leaves_in_ms=leaves_in_ms)
+    placement = [(draining, 1), (create_worker('b'), 0)]
+    if silent:
+        dark = create_worker('c')
+        dark.has_answered = False
+        dark.inherited_lease = dark_workers.InheritedLease(end_at_s=5.0)
+        placement.append((dark, 0))
+    stopped = run_pass(placement, 1, stopping=stopping, step=step)
+    assert bool(stopped) is stops
