--- a/arbutusrock/engine/dispatch/dispatcher.py
+++ b/arbutusrock/engine/dispatch/dispatcher.py
@@ -53,11 +53,6 @@
         self.guarded_starter = guarded_starts.GuardedStarter(
             term=term, crash_tracker=crash_tracker
         )
-        # Only jobs stored before this version of the store, by pool, may have
-        # runs of an earlier owner that this one has not heard of.
-        self._inherited_versions = {}
-        # Names of the tasks that may run on workers out of reach.
-        self._inherited_tasks = frozenset()
         # How many more start orders a pass may send for its present pool.
         self._order_room = 0
         # Passes in which a pool had more to start than that.
@@ -107,8 +102,7 @@
             if steps
         }
         self.lookahead.forget_pools(waiting)
-        self._inherited_versions = term.fleet.find_inherited_versions(now_s)
-        self._inherited_tasks = term.fleet.find_inherited_tasks(now_s)
+        term.inherited_waits.begin_pass(now_s)
         term.inherited_waits.usage = inherited_usage.estimate_inherited_usage(
             term, now_s
         )
@@ -235,12 +229,9 @@
         return fitting
 
     def _may_start(self, step, pool):
-        job = step.job
-        if not self.term.may_start(job):
-            return False
-        if not job.inherited or step.plan.speculative:
-            return True
-        return job.stored_version >= self._inherited_versions.get(pool, 0)
+        return self.term.may_start(
+            step.job
+        ) and not self.term.inherited_waits.holds_step(step, pool)
 
     def _start_step(self, step, workers, suspect_vms, now_s, sound_free):
         """Start waiting tasks of a step while they fit.
@@ -296,7 +287,7 @@
         """Return whether a waiting task may have a run all the same."""
         return (
             task.name in self.term.fleet.unwanted_runs
-            or task.name in self._inherited_tasks
+            or self.term.inherited_waits.holds_task(task)
         )
 
     def _start_gang(self, step, workers, suspect_vms, allowed, now_s):
--- a/arbutusrock/engine/term/inherited_waits.py
+++ b/arbutusrock/engine/term/inherited_waits.py
@@ -22,6 +22,8 @@
         'metrics',
         'starts_after_s',
         'usage',
+        '_versions',
+        '_tasks',
         '_began_at_s',
         '_holders',
         '_named',
@@ -34,6 +36,9 @@
         self.metrics = metrics
         self.starts_after_s = 0.0
         self.usage = {}
+        # As of the last pass over waiting tasks.
+        self._versions = {}
+        self._tasks = frozenset()
         self._began_at_s = 0.0
         self._holders = []
         self._named = set()
@@ -60,6 +65,22 @@
             self.metrics.count(name, amount=value)
         return len(self._holders)
 
+    def begin_pass(self, now_s):
+        """Look at what workers out of reach may have, for one pass."""
+        self._versions = self.fleet.find_inherited_versions(now_s)
+        self._tasks = self.fleet.find_inherited_tasks(now_s)
+
+    def holds_step(self, step, pool):
+        """Return whether any task of a step may have an inherited run."""
+        job = step.job
+        if not job.inherited or step.plan.speculative:
+            return False
+        return job.stored_version < self._versions.get(pool, 0)
+
+    def holds_task(self, task):
+        """Return whether a task may have a run that is listed."""
+        return task.name in self._tasks
+
     def _find_pools(self, now_s):
         return set(self.fleet.find_inherited_versions(now_s))
 
--- a/arbutusrock/engine/term/term.py
+++ b/arbutusrock/engine/term/term.py
@@ -81,8 +81,7 @@
         # Waiting jobs by queue, reported until the jobs are loaded.
         self.inherited_waiting = {}
         self.dark_workers = dark_workers.DarkWorkers(epoch=epoch)
-        self.settings = settings
-        self.configuration = configuration
+        self.settings, self.configuration = settings, configuration
         self.metrics = metrics
         self.began_at_s = clocks.now_s()
         self.load = owner_load.OwnerLoad(metrics=metrics)
@@ -107,13 +106,12 @@
         self.vms_to_drain = set()
         # Until it is set, nothing is concluded from what workers report.
         self.jobs_loaded = asyncio.Event()
-        # Set when the dispatcher should look at the waiting tasks.
-        self.dispatch_due = asyncio.Event()
-        # Set when changed rows should be written.
-        self.flush_due = asyncio.Event()
-        self.stopping = False
-        # The unit is, or may be, given up: a next owner claims it at once.
-        self.released = False
+        # Set when the dispatcher should look at the waiting tasks, and when
+        # changed rows should be written.
+        self.dispatch_due, self.flush_due = asyncio.Event(), asyncio.Event()
+        # The node is about to stop; and the unit is, or may be, given up, so
+        # that a next owner claims it at once.
+        self.stopping = self.released = False
         self._run_count = 0
         self._checked_at_s = self.began_at_s
         # When the last stall of the process was detected; None once the
--- a/arbutusrock/engine/workers/fleet.py
+++ b/arbutusrock/engine/workers/fleet.py
@@ -1,10 +1,10 @@
 """Workers as the owner knows them, and the resources that accounts use."""
 
 import asyncio
-import enum
 import math
 
-from arbutusrock.engine.ports import platform_messages
+from arbutusrock.engine.workers.incarnations import END_BY_OUTCOME
+from arbutusrock.engine.workers.incarnations import IncarnationEnd
 from arbutusrock.scheduling import dark_workers
 from arbutusrock.scheduling import Resources
 
@@ -14,23 +14,6 @@
 MAX_LOGGED_RUNS = 20
 
 
-class IncarnationEnd(enum.Enum):
-    """How the owner learned that a worker's incarnation is over."""
-
-    MOVED = 'its VM was moved or sent to maintenance'
-    REPLACED = 'its VM runs another worker'
-    RESTARTED = 'it was restarted'
-    ADDRESS_TAKEN = 'another incarnation answers'
-    UNREGISTERED = 'it is no longer registered'
-
-
-# What an answer to an order shows about the incarnation that it was meant for.
-END_BY_OUTCOME = {
-    platform_messages.OrderOutcome.GONE: IncarnationEnd.ADDRESS_TAKEN,
-    platform_messages.OrderOutcome.RESTARTED: IncarnationEnd.RESTARTED,
-}
-
-
 class WorkerState:
     """One incarnation of a worker, and the runs on it.
 
@@ -92,8 +75,7 @@
         withheld=(),
     ):
         self.entry = entry
-        self.cordons = cordons
-        self.withheld = withheld
+        self.cordons, self.withheld = cordons, withheld
         self.runs = {}
         self.entry_read_at_s = now_s
         # Capacity in the list of VMs, and when that list was requested.
@@ -101,13 +83,11 @@
         self.listed_at_s = now_s
         # The capacities last compared, and the smaller of their amounts.
         self._smaller_capacity = (None, None, None)
-        self.used_millicores = 0
-        self.used_memory_mb = 0
+        self.used_millicores = self.used_memory_mb = 0
         self.used_accelerators = 0
         # Whether it has answered this owner, and has reported all the ends of
-        # runs that it keeps.
-        self.has_answered = False
-        self.unresponsive = False
+        # runs that it keeps; and whether it did not answer the last call.
+        self.has_answered = self.unresponsive = False
         self.last_reply_at_s = now_s
         # Its steady clock at its last report of what runs there.
         self.report_clock_ms = None
@@ -119,9 +99,9 @@
         self.lease_until_ms = None
         self.inherited_lease = inherited_lease or dark_workers.InheritedLease()
         self.inherited_tasks = inherited_tasks
-        # Completions up to this number are durable and may be forgotten.
-        self.ack_cursor = 0
-        self.last_completion = 0
+        # Completions up to this number are durable and may be forgotten; and
+        # the last one that was read.
+        self.ack_cursor = self.last_completion = 0
         # Completions to acknowledge: (number, flush that makes it durable).
         self.pending_acks = []
         # When its registration was found missing; None while registered.
--- a/examples/standins/site/site.py
+++ b/examples/standins/site/site.py
@@ -17,6 +17,7 @@
 from arbutusrock.platform import internal_api
 from arbutusrock.platform import server
 from arbutusrock import serving
+from examples.standins.site import documents
 from examples.standins.site import site_node as site_node_module
 from examples.standins.site import store as store_module
 from examples.standins.site import vm_service
@@ -173,34 +174,14 @@
         :param overrides: fields that replace those of the document.
         """
         self.version += 3
-        routes = [
-            {
-                'name': f'r-{pool}',
-                'host': f'{pool}.example',
-                'pathPrefix': '/jobs/',
-                'type': 'unsafe',
-                'service': pool,
-                'sloMs': 600,
-                'priority': 0,
-                'maxAttempts': 3,
-                'stretch': 2.0,
-                'public': False,
-                **fields,
-            }
-            for pool, fields in self.queues.items()
-        ]
         document = {
-            'version': self.version,
-            'routes': routes,
-            'services': [
-                {'name': pool, 'spare': pool == SPARE_POOL}
-                for pool in self.pools
-            ],
-            'limits': {},
-            'tenants': [
-                {'name': name, **fields}
-                for name, fields in self.accounts.items()
-            ],
+            **documents.create_configuration(
+                version=self.version,
+                pools=self.pools,
+                queues=self.queues,
+                accounts=self.accounts,
+                spare_pool=SPARE_POOL,
+            ),
             **overrides,
         }
         await self._put_document('op', 'config', document)
@@ -360,9 +341,8 @@
         await power_on(silent_s)
 
     async def power_off(self, vm, *, unregister=False):
-        """Turn a VM off.
+        """Turn a VM off, and remove the entry of its worker if asked to.
 
-        :param unregister: whether the entry of its worker is removed.
         :returns: coroutine function that turns it on; its worker returns
             under its id and address, and registers after the time (s) that is
             passed.
@@ -475,22 +455,12 @@
         :param addresses: addresses that replace those of the services, for
             example of proxies; keys as in :meth:`get_address`.
         """
-        addresses = {**self._addresses, **addresses}
-        fields = {
-            'nodeName': name,
-            'ip': HOST,
-            'zone': 'z1',
-            'listen.frontend': f'{HOST}:0',
-            'listen.readiness': f'{HOST}:0',
-            'portRange': '0,0',
-            'platform.address': addresses['store'],
-            'cloudApi.address': addresses['vms'],
-            'advice': addresses['policy'],
-            'bounds.moveS': str(self.vm_service.move_s),
-            'bounds.graceS': '5',
-            'aFieldOfLaterDays': 'x',
-        }
-        return ''.join(f'{key}={value}\n' for key, value in fields.items())
+        return documents.create_settings_text(
+            name,
+            host=HOST,
+            addresses={**self._addresses, **addresses},
+            move_s=self.vm_service.move_s,
+        )
 
     async def kill_node(self, site_node):
         """Stop a node without handing the unit over."""
