Bound the search for a next owner by the grace period

A node with a short grace period, or without any other node, went on as the owner for 2 s after its stop signal, in which its requests were to end.

Both cases of the new test failed before, by the time-out of a second.

--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -25,8 +25,10 @@
 # hand-over itself: longer than a slow store takes (0.6 s).
 HAND_OVER_TIMEOUT_S = 1.0
 # How long a node that is to stop goes on as the owner while no other node can
-# own the unit: less than the load balancer takes to send it no more callers.
+# own the unit: less than the load balancer takes to send it no more callers,
+# and at most this fraction of its grace period.
 MAX_SUCCESSOR_WAIT_S = 2.0
+MAX_SUCCESSOR_WAIT_FRACTION = 1 / 3
 SUCCESSOR_POLL_S = 0.1
 LOG = logs.get_log('node')
 
@@ -167,11 +169,20 @@
         While there is none, this node goes on. Without one in time any node
         may claim the unit.
         """
-        until_s = clocks.now_s() + MAX_SUCCESSOR_WAIT_S
+        began_at_s = clocks.now_s()
+        until_s = began_at_s + min(
+            MAX_SUCCESSOR_WAIT_S,
+            self.settings.grace_s * MAX_SUCCESSOR_WAIT_FRACTION,
+        )
         while True:
             candidates = await self.peers.find_candidates()
             name = successors.choose_successor(candidates)
-            if name or self.leader is None or clocks.now_s() > until_s:
+            if (
+                name
+                or self.leader is None
+                or not self.peers.addresses
+                or clocks.now_s() > until_s
+            ):
                 break
             await asyncio.sleep(SUCCESSOR_POLL_S)
         LOG.info(
@@ -182,7 +193,7 @@
                 for item in candidates
                 if item.can_own
             },
-            waited_s=round(clocks.now_s() + MAX_SUCCESSOR_WAIT_S - until_s, 3),
+            waited_s=round(clocks.now_s() - began_at_s, 3),
         )
         return name
 
--- a/arbutusrock/engine/tests/test_node.py
+++ b/arbutusrock/engine/tests/test_node.py
@@ -44,7 +44,10 @@
                 progress_rows=types.SimpleNamespace(unrecorded=set()),
             ),
         ),
-        peers=types.SimpleNamespace(find_candidates=_find_nobody),
+        settings=types.SimpleNamespace(grace_s=6.0),
+        peers=types.SimpleNamespace(
+            find_candidates=_find_nobody, addresses={'n2': 'h:2'}
+        ),
         elector=types.SimpleNamespace(
             release=_wait_forever, stop=lambda: claims_stopped.append(True)
         ),
@@ -79,12 +82,41 @@
 
     owner = types.SimpleNamespace(
         leader=types.SimpleNamespace(term=term),
-        peers=types.SimpleNamespace(find_candidates=find_candidates),
+        settings=types.SimpleNamespace(grace_s=6.0),
+        peers=types.SimpleNamespace(
+            find_candidates=find_candidates, addresses={'n2': 'h:2'}
+        ),
     )
     assert await node.Node._choose_successor(owner) == 'n3'
     assert not answers
 
 
+@pytest.mark.parametrize(
+    ('addresses', 'grace_s', 'calls'), [({}, 6.0, 1), ({'n2': 'h:2'}, 0.03, 3)]
+)
+async def test_owner_without_a_successor_does_not_wait_for_long(
+    monkeypatch, addresses, grace_s, calls
+):
+    """It is alone, or has to end within its grace period."""
+    monkeypatch.setattr(node, 'SUCCESSOR_POLL_S', 0.005)
+    asked = []
+
+    async def find_candidates():
+        asked.append(True)
+        return []
+
+    owner = types.SimpleNamespace(
+        leader=object(),
+        settings=types.SimpleNamespace(grace_s=grace_s),
+        peers=types.SimpleNamespace(
+            find_candidates=find_candidates, addresses=addresses
+        ),
+    )
+    async with asyncio.timeout(1.0):
+        assert await node.Node._choose_successor(owner) == ''
+    assert 1 <= len(asked) <= calls
+
+
 @pytest.mark.parametrize('reason', ['stopping', 'owner', 'not configured'])
 def test_node_that_cannot_own_the_unit_is_no_candidate(reason):
     asked = types.SimpleNamespace(
