Pass the unit to a node with enough processor time

Nodes with few cores let the others claim first, as the work of an owner grows with the number of workers. The choice of the next owner did not look at that, so it could have passed the unit to the smallest node.

--- a/arbutusrock/engine/callers/peers.py
+++ b/arbutusrock/engine/callers/peers.py
@@ -32,11 +32,12 @@
 class CandidateView(msgspec.Struct, kw_only=True):
     """Answer of a node that is asked whether it can own the unit.
 
-    :param up_s: how long it has been serving (s).
+    Further fields as in :class:`successors.Candidate`.
     """
 
     can_own: bool
     up_s: decoders.Figure
+    claim_delay_s: decoders.Figure = 0.0
 
 
 _decode_candidate = decoders.create_json_decoder(CandidateView)
@@ -141,7 +142,10 @@
             LOG.debug('a node is no candidate', node=name, error=str(exc))
             return None
         return successors.Candidate(
-            name=name, up_s=view.up_s, can_own=view.can_own
+            name=name,
+            up_s=view.up_s,
+            claim_delay_s=view.claim_delay_s,
+            can_own=view.can_own,
         )
 
     async def close(self):
--- a/arbutusrock/engine/node.py
+++ b/arbutusrock/engine/node.py
@@ -161,6 +161,7 @@
             and self.leader is None
             and self.configuration.current is not None,
             up_s=clocks.now_s() - self._began_at_s,
+            claim_delay_s=self.elector.claim_delay_s,
         )
 
     async def _choose_successor(self):
--- a/arbutusrock/engine/tests/test_node.py
+++ b/arbutusrock/engine/tests/test_node.py
@@ -125,8 +125,10 @@
         configuration=types.SimpleNamespace(
             current=None if reason == 'not configured' else object()
         ),
+        elector=types.SimpleNamespace(claim_delay_s=0.1),
         _began_at_s=clocks.now_s() - 5.0,
     )
     view = node.Node.describe_candidate(asked)
     assert not view.can_own
     assert view.up_s >= 5.0
+    assert view.claim_delay_s == 0.1
