--- a/benchmarks/bench_owner_changes.py
+++ b/benchmarks/bench_owner_changes.py
@@ -23,6 +23,8 @@
 import tempfile
 import time
 
+import aiohttp
+
 from examples.standins.site import Site
 from examples.standins.site.site import create_step
 from soak import daemons
@@ -77,7 +79,8 @@
                     spec=json.dumps({'ms': TASK_MS}),
                     node=node,
                 )
-            except OSError:
+            except aiohttp.ClientError:
+                # The node has ended.
                 continue
             if status == 200:
                 self.accepted_at_s[job] = time.monotonic()
