--- a/benchmarks/fleet_simulation.py
+++ b/benchmarks/fleet_simulation.py
@@ -394,7 +394,7 @@
             run=run.number,
             kind=platform_messages.CompletionKind(kind),
         )
-        self.leader.run_controller._handle_completion(
+        self.leader.run_controller.completions.handle(
             run.worker, completion, self.now_s
         )
         self.term.job_registry.dirty_jobs.clear()
