--- a/arbutusrock/engine/ownership/tests/test_ownership.py
+++ b/arbutusrock/engine/ownership/tests/test_ownership.py
@@ -24,17 +24,17 @@
 class UnresponsiveOwnerStore:
     """A store with the claim of another node, which sends no heartbeat."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, claim=None):
         self.clock = clock
+        self.claim = claim or ownership.Claim(epoch=4, node='other', nonce=1)
         self.claim_call = None
         self.waits_s = []
 
     async def read_range(self, table, **_options):
-        claim = ownership.Claim(epoch=4, node='other', nonce=1)
         row = rows.Row(
             table=table,
             key=state_writer.KEY_CLAIM,
-            value=msgspec.msgpack.encode(claim),
+            value=msgspec.msgpack.encode(self.claim),
             version=7,
         )
         return [row], 7
@@ -341,21 +341,10 @@
 
     monkeypatch.setattr(ownership.clocks, 'now_s', clock.now_s)
     monkeypatch.setattr(ownership.asyncio, 'sleep', sleep)
-    store = UnresponsiveOwnerStore(clock)
     claim = ownership.Claim(
         epoch=4, node='n0', nonce=1, released=True, successor=successor
     )
-
-    async def read_range(table, **_options):
-        row = rows.Row(
-            table=table,
-            key=state_writer.KEY_CLAIM,
-            value=msgspec.msgpack.encode(claim),
-            version=7,
-        )
-        return [row], 7
-
-    store.read_range = read_range
+    store = UnresponsiveOwnerStore(clock, claim)
     elector = ownership.OwnerElector(store=store, node='n1')
     began_at_s = clock.now
     await elector.acquire()
